--- /dev/null
+++ b/standin/asio.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// Boost 1.74's Asio uses std::exchange without including its header.
+#include <boost/asio.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast.hpp>
+#include <utility>
+
+namespace fuchsiadrum::standin {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+}  // namespace fuchsiadrum::standin
