--- /dev/null
+++ b/daemon/chat_attempt.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "daemon/chat_answer.h"
+#include "daemon/sse_parser.h"
+#include "daemon/upstream_attempt.h"
+
+namespace fuchsiadrum::daemon {
+
+/// A chat completion at a model engine, always read as a stream.
+class ChatAttempt : public UpstreamAttempt {
+ public:
+  ChatAttempt(DispatchOrder dispatch, const AttemptLimits& attempt_limits,
+              ConnectionPool& connection_pool, OnEvent event_handler);
+
+ protected:
+  std::string Text() const override;
+  bool MayReuseConnection() const override { return true; }
+  void OnHead() override;
+  void OnBody() override;
+
+ private:
+  void ReadStream();
+  void OnPiece(std::string_view piece, bool last);
+  void Complete(bool last);
+  void ReadRest();
+  bool Deliver(const std::string& relay);
+
+  ChatAnswer answer;
+  SseParser parser;
+  bool done = false;
+  bool malformed = false;
+};
+
+}  // namespace fuchsiadrum::daemon
--- a/daemon/daemon_metrics.cc
+++ b/daemon/daemon_metrics.cc
@@ -97,7 +97,7 @@
   }
 
   const auto ring_lines = [&](const char* suffix, const char* type,
-                              std::atomic<uint64_t> RingCounters::* member) {
+                              std::atomic<uint64_t> RingCounters::*member) {
     if (this->rings.empty()) return;
     out << "# TYPE " << prefix << suffix << " " << type << "\n";
     for (const auto& [name, ring] : this->rings) {
--- a/daemon/decision_core.h
+++ b/daemon/decision_core.h
@@ -20,8 +20,8 @@
   virtual void OnLogBatches(TimePoint now, uint64_t from,
                             const std::vector<std::string>& batches,
                             node::NodeActions& out) = 0;
-  virtual void OnLogBounds(TimePoint now, uint64_t first_retained,
-                           uint64_t end, node::NodeActions& out) = 0;
+  virtual void OnLogBounds(TimePoint now, uint64_t first_retained, uint64_t end,
+                           node::NodeActions& out) = 0;
   virtual void OnLogUnreachable(TimePoint now, node::NodeActions& out) = 0;
   virtual void OnAppendAnswer(TimePoint now, bool stored,
                               node::NodeActions& out) = 0;
--- /dev/null
+++ b/daemon/front_server.cc
@@ -0,0 +1,144 @@
+#include "daemon/front_server.h"
+
+#include <cstdio>
+#include <utility>
+
+#include "fuchsiadrum/core/hash.h"
+
+namespace fuchsiadrum::daemon {
+namespace {
+
+HttpLimits LimitsOf(const pb::FrontSettings& settings) {
+  return {
+      .header_bytes = settings.max_header_bytes(),
+      .body_bytes = settings.max_body_bytes(),
+      .header_timeout = std::chrono::milliseconds(settings.header_timeout_ms()),
+      .body_timeout = std::chrono::milliseconds(settings.body_timeout_ms()),
+      .write_timeout = std::chrono::milliseconds(settings.write_timeout_ms())};
+}
+
+std::string Hex(uint64_t number) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%016llx",
+                static_cast<unsigned long long>(number));
+  return out;
+}
+
+}  // namespace
+
+FrontServer::FrontServer(FrontOptions front_options,
+                         asio::io_context& io_context,
+                         Ring<FromFront>& to_control,
+                         DaemonMetrics& daemon_metrics)
+    : options(std::move(front_options)),
+      limits(LimitsOf(this->options.settings)),
+      context(io_context),
+      ring(to_control),
+      sender(to_control, io_context),
+      metrics(daemon_metrics),
+      reader(this->options.settings),
+      listener(
+          io_context,
+          [this](Tcp::socket socket) { this->OnSocket(std::move(socket)); }),
+      id_prefix(Hex(Hash64(this->options.self.ToString()))) {}
+
+std::string FrontServer::Open() {
+  const auto endpoint =
+      settings::Endpoint::Parse(this->options.settings.listen());
+  if (!endpoint) return "the callers' address is malformed";
+  return this->listener.Open(*endpoint);
+}
+
+void FrontServer::OnSocket(Tcp::socket socket) {
+  const auto connection =
+      std::make_shared<FrontConnection>(*this, std::move(socket), this->limits);
+  if (this->connections >
+      static_cast<int64_t>(this->options.settings.max_connections())) {
+    this->metrics.Count("refused_total", "cause", "max-connections");
+    connection->RefuseConnection();
+    return;
+  }
+  connection->Start();
+}
+
+void FrontServer::OnReply(ToFront action) {
+  const auto found = this->waiting.find(action.handle);
+  if (found == this->waiting.end()) return;
+  if (const auto connection = found->second.lock()) {
+    connection->OnReply(std::move(action));
+  }
+}
+
+void FrontServer::StopNewWork() {
+  this->closing = true;
+  asio::post(this->context, [this] { this->listener.Close(); });
+}
+
+void FrontServer::CutAll() {
+  asio::post(this->context, [this] {
+    const auto open = this->waiting;
+    for (const auto& [handle, weak] : open) {
+      const auto connection = weak.lock();
+      if (!connection) continue;
+      node::RequestAction action;
+      action.handle = handle;
+      action.status = 503;
+      action.outcome = node::Outcome::kUnknown;
+      action.step = "stop";
+      action.reason = "the daemon stopped before the answer was whole";
+      connection->OnReply(std::move(action));
+    }
+  });
+}
+
+std::string FrontServer::NewRequestId() {
+  return this->id_prefix + "-" + Hex(++this->last_id);
+}
+
+bool FrontServer::Submit(const CallerRequestPtr& request,
+                         std::weak_ptr<FrontConnection> connection) {
+  request->start.handle = ++this->last_handle;
+  FromFront item = CallerArrived{request};
+  if (!this->sender.IsClear() || !this->ring.TryPush(item)) {
+    this->metrics.Count("refused_total", "cause", "ring-full");
+    return false;
+  }
+  this->waiting[request->start.handle] = std::move(connection);
+  ++this->in_flight;
+  return true;
+}
+
+bool FrontServer::Call(AdminCall call) {
+  FromFront item = std::move(call);
+  if (this->sender.IsClear() && this->ring.TryPush(item)) return true;
+  this->metrics.Count("refused_total", "cause", "ring-full");
+  return false;
+}
+
+void FrontServer::Forget(const CallerRequest& request) {
+  if (this->waiting.erase(request.start.handle) > 0) --this->in_flight;
+}
+
+void FrontServer::Gone(const CallerRequest& request) {
+  this->Forget(request);
+  this->sender.Send(CallerGone{request.start.handle});
+}
+
+void FrontServer::AddConnection(int change) {
+  this->connections += change;
+  this->metrics.SetConnections(this->connections);
+}
+
+void FrontServer::CountBadInput(const BadInput& input) {
+  this->metrics.Count("bad_input_total", "kind", input.kind);
+}
+
+void FrontServer::CountCut(const char* cause) {
+  this->metrics.Count("cut_total", "cause", cause);
+}
+
+void FrontServer::RecordFirstToken(Duration added) {
+  this->metrics.AddFirstTokenDelay(added);
+}
+
+}  // namespace fuchsiadrum::daemon
--- /dev/null
+++ b/daemon/http_client_connection.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "daemon/asio.h"
+#include "fuchsiadrum/core/types.h"
+
+namespace fuchsiadrum::daemon {
+
+/// Head of an answer.
+struct HttpHead {
+  int status = 0;
+  std::string content_type;
+  /// X-Not-Run: true, the request was not run.
+  bool not_run = false;
+  /// X-Leaving: true, the upstream is leaving.
+  bool leaving = false;
+  /// The end of the body can be told from a broken connection.
+  bool framed = false;
+  bool keep_alive = false;
+};
+
+/// Client side of one HTTP connection. One operation at a time; each ends by
+/// one call of its handler. An operation that passed its timeout ends with
+/// asio::error::timed_out. No handler is called after Close.
+class HttpClientConnection
+    : public std::enable_shared_from_this<HttpClientConnection> {
+ public:
+  using OnDone = std::function<void(ErrorCode)>;
+  using OnSent = std::function<void(ErrorCode, size_t sent)>;
+  using OnHead = std::function<void(ErrorCode, const HttpHead&)>;
+  using OnPiece =
+      std::function<void(ErrorCode, std::string_view piece, bool last)>;
+
+  explicit HttpClientConnection(asio::io_context& context);
+  ~HttpClientConnection();
+  HttpClientConnection(const HttpClientConnection&) = delete;
+  HttpClientConnection& operator=(const HttpClientConnection&) = delete;
+
+  /// Connects to "IP:port".
+  void Connect(const std::string& address, Duration timeout, OnDone handler);
+  /// Sends a whole request.
+  void Send(std::string text, Duration timeout, OnSent handler);
+  /// Reads the head of its answer.
+  void ReadHead(Duration timeout, OnHead handler);
+  /// Reads some bytes of the body; `last` comes with its last bytes. The
+  /// piece is valid during the call only.
+  void ReadSome(Duration timeout, OnPiece handler);
+
+  /// True if the connection is open, its last answer was read to the end and
+  /// the other side has not closed it.
+  bool IsReusable();
+  void Close();
+
+ private:
+  struct Io;
+
+  void Arm(Duration timeout);
+  ErrorCode Disarm(ErrorCode error);
+
+  std::unique_ptr<Io> io;
+};
+
+}  // namespace fuchsiadrum::daemon
--- a/daemon/io_thread.cc
+++ b/daemon/io_thread.cc
@@ -10,7 +10,8 @@
 namespace fuchsiadrum::daemon {
 
 IoThread::IoThread(std::string thread_name)
-    : name(std::move(thread_name)), guard(asio::make_work_guard(this->context)) {}
+    : name(std::move(thread_name)),
+      guard(asio::make_work_guard(this->context)) {}
 
 IoThread::~IoThread() { this->Stop(); }
 
--- /dev/null
+++ b/daemon/load_report.cc
@@ -0,0 +1,72 @@
+#include "daemon/load_report.h"
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+#include "fuchsiadrum/core/hash.h"
+
+namespace fuchsiadrum::daemon {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kMaxModels = 64;
+constexpr size_t kMaxPrefixes = 4096;
+
+int Count(const json& body, const char* key) {
+  const auto found = body.find(key);
+  if (found == body.end() || !found->is_number_integer()) return 0;
+  return static_cast<int>(std::clamp<int64_t>(found->get<int64_t>(), 0,
+                                              std::numeric_limits<int>::max()));
+}
+
+}  // namespace
+
+node::UpstreamReport ParseLoadReport(const std::string& text) {
+  node::UpstreamReport out;
+  const json body = json::parse(text, nullptr, false);
+  if (!body.is_object()) return out;
+
+  out.reachable = true;
+  out.running = Count(body, "running");
+  out.queued = Count(body, "queued");
+  const auto speed = body.find("tokens_per_second");
+  if (speed != body.end() && speed->is_number()) {
+    out.tokens_per_second = std::max(0.0, speed->get<double>());
+  }
+  const auto version = body.find("version");
+  if (version != body.end() && version->is_string()) out.version = *version;
+  const auto leaving = body.find("leaving");
+  out.leaving = leaving != body.end() && *leaving == true;
+  const auto sequence = body.find("cache_sequence");
+  if (sequence != body.end() && sequence->is_number_unsigned()) {
+    out.cache_sequence = sequence->get<uint64_t>();
+  }
+
+  const auto models = body.find("models");
+  if (models != body.end() && models->is_array()) {
+    for (const json& model : *models) {
+      if (model.is_string() && out.models.size() < kMaxModels) {
+        out.models.push_back(model);
+      }
+    }
+  }
+  const auto prefixes = body.find("cached_prefixes");
+  if (prefixes == body.end() || !prefixes->is_array()) return out;
+  for (const json& prefix : *prefixes) {
+    if (!prefix.is_string() || out.cached_prefixes.size() >= kMaxPrefixes) {
+      continue;
+    }
+    // Eight bytes in the order of memory of a little-endian machine.
+    const std::string bytes = FromHex(prefix.get_ref<const std::string&>());
+    uint64_t hash = 0;
+    if (bytes.size() != sizeof hash) continue;
+    std::memcpy(&hash, bytes.data(), sizeof hash);
+    out.cached_prefixes.push_back(hash);
+  }
+  return out;
+}
+
+}  // namespace fuchsiadrum::daemon
--- /dev/null
+++ b/daemon/platform_json.cc
@@ -0,0 +1,79 @@
+#include "daemon/platform_json.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace fuchsiadrum::daemon {
+namespace {
+
+using nlohmann::json;
+
+std::optional<uint64_t> Number(const json& body, const char* key) {
+  const auto found = body.find(key);
+  if (found == body.end() || !found->is_number_unsigned()) return std::nullopt;
+  return found->get<uint64_t>();
+}
+
+}  // namespace
+
+std::optional<std::string> FromBase64(const std::string& text) {
+  if (text.size() % 4 != 0) return std::nullopt;
+  if (text.empty()) return std::string();
+  std::string out(text.size() / 4 * 3, '\0');
+  const int size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (size < 0) return std::nullopt;
+
+  // The decoder writes zeros for the padding.
+  const size_t padding = text.ends_with("==") ? 2 : text.ends_with('=') ? 1 : 0;
+  out.resize(static_cast<size_t>(size) - padding);
+  return out;
+}
+
+std::optional<LogRead> ParseLogRead(const std::string& text) {
+  const json body = json::parse(text, nullptr, false);
+  if (!body.is_object()) return std::nullopt;
+  const auto first = Number(body, "first");
+  const auto end = Number(body, "end");
+  if (!first || !end || *first > *end) return std::nullopt;
+
+  LogRead out;
+  out.bounds = LogRead::Bounds{.first = *first, .end = *end};
+  out.from = Number(body, "from").value_or(0);
+  const auto records = body.find("records");
+  if (records == body.end()) return out;
+  if (!records->is_array()) return std::nullopt;
+  for (const json& record : *records) {
+    if (!record.is_string()) return std::nullopt;
+    auto bytes = FromBase64(record.get_ref<const std::string&>());
+    if (!bytes) return std::nullopt;
+    out.batches.push_back(std::move(*bytes));
+  }
+  return out;
+}
+
+std::optional<std::vector<node::ListedVm>> ParseVmList(
+    const std::string& text) {
+  const json body = json::parse(text, nullptr, false);
+  if (!body.is_object()) return std::nullopt;
+  const auto vms = body.find("vms");
+  if (vms == body.end() || !vms->is_array()) return std::nullopt;
+
+  std::vector<node::ListedVm> out;
+  for (const json& vm : *vms) {
+    if (!vm.is_object()) return std::nullopt;
+    const auto name = vm.find("name");
+    if (name == vm.end() || !name->is_string()) return std::nullopt;
+    const auto leaving = vm.find("leaving");
+    out.push_back(
+        {.name = *name, .leaving = leaving != vm.end() && *leaving == true});
+  }
+  return out;
+}
+
+}  // namespace fuchsiadrum::daemon
--- a/daemon/ring.h
+++ b/daemon/ring.h
@@ -33,7 +33,9 @@
         counters(std::move(ring_counters)) {}
 
   /// Sets the consumer's handler, before the first push.
-  void SetHandler(Handler new_handler) { this->handler = std::move(new_handler); }
+  void SetHandler(Handler new_handler) {
+    this->handler = std::move(new_handler);
+  }
 
   /// Moves the item into the ring; false (item unchanged) if it is full.
   bool TryPush(T& item) {
--- /dev/null
+++ b/daemon/upstream_attempt.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "daemon/connection_pool.h"
+#include "daemon/http_call.h"
+#include "daemon/http_message.h"
+#include "daemon/messages.h"
+
+namespace fuchsiadrum::daemon {
+
+/// Limits of an attempt.
+struct AttemptLimits {
+  Duration connect_timeout = std::chrono::milliseconds(500);
+  Duration first_byte_timeout = std::chrono::seconds(20);
+  Duration idle_timeout = std::chrono::seconds(3);
+  /// Longest answer that is held in memory, and longest stored answer.
+  size_t max_answer_bytes = 4U << 20U;
+};
+
+/// One request at one upstream.
+class UpstreamAttempt : public std::enable_shared_from_this<UpstreamAttempt> {
+ public:
+  /// Called for kFirstToken and once for the end.
+  using OnEvent = std::function<void(node::AttemptEvent)>;
+
+  UpstreamAttempt(DispatchOrder dispatch, const AttemptLimits& attempt_limits,
+                  ConnectionPool& connection_pool, OnEvent event_handler);
+  virtual ~UpstreamAttempt() = default;
+  UpstreamAttempt(const UpstreamAttempt&) = delete;
+  UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
+
+  /// Sends the request.
+  void Start();
+  /// Closes the connection; no event follows.
+  void Cancel();
+
+ protected:
+  /// The request on the wire.
+  virtual std::string Text() const = 0;
+  /// False if a pooled connection must not be used, since a request that it
+  /// loses may have run.
+  virtual bool MayReuseConnection() const = 0;
+  /// The head of the answer arrived and did not refuse the request.
+  virtual void OnHead() = 0;
+
+  /// Reads the whole body, then calls OnBody.
+  void ReadWhole();
+  virtual void OnBody() {}
+  /// Tells the control thread and ends the attempt.
+  void End(node::AttemptEventKind kind);
+  /// Event with what is known of this attempt.
+  node::AttemptEvent Event(node::AttemptEventKind kind) const;
+  /// kSilent for a timeout, otherwise kBroken.
+  static node::AttemptEventKind KindOf(ErrorCode error);
+  /// Headers of each request.
+  HttpHeaders CommonHeaders() const;
+  /// Marks the first byte of the body.
+  void OnFirstByte();
+
+  DispatchOrder order;
+  AttemptLimits limits;
+  ConnectionPool& pool;
+  std::shared_ptr<HttpClientConnection> connection;
+  HttpHead head;
+  std::string body;
+  bool first_byte = false;
+  /// Filled by the subclass before End.
+  node::AttemptEvent result;
+  OnEvent on_event;
+
+ private:
+  void Send();
+  void ReadHead();
+  void TakeHead();
+};
+
+}  // namespace fuchsiadrum::daemon
--- /dev/null
+++ b/daemon/upstream_client.cc
@@ -0,0 +1,124 @@
+#include "daemon/upstream_client.h"
+
+#include "daemon/chat_attempt.h"
+#include "daemon/load_report.h"
+#include "daemon/service_attempt.h"
+
+namespace fuchsiadrum::daemon {
+namespace {
+
+constexpr size_t kMaxLoadBytes = 1U << 20U;
+
+}  // namespace
+
+UpstreamClient::UpstreamClient(const pb::UpstreamSettings& settings,
+                               size_t max_answer_bytes,
+                               asio::io_context& io_context,
+                               Ring<ToUpstream>& from_control,
+                               Ring<FromUpstream>& to_control)
+    : context(io_context),
+      orders(from_control),
+      sender(to_control, io_context),
+      pool(io_context, settings.pool_size()),
+      poll_pool(io_context, 1) {
+  this->limits = {
+      .connect_timeout =
+          std::chrono::milliseconds(settings.connect_timeout_ms()),
+      .first_byte_timeout =
+          std::chrono::milliseconds(settings.first_byte_timeout_ms()),
+      .idle_timeout = std::chrono::milliseconds(settings.idle_timeout_ms()),
+      .max_answer_bytes = max_answer_bytes};
+  this->poll_limits = {.connect_timeout = this->limits.connect_timeout,
+                       .head_timeout = this->limits.idle_timeout,
+                       .idle_timeout = this->limits.idle_timeout,
+                       .max_body_bytes = kMaxLoadBytes};
+  this->orders.SetHandler([this](ToUpstream& order) { this->OnOrder(order); });
+  this->sender.SetOnClear([this] { this->orders.SetPaused(false); });
+}
+
+void UpstreamClient::OnOrder(ToUpstream& order) {
+  if (auto* dispatch = std::get_if<DispatchOrder>(&order)) {
+    this->Dispatch(std::move(*dispatch));
+  } else if (const auto* cancel = std::get_if<CancelOrder>(&order)) {
+    this->Cancel(*cancel);
+  } else {
+    for (const auto& upstream : std::get<PollOrder>(order).upstreams) {
+      this->Poll(upstream);
+    }
+  }
+}
+
+void UpstreamClient::Dispatch(DispatchOrder order) {
+  const AttemptKey key(order.request->start.handle, order.action.attempt);
+  const bool chat = order.request->chat;
+  const auto on_event = [this](node::AttemptEvent event) {
+    this->OnEvent(std::move(event));
+  };
+
+  std::shared_ptr<UpstreamAttempt> attempt;
+  if (chat) {
+    attempt = std::make_shared<ChatAttempt>(std::move(order), this->limits,
+                                            this->pool, on_event);
+  } else {
+    attempt = std::make_shared<ServiceAttempt>(std::move(order), this->limits,
+                                               this->pool, on_event);
+  }
+  this->attempts[key] = attempt;
+  attempt->Start();
+}
+
+void UpstreamClient::Cancel(const CancelOrder& order) {
+  const auto found = this->attempts.find({order.handle, order.attempt});
+  if (found == this->attempts.end()) return;
+  found->second->Cancel();
+  this->attempts.erase(found);
+}
+
+void UpstreamClient::OnEvent(node::AttemptEvent event) {
+  if (event.kind != node::AttemptEventKind::kFirstToken) {
+    this->attempts.erase({event.handle, event.attempt});
+  }
+  this->Send(std::move(event));
+}
+
+void UpstreamClient::Send(FromUpstream item) {
+  this->sender.Send(std::move(item));
+  if (!this->sender.IsClear()) this->orders.SetPaused(true);
+}
+
+void UpstreamClient::Poll(const node::UpstreamAddress& upstream) {
+  // One poll at a time; a slow one is as good as none.
+  if (this->polls.contains(upstream.upstream)) return;
+
+  auto connection = this->poll_pool.Take(upstream.address);
+  const bool open = connection != nullptr;
+  if (!open) connection = this->poll_pool.New();
+  const auto call = std::make_shared<HttpCall>(
+      connection, this->poll_limits,
+      [this, upstream, connection](const HttpAnswer& answer) {
+        this->polls.erase(upstream.upstream);
+        if (answer.whole) this->poll_pool.Give(upstream.address, connection);
+        this->OnLoad(upstream, answer);
+      });
+  this->polls[upstream.upstream] = call;
+
+  std::string text = RequestText("GET", "/v1/load", upstream.address, {}, {});
+  if (open) {
+    call->Start(std::move(text));
+  } else {
+    call->StartNew(upstream.address, std::move(text));
+  }
+}
+
+void UpstreamClient::OnLoad(const node::UpstreamAddress& upstream,
+                            const HttpAnswer& answer) {
+  node::UpstreamReport report;
+  if (answer.whole && answer.head.status == 200) {
+    report = ParseLoadReport(answer.body);
+  }
+  report.upstream = upstream.upstream;
+  report.leaving = report.leaving || answer.head.leaving;
+  this->Send(std::move(report));
+}
+
+}  // namespace fuchsiadrum::daemon
--- /dev/null
+++ b/daemon/upstream_client.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "daemon/connection_pool.h"
+#include "daemon/daemon_metrics.h"
+#include "daemon/messages.h"
+#include "daemon/upstream_attempt.h"
+
+namespace fuchsiadrum::daemon {
+
+/// Runs the attempts at the upstreams and polls their load, in the upstream
+/// thread.
+class UpstreamClient {
+ public:
+  UpstreamClient(const pb::UpstreamSettings& settings, size_t max_answer_bytes,
+                 asio::io_context& io_context, Ring<ToUpstream>& from_control,
+                 Ring<FromUpstream>& to_control);
+
+ private:
+  using AttemptKey = std::pair<node::RequestHandle, uint32_t>;
+
+  void OnOrder(ToUpstream& order);
+  void Dispatch(DispatchOrder order);
+  void Cancel(const CancelOrder& order);
+  void OnEvent(node::AttemptEvent event);
+  void Poll(const node::UpstreamAddress& upstream);
+  void OnLoad(const node::UpstreamAddress& upstream, const HttpAnswer& answer);
+  void Send(FromUpstream item);
+
+  AttemptLimits limits;
+  HttpCallLimits poll_limits;
+  asio::io_context& context;
+  Ring<ToUpstream>& orders;
+  RingSender<FromUpstream> sender;
+  ConnectionPool pool;
+  ConnectionPool poll_pool;
+  std::map<AttemptKey, std::shared_ptr<UpstreamAttempt>> attempts;
+  std::map<std::string, std::shared_ptr<HttpCall>> polls;
+};
+
+}  // namespace fuchsiadrum::daemon
