Serve requests through the daemon's threads

Cause: the daemon had no tests and lost connections while an answer was awaited. Change: completions end the request, since the node orders other replies only; a connection is held while its answer is awaited; Beast's body limit is a number, as 1.74 takes "no limit" for a limit of nothing; findings of the linter.

--- a/daemon/admin_connection.cc
+++ b/daemon/admin_connection.cc
@@ -27,6 +27,7 @@
 void AdminConnection::OnRequest(HttpRequest request) {
   this->keep_alive = request.keep_alive;
   const std::string path = request.target.substr(0, request.target.find('?'));
+  this->WatchForClose();
   const bool passed = path.starts_with("/admin/") || path == "/report/burn";
   if (passed) return this->Pass(request);
 
@@ -50,12 +51,13 @@
 }
 
 void AdminConnection::Readyz() {
-  const bool asked = this->server.Ask(
-      *this, {.metrics = false, .reply = {}}, [this](std::string reason) {
-        const bool ready = reason.empty();
-        this->Answer(ready ? 200 : 503, kText,
-                     (ready ? "ready" : reason) + "\n");
-      });
+  const bool asked =
+      this->server.Ask(*this, {.metrics = false, .reply = {}},
+                       [this](const std::string& reason) {
+                         const bool ready = reason.empty();
+                         this->Answer(ready ? 200 : 503, kText,
+                                      (ready ? "ready" : reason) + "\n");
+                       });
   if (!asked) this->AnswerOverloaded();
 }
 
--- a/daemon/control.cc
+++ b/daemon/control.cc
@@ -97,6 +97,8 @@
   NodeActions actions;
   this->core.OnAttempt(Now(), event, actions);
   this->Perform(actions);
+  // Nobody waits for a reply; a run that goes on needs no entry here.
+  this->requests.erase(handle);
 }
 
 void Control::OnAdmin(FromAdmin& item) {
@@ -119,13 +121,32 @@
 
 void Control::OnUpstream(const FromUpstream& item) {
   NodeActions actions;
-  if (const auto* event = std::get_if<node::AttemptEvent>(&item)) {
-    this->core.OnAttempt(Now(), *event, actions);
-  } else {
+  const auto* event = std::get_if<node::AttemptEvent>(&item);
+  if (event == nullptr) {
     this->core.OnUpstreamReport(Now(), std::get<node::UpstreamReport>(item),
                                 actions);
+    return this->Perform(actions);
   }
+  this->core.OnAttempt(Now(), *event, actions);
   this->Perform(actions);
+  if (event->kind == node::AttemptEventKind::kCompleted) this->Complete(*event);
+}
+
+void Control::Complete(const node::AttemptEvent& event) {
+  // The core orders replies other than whole answers; a completion that it
+  // took for the current attempt ends the request.
+  const auto found = this->requests.find(event.handle);
+  if (found == this->requests.end() ||
+      found->second->pipe.Attempt() != event.attempt) {
+    return;
+  }
+  node::RequestAction reply;
+  reply.handle = event.handle;
+  reply.attempt = event.attempt;
+  reply.status = event.status;
+  reply.outcome = node::Outcome::kComplete;
+  reply.step = "complete";
+  this->Perform(std::move(reply));
 }
 
 void Control::OnPeers(const PeerArrival& arrival) {
@@ -164,8 +185,9 @@
   for (const NodeActions::LogLine& line : actions.log_lines) {
     LogLine(line.severity, line.text);
   }
-  if (actions.append)
+  if (actions.append) {
     this->to_log.Send(AppendOrder{std::move(*actions.append)});
+  }
   if (!actions.messages.empty()) {
     this->to_peers.Send(std::move(actions.messages));
   }
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -37,6 +37,7 @@
   void OnLog(const FromLog& item);
   void OnRequest(const CallerRequestPtr& request);
   void OnCallerGone(node::RequestHandle handle);
+  void Complete(const node::AttemptEvent& event);
   void OnLogRead(const LogRead& read, node::NodeActions& actions);
   void Answer(const AdminCall& call);
   void OnTick();
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-Daemon::Daemon(const pb::DaemonSettings& daemon_settings, VmRef self,
+Daemon::Daemon(const pb::DaemonSettings& daemon_settings, const VmRef& self,
                std::unique_ptr<DecisionCore> decision_core)
     : settings(daemon_settings),
       core(std::move(decision_core)),
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -20,7 +20,7 @@
 /// The whole daemon: one thread for each duty around one decision core.
 class Daemon {
  public:
-  Daemon(const pb::DaemonSettings& daemon_settings, VmRef self,
+  Daemon(const pb::DaemonSettings& daemon_settings, const VmRef& self,
          std::unique_ptr<DecisionCore> decision_core);
   ~Daemon();
   Daemon(const Daemon&) = delete;
--- a/daemon/front_connection.cc
+++ b/daemon/front_connection.cc
@@ -13,6 +13,8 @@
 constexpr size_t kWriteBytes = 16384;
 constexpr int kRetryAfterS = 1;
 constexpr std::string_view kKeysPath = "/v1/idempotency-keys";
+// Path of the same call at the decision core.
+constexpr const char* kKeysTarget = "/admin/idempotency-keys";
 
 std::weak_ptr<FrontConnection> WeakOf(FrontConnection& connection) {
   return std::static_pointer_cast<FrontConnection>(
@@ -101,28 +103,38 @@
   body["bearer"] = authorization.substr(kBearer.size());
   body["body"] = http_request.body;
   AdminCall call{.method = "POST",
-                 .target = std::string(kKeysPath),
+                 .target = kKeysTarget,
                  .body = body.dump(-1, ' ', false,
                                    nlohmann::json::error_handler_t::replace)};
   call.reply = [weak = WeakOf(*this),
                 &owner = this->server](node::Node::AdminAnswer answer) {
     asio::post(owner.Context(), [weak, answer = std::move(answer)] {
-      const auto self = weak.lock();
-      if (!self) return;
-      HttpResponse response{.status = answer.status, .body = answer.json};
-      response.headers = {
-          {"Content-Type", "application/json"},
-          {"X-Request-Id", self->request_id},
-          {"X-Outcome", answer.status < 300 ? "complete" : "not-run"}};
-      self->Answer(std::move(response));
+      if (const auto self = weak.lock()) self->OnKeyAnswer(answer);
     });
   };
   if (!this->server.Call(std::move(call))) {
-    this->AnswerProblem({.status = 503,
-                         .step = "front",
-                         .reason = "this daemon is overloaded",
-                         .retry_after_s = kRetryAfterS});
+    return this->AnswerProblem({.status = 503,
+                                .step = "front",
+                                .reason = "this daemon is overloaded",
+                                .retry_after_s = kRetryAfterS});
+  }
+  this->WatchForClose();
+}
+
+void FrontConnection::OnKeyAnswer(const node::Node::AdminAnswer& answer) {
+  if (answer.status >= 300) {
+    const auto body = nlohmann::json::parse(answer.json, nullptr, false);
+    return this->AnswerProblem(
+        {.status = answer.status,
+         .step = "idempotency-keys",
+         .reason = body.is_object() ? body.value("reason", "") : "",
+         .retry_after_s = answer.status == 503 ? kRetryAfterS : 0});
   }
+  HttpResponse response{.status = answer.status, .body = answer.json};
+  response.headers = {{"Content-Type", "application/json"},
+                      {"X-Request-Id", this->request_id},
+                      {"X-Outcome", "complete"}};
+  this->Answer(std::move(response));
 }
 
 void FrontConnection::OnBadInput(const BadInput& input) {
--- a/daemon/front_connection.h
+++ b/daemon/front_connection.h
@@ -7,6 +7,7 @@
 #include "daemon/caller_request.h"
 #include "daemon/http_server_connection.h"
 #include "daemon/problem.h"
+#include "fuchsiadrum/node/node.h"
 
 namespace fuchsiadrum::daemon {
 
@@ -33,6 +34,7 @@
  private:
   void StartRequest(const HttpRequest& request);
   void IssueKey(const HttpRequest& request);
+  void OnKeyAnswer(const node::Node::AdminAnswer& answer);
   void Answer(HttpResponse response);
   void AnswerProblem(Problem problem);
   void Pump();
--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -16,8 +17,6 @@
 constexpr size_t kPieceBytes = 16384;
 constexpr uint32_t kMaxHeaderBytes = 65536;
 
-bool IsTrue(std::string_view text) { return text == "true"; }
-
 }  // namespace
 
 struct HttpClientConnection::Io {
@@ -106,7 +105,9 @@
   Io& state = *this->io;
   state.parser.emplace();
   state.parser->header_limit(kMaxHeaderBytes);
-  state.parser->body_limit(boost::none);
+  // Beast 1.74 takes "no limit" for a limit of nothing when the answer has a
+  // Content-Length. The readers of the body bound it themselves.
+  state.parser->body_limit(std::numeric_limits<uint64_t>::max());
   this->Arm(timeout);
   http::async_read_header(
       state.socket, state.buffer, *state.parser,
@@ -119,9 +120,9 @@
           const auto& parser = *self->io->parser;
           const auto& message = parser.get();
           head.status = static_cast<int>(message.result_int());
-          head.content_type = std::string(message[http::field::content_type]);
-          head.not_run = IsTrue(std::string(message["X-Not-Run"]));
-          head.leaving = IsTrue(std::string(message["X-Leaving"]));
+          head.content_type = message[http::field::content_type].to_string();
+          head.not_run = message["X-Not-Run"] == "true";
+          head.leaving = message["X-Leaving"] == "true";
           head.framed = !message.need_eof();
           head.keep_alive = message.keep_alive();
         }
--- a/daemon/http_server_connection.cc
+++ b/daemon/http_server_connection.cc
@@ -44,6 +44,8 @@
   bool first_request = true;
   bool watching = false;
   bool closed = false;
+  // Keeps the connection while its answer is awaited and nothing is read.
+  std::shared_ptr<HttpServerConnection> held;
 };
 
 HttpServerConnection::HttpServerConnection(Tcp::socket socket,
@@ -76,6 +78,7 @@
 
 void HttpServerConnection::ReadNext() {
   Io& state = *this->io;
+  const auto released = std::exchange(state.held, nullptr);
   if (state.closed) return;
 
   // A watch for the close of the connection must not read beside the parser.
@@ -141,14 +144,15 @@
 
 void HttpServerConnection::Deliver() {
   this->Disarm();
+  this->io->held = this->shared_from_this();
   auto message = this->io->parser->release();
   HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
+  request.method = message.method_string().to_string();
+  request.target = message.target().to_string();
   request.keep_alive = message.keep_alive();
   for (const auto& field : message) {
-    request.headers.emplace_back(std::string(field.name_string()),
-                                 std::string(field.value()));
+    request.headers.emplace_back(field.name_string().to_string(),
+                                 field.value().to_string());
   }
   request.body = std::move(message.body());
   this->OnRequest(std::move(request));
@@ -201,27 +205,30 @@
   state.socket.async_wait(Tcp::socket::wait_read,
                           [self = this->shared_from_this()](ErrorCode error) {
                             Io& watched = *self->io;
-                            if (error || watched.closed || !watched.watching)
+                            if (error || watched.closed || !watched.watching) {
                               return;
+                            }
                             watched.watching = false;
-
-                            // Bytes of a next request stay unread; only the end
-                            // is of interest.
-                            char byte = 0;
-                            ErrorCode peek;
-                            watched.socket.non_blocking(true, peek);
-                            watched.socket.receive(asio::buffer(&byte, 1),
-                                                   Tcp::socket::message_peek,
-                                                   peek);
-                            if (peek && peek != asio::error::would_block)
-                              self->OnGone();
+                            self->CheckClosed();
                           });
 }
 
+void HttpServerConnection::CheckClosed() {
+  // Bytes of a next request stay unread; only the end is of interest.
+  Io& state = *this->io;
+  char byte = 0;
+  ErrorCode error;
+  state.socket.non_blocking(true, error);
+  state.socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek,
+                       error);
+  if (error && error != asio::error::would_block) this->OnGone();
+}
+
 void HttpServerConnection::Close() {
   Io& state = *this->io;
   if (state.closed) return;
   state.closed = true;
+  const auto released = std::exchange(state.held, nullptr);
   this->Disarm();
   ErrorCode ignored;
   state.socket.close(ignored);
--- a/daemon/http_server_connection.h
+++ b/daemon/http_server_connection.h
@@ -70,6 +70,7 @@
   void FailRead(ErrorCode error);
   void Deliver();
   void Linger();
+  void CheckClosed();
   void Arm(Duration timeout);
   void Disarm();
 
--- a/daemon/peer_links.cc
+++ b/daemon/peer_links.cc
@@ -37,7 +37,7 @@
 }
 
 std::string PeerLinks::Open() {
-  const std::string reason = this->listener.Open(this->options.listen);
+  std::string reason = this->listener.Open(this->options.listen);
   if (!reason.empty()) return reason;
 
   for (const settings::PeerAddress& peer : this->options.peers) {
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -247,10 +247,10 @@
   out.start.prompt_bound =
       Tokens((bytes + kBytesPerToken - 1) / kBytesPerToken +
              kTokensPerMessage * static_cast<int64_t>(messages->size()));
-  const size_t blocks = std::min(prompt.size() / kBlockBytes, kMaxBlocks);
+  const std::string_view text = prompt;
+  const size_t blocks = std::min(text.size() / kBlockBytes, kMaxBlocks);
   for (size_t i = 1; i <= blocks; ++i) {
-    out.start.prefix_hashes.push_back(
-        Hash64(std::string_view(prompt).substr(0, i * kBlockBytes)));
+    out.start.prefix_hashes.push_back(Hash64(text.substr(0, i * kBlockBytes)));
   }
   return true;
 }
--- a/daemon/ring.h
+++ b/daemon/ring.h
@@ -115,8 +115,8 @@
       : ring(target), timer(producer) {}
 
   /// Called when the backlog becomes empty again.
-  void SetOnClear(std::function<void()> handler) {
-    this->on_clear = std::move(handler);
+  void SetOnClear(const std::function<void()>& handler) {
+    this->on_clear = handler;
   }
   /// Sends the item or keeps it until there is room.
   void Send(T item) {
--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -28,8 +28,9 @@
   this->connection->Connect(this->order.action.address,
                             this->limits.connect_timeout,
                             [self = this->shared_from_this()](ErrorCode error) {
-                              if (error)
+                              if (error) {
                                 return self->End(AttemptEventKind::kNotSent);
+                              }
                               self->Send();
                             });
 }
