--- /dev/null
+++ b/fuchsiadrum/budget/grant_sizer.cc
@@ -0,0 +1,101 @@
+#include "fuchsiadrum/budget/grant_sizer.h"
+
+#include <algorithm>
+
+namespace fuchsiadrum::budget {
+namespace {
+
+/// Estimates change once in this time; shorter windows only add noise.
+constexpr Duration kWindow = std::chrono::seconds(1);
+
+/// A clock that jumps ahead must not make the estimates vanish.
+constexpr double kLongestWindowS = 10.0;
+
+/// Share of the recent maxima that survives a second: they halve in 22 s.
+constexpr double kDecay = 0.97;
+
+/// A daemon may hold this multiple of the fair share of what is left, so that
+/// an uneven load is not refused while others have tokens.
+constexpr int64_t kShareFactor = 2;
+
+/// A grant holds this much more than its coarse step, which leaves time for
+/// the next grant before the step is cut short.
+constexpr double kGrantFactor = 1.2;
+
+/// Without knowledge of the demand a daemon starts with this part of its fair
+/// share.
+constexpr int64_t kStartDivisor = 8;
+
+double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
+
+Tokens FromDouble(double tokens) {
+  return Tokens(static_cast<int64_t>(tokens));
+}
+
+}  // namespace
+
+GrantSizerOptions GrantSizerOptions::CoralAndina() {
+  return {.fine_seconds = 2.0, .coarse_seconds = 3600 * 2.0};
+}
+
+GrantSizerOptions GrantSizerOptions::DarilniZreb() {
+  return {.fine_seconds = 1.0, .coarse_seconds = 3600 * 1.7};
+}
+
+void GrantSizer::OnTick(TimePoint now, Tokens in_flight) {
+  this->peak = std::max(this->peak, in_flight);
+  if (!this->started || now < this->updated) {
+    this->started = true;
+    this->updated = now;
+    return;
+  }
+  if (now - this->updated < kWindow) return;
+
+  const double dt = std::min(Seconds(now - this->updated), kLongestWindowS);
+  this->updated = now;
+  this->age_s += dt;
+
+  // A young estimate is a plain mean.
+  const double sample = static_cast<double>(this->window.count) / dt;
+  const auto blend = [&](double rate, Duration constant) {
+    const double span = std::max(dt, std::min(this->age_s, Seconds(constant)));
+    return rate + (sample - rate) * dt / span;
+  };
+  this->fast_rate = blend(this->fast_rate, this->options.fast);
+  this->slow_rate = blend(this->slow_rate, this->options.slow);
+  this->window = Tokens(0);
+
+  const auto decay = [](Tokens tokens) {
+    return FromDouble(static_cast<double>(tokens.count) * kDecay);
+  };
+  this->largest = decay(this->largest);
+  this->peak = std::max(in_flight, decay(this->peak));
+}
+
+Tokens GrantSizer::FineMargin() const {
+  if (this->options.fine_step > Tokens(0)) return this->options.fine_step;
+  const double rate = std::max(this->fast_rate, this->slow_rate);
+  return FromDouble(rate * this->options.fine_seconds) + this->largest +
+         this->largest;
+}
+
+Tokens GrantSizer::CoarseMargin(bool degraded) const {
+  const Tokens fine = this->FineMargin();
+  if (this->options.coarse_step > Tokens(0)) {
+    return std::max(fine, this->options.coarse_step);
+  }
+  const double factor = degraded ? 2.0 : 1.0;
+  return fine +
+         FromDouble(this->slow_rate * this->options.coarse_seconds * factor);
+}
+
+Tokens GrantSizer::Want(Tokens left, int daemons) const {
+  const Tokens coarse = this->CoarseMargin(false);
+  const Tokens want =
+      FromDouble(static_cast<double>(coarse.count) * kGrantFactor);
+  const Tokens fair(left.count / daemons);
+  const Tokens start(fair.count / kStartDivisor);
+  return std::clamp(want, start, Tokens(fair.count * kShareFactor));
+}
+
+}  // namespace fuchsiadrum::budget
--- /dev/null
+++ b/fuchsiadrum/budget/held_budget.cc
@@ -0,0 +1,119 @@
+#include "fuchsiadrum/budget/held_budget.h"
+
+#include <algorithm>
+
+#include "fuchsiadrum/core/assert.h"
+
+namespace fuchsiadrum::budget {
+
+Tokens HeldGrant::Limit() const {
+  if (!this->witnessed) return this->amount;
+  return std::min({this->amount, this->fine.ceiling, this->coarse.ceiling});
+}
+
+Tokens HeldGrant::Room() const {
+  if (!this->IsUsable()) return Tokens(0);
+  return std::max(Tokens(0), this->Limit() - this->Used());
+}
+
+Tokens HeldBudget::Room() const {
+  Tokens room;
+  for (const auto& grant : this->grants) room += grant->Room();
+  return room;
+}
+
+Tokens HeldBudget::Unused() const {
+  Tokens unused;
+  for (const auto& grant : this->grants) {
+    if (!grant->IsUsable()) continue;
+    unused += std::max(Tokens(0), grant->amount - grant->Used());
+  }
+  return unused;
+}
+
+Tokens HeldBudget::InFlight() const {
+  Tokens in_flight;
+  for (const auto& grant : this->grants) {
+    in_flight += grant->reserved + grant->held;
+  }
+  return in_flight;
+}
+
+bool HeldBudget::Take(Tokens amount, ReservedParts& parts) {
+  parts.count = 0;
+  Tokens missing = amount;
+
+  for (const auto& grant : this->grants) {
+    const Tokens part = std::min(missing, grant->Room());
+    if (part <= Tokens(0)) continue;
+    if (parts.count == static_cast<int>(parts.parts.size())) break;
+    parts.parts[static_cast<size_t>(parts.count++)] = {grant.get(), part};
+    missing -= part;
+    if (missing == Tokens(0)) break;
+  }
+  if (missing > Tokens(0)) return false;
+
+  for (int i = 0; i < parts.count; ++i) {
+    const ReservedPart& part = parts.parts[static_cast<size_t>(i)];
+    part.grant->reserved += part.amount;
+  }
+  return true;
+}
+
+HeldBudget* HeldBudgets::Find(std::string_view organisation) {
+  const auto found = this->by_name.find(organisation);
+  return found == this->by_name.end() ? nullptr : found->second;
+}
+
+HeldBudget& HeldBudgets::Get(std::string_view organisation) {
+  if (HeldBudget* const found = this->Find(organisation)) return *found;
+
+  this->budgets.push_back(
+      std::make_unique<HeldBudget>(std::string(organisation), this->options));
+  this->by_name[std::string(organisation)] = this->budgets.back().get();
+  return *this->budgets.back();
+}
+
+HeldGrant* HeldBudgets::FindGrant(LogPosition id) {
+  const auto found = this->by_id.find(id);
+  return found == this->by_id.end() ? nullptr : found->second;
+}
+
+HeldGrant* HeldBudgets::FindTransfer(std::string_view transfer_id) {
+  const auto found = this->by_transfer.find(transfer_id);
+  return found == this->by_transfer.end() ? nullptr : found->second;
+}
+
+HeldGrant& HeldBudgets::Add(HeldBudget& budget) {
+  budget.grants.push_back(std::make_unique<HeldGrant>());
+  budget.grants.back()->budget = &budget;
+  ++this->grant_count;
+  return *budget.grants.back();
+}
+
+void HeldBudgets::SetId(HeldGrant& grant, LogPosition id) {
+  grant.id = id;
+  grant.recorded = true;
+  this->by_id[id] = &grant;
+}
+
+void HeldBudgets::SetTransfer(HeldGrant& grant,
+                              const std::string& transfer_id) {
+  grant.transfer_id = transfer_id;
+  this->by_transfer[transfer_id] = &grant;
+}
+
+void HeldBudgets::Remove(HeldGrant& grant) {
+  FD_ASSERT(grant.IsIdle(), "budget: a grant in use is removed");
+  if (grant.recorded) this->by_id.erase(grant.id);
+  if (!grant.transfer_id.empty()) this->by_transfer.erase(grant.transfer_id);
+
+  auto& grants = grant.budget->grants;
+  const auto found =
+      std::find_if(grants.begin(), grants.end(),
+                   [&](const auto& item) { return item.get() == &grant; });
+  grants.erase(found);
+  --this->grant_count;
+}
+
+}  // namespace fuchsiadrum::budget
