Add the upstream table and the routing policies

Cause: the node needs a choice of upstream and a place for what is known of each upstream.

Change: UpstreamTable keeps address, zone, observed models, the last report, own dispatches since the moment that it describes, and who said that an upstream is leaving. Router is the interface; `cost`, `random`, `round-robin`, `least-reported` and `affinity` implement it on one base that has limits and ejection. PrefixIndex, SpeedEstimator, OutlierEjector and ConcurrencyLimiter are parts of it.

Speed and quality are not measured yet.

--- /dev/null
+++ b/fuchsiadrum/routing/cost_router.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <vector>
+
+#include "fuchsiadrum/routing/base_router.h"
+#include "fuchsiadrum/routing/prefix_index.h"
+#include "fuchsiadrum/routing/speed_estimator.h"
+
+namespace fuchsiadrum::routing {
+
+/// Options of the policy `cost`.
+struct CostRouterOptions {
+  BaseRouterOptions base;
+  SpeedEstimatorOptions speed;
+  PrefixIndexOptions prefixes;
+  /// Prompt tokens that each further prefix hash covers.
+  int64_t prefix_block = 256;
+  /// Groups up to this size are compared as a whole; larger ones by samples.
+  size_t full_scan = 64;
+  /// Samples from the own zone and from all zones.
+  size_t own_zone_samples = 6;
+  size_t other_samples = 4;
+  /// Cost of leaving the zone, besides the learned time: latency and traffic.
+  Duration zone_distance = std::chrono::milliseconds(4);
+  /// Cost of an upstream whose last poll failed.
+  Duration unreachable_cost = std::chrono::seconds(2);
+  /// Requests that the fleet sends for each own one, since the report.
+  double fleet_factor = 1.0;
+  /// A cached token counts as this many: a hit also keeps the caches of other
+  /// upstreams free.
+  double cached_weight = 1.0;
+  /// Random part of a cost, as a share of it, against herding: daemons that see
+  /// the same report must not all choose the same upstream.
+  double noise = 0.1;
+};
+
+/// Chooses the upstream with the least expected time to first token: learned
+/// speed, queue, own dispatches since the lagged report, cached prefix and zone
+/// distance.
+class CostRouter final : public BaseRouter {
+ public:
+  CostRouter(upstream::UpstreamTable& table, const CostRouterOptions& options);
+
+  Dispatch OnDispatch(TimePoint now, UpstreamIndex upstream,
+                      const RequestFeatures& request) override;
+  void OnFirstToken(TimePoint now, Dispatch& dispatch) override;
+  void OnReport(TimePoint now, UpstreamIndex upstream,
+                const CacheEvents& events) override;
+
+ protected:
+  std::optional<UpstreamIndex> Pick(TimePoint now,
+                                    const upstream::CandidateGroup& group,
+                                    const RequestFeatures& request) override;
+  double ExpectedFirstToken(const Dispatch& dispatch) const override;
+
+ private:
+  /// The best candidate so far.
+  struct Best {
+    std::optional<UpstreamIndex> index;
+    double cost = 0;
+  };
+  /// Sequence of the next cache event of an upstream.
+  struct CacheCursor {
+    uint32_t epoch = 0;
+    uint64_t next = 0;
+    bool started = false;
+  };
+
+  void Consider(UpstreamIndex index, const RequestFeatures& request,
+                std::optional<upstream::ZoneIndex> zone, Best& best);
+  void Sample(const std::vector<UpstreamIndex>& from, size_t samples,
+              const RequestFeatures& request,
+              std::optional<upstream::ZoneIndex> zone, Best& best);
+  int64_t CachedTokens(UpstreamIndex index,
+                       const RequestFeatures& request) const;
+  FirstTokenFactors Factors(UpstreamIndex index, double uncached) const;
+  void FollowCacheEvents(UpstreamIndex upstream, const CacheEvents& events);
+
+  CostRouterOptions options;
+  SpeedEstimator speed;
+  PrefixIndex prefixes;
+  std::vector<CacheCursor> cursors;
+  /// Holders of the prefix of the request that is being placed.
+  PrefixMatch match;
+};
+
+}  // namespace fuchsiadrum::routing
