--- /dev/null
+++ b/fuchsiadrum/node/request_pipeline.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fuchsiadrum/budget/escrow_agent.h"
+#include "fuchsiadrum/catalogue/catalogue.h"
+#include "fuchsiadrum/core/outbox.h"
+#include "fuchsiadrum/node/request_events.h"
+#include "fuchsiadrum/node/request_observer.h"
+#include "fuchsiadrum/node/request_plan.h"
+#include "fuchsiadrum/request/admission.h"
+#include "fuchsiadrum/request/claim_agent.h"
+#include "fuchsiadrum/request/retry_budget.h"
+#include "fuchsiadrum/routing/router.h"
+#include "fuchsiadrum/upstream/upstream_table.h"
+
+namespace fuchsiadrum::node {
+
+/// The parts that a request passes through, in this order: catalogue,
+/// admission, claim, reservation, choice of upstream, attempts, settlement.
+struct PipelineParts {
+  const catalogue::Catalogue& catalogue;
+  request::Admission& admission;
+  request::ClaimAgent& claims;
+  budget::EscrowAgent& escrow;
+  routing::Router& router;
+  upstream::UpstreamTable& upstreams;
+  request::RetryBudget& retries;
+  RequestObserver& observer;
+};
+
+/// Options of the pipeline.
+struct PipelineOptions {
+  std::string availability_zone;
+  /// Requests that run at once.
+  int max_in_flight = 1024;
+  /// Longest wait of a request for tokens from peers.
+  Duration budget_wait = std::chrono::seconds(1);
+  /// Longest wait for an upstream with room.
+  Duration upstream_wait = std::chrono::seconds(5);
+};
+
+/// Carries each caller's request through the parts of one daemon.
+class RequestPipeline {
+ public:
+  RequestPipeline(PipelineParts parts, PipelineOptions options)
+      : parts(parts), options(std::move(options)) {}
+
+  /// A caller's request.
+  void OnRequest(TimePoint now, const RequestStart& request, Outbox& out);
+  /// Progress or end of an attempt.
+  void OnAttempt(TimePoint now, const AttemptEvent& event, Outbox& out);
+  /// Carries on whatever waits for another part. Call it after every event.
+  void Advance(TimePoint now, Outbox& out);
+  /// Deadlines, backoffs and waits. Call it on every tick.
+  void OnTick(TimePoint now, Outbox& out);
+
+  /// Orders to the front door since the last call.
+  std::vector<RequestAction> TakeActions();
+  /// Requests that are not over.
+  size_t Active() const { return this->requests.size(); }
+  /// Finished requests whose billing the home has not decided.
+  size_t Unbilled() const { return this->unbilled.size(); }
+
+ private:
+  enum class Stage {
+    kQueued,     // waits for admission
+    kClaiming,   // waits for the key's home
+    kReserving,  // waits for tokens
+    kChoosing,   // waits for an upstream with room
+    kBackoff,    // waits for its retry
+    kRunning,    // an attempt is in flight
+  };
+  struct Active {
+    RequestStart start;
+    RequestPlan plan;
+    Stage stage = Stage::kQueued;
+    TimePoint received;
+    TimePoint since;
+    TimePoint dispatched;
+    std::optional<TimePoint> first_token;
+    uint32_t attempt = 0;
+    uint32_t retries = 0;
+    std::vector<upstream::UpstreamIndex> excluded;
+    std::optional<routing::Dispatch> dispatch;
+    std::string upstream;
+    budget::ReservationId reservation = 0;
+    Tokens reserved;
+    bool claimed = false;
+    /// A byte of the request may have reached an upstream.
+    bool may_have_run = false;
+    /// The caller has its answer or is gone; only the run is left.
+    bool answered = false;
+  };
+  /// Answer to a caller, before it is matched to a request.
+  struct Answer {
+    int status = 503;
+    Outcome outcome = Outcome::kNotRun;
+    std::string step;
+    std::string reason;
+    Duration retry_after = Duration::zero();
+    std::optional<pb::StoredAnswer> stored;
+  };
+
+  // Stages, in the order in which a request passes them.
+  void Admit(TimePoint now, Active request, Outbox& out);
+  void Claim(TimePoint now, Active& request, Outbox& out);
+  void OnDecision(TimePoint now, Active& request,
+                  const request::Decision& decision, Outbox& out);
+  void Reserve(TimePoint now, Active& request, Outbox& out);
+  void OnReserved(TimePoint now, Active& request,
+                  const budget::ReserveResult& result, Outbox& out);
+  void Choose(TimePoint now, Active& request, Outbox& out);
+  void Dispatch(TimePoint now, Active& request, upstream::UpstreamIndex index);
+
+  // Ends of an attempt.
+  void OnFirstToken(TimePoint now, Active& request);
+  void OnCompleted(TimePoint now, Active& request, const AttemptEvent& event,
+                   Outbox& out);
+  void OnFailedAttempt(TimePoint now, Active& request,
+                       const AttemptEvent& event, Outbox& out);
+  void OnCallerGone(TimePoint now, Active& request, const AttemptEvent& event,
+                    Outbox& out);
+  bool TryAgain(TimePoint now, Active& request, const AttemptEvent& event);
+  void Settle(TimePoint now, Active& request, Tokens used);
+
+  // Ends of a request.
+  void Reply(TimePoint now, Active& request, const Answer& answer);
+  void EndNotRun(TimePoint now, Active& request, Answer answer, Outbox& out);
+  void EndUncertain(TimePoint now, Active& request, const Answer& answer,
+                    Outbox& out);
+  void Finish(TimePoint now, Active& request, Tokens used);
+  void Expire(TimePoint now, Active& request, Outbox& out);
+  bool OnWait(TimePoint now, Active& request, Outbox& out);
+  void ReportDone(TimePoint now, const Active& request,
+                  const request::Completion& completion, Outbox& out);
+
+  routing::RequestFeatures Features(const Active& request) const;
+  Active* Find(RequestHandle handle);
+  Active* FindById(const std::string& request_id);
+  int FreeCapacity() const;
+
+  PipelineParts parts;
+  PipelineOptions options;
+  std::map<RequestHandle, Active> requests;
+  std::map<std::string, RequestHandle> by_id;
+  std::map<budget::ReservationId, RequestHandle> reserving;
+  /// Reservations that wait for the home's decision on the billing.
+  std::map<std::string, budget::ReservationId> unbilled;
+  std::vector<RequestAction> actions;
+};
+
+}  // namespace fuchsiadrum::node
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -11,6 +11,8 @@
 constexpr size_t kBlockBytes = 512;
 constexpr int64_t kBytesPerToken = 4;
 constexpr int64_t kDefaultOutput = 64;
+/// Cache events in a report; a reader that polls too seldom sees a gap.
+constexpr size_t kReportedEvents = 64;
 constexpr std::chrono::milliseconds kQueueStep(1);
 
 int64_t NowMs() {
@@ -209,8 +211,7 @@
 nlohmann::json Engine::Load() {
   const int64_t now = NowMs();
   nlohmann::json cached = nlohmann::json::array();
-  for (const uint64_t block : this->cache) {
-    if (cached.size() >= 64) break;
+  for (const uint64_t block : this->cache_events) {
     cached.push_back(ToHex(std::string_view(
         reinterpret_cast<const char*>(&block), sizeof(block))));
   }
@@ -221,7 +222,7 @@
       {"models", this->options.models},
       {"version", this->version},
       {"leaving", this->leaving},
-      {"cache_sequence", this->cache_sequence},
+      {"cache_sequence", this->next_event - this->cache_events.size()},
       {"cached_prefixes", cached}};
   this->reports.push_back({now, std::move(fresh)});
   while (this->reports.size() > 1 &&
@@ -257,7 +258,7 @@
     all_cached = false;
     this->cache.push_front(block);
     this->cache_index[block] = this->cache.begin();
-    ++this->cache_sequence;
+    this->AddCacheEvent(block);
     if (this->cache.size() > this->options.cache_blocks) {
       this->cache_index.erase(this->cache.back());
       this->cache.pop_back();
@@ -266,6 +267,14 @@
   return cached;
 }
 
+void Engine::AddCacheEvent(uint64_t block) {
+  ++this->next_event;
+  this->cache_events.push_back(block);
+  if (this->cache_events.size() > kReportedEvents) {
+    this->cache_events.pop_front();
+  }
+}
+
 double Engine::TokenSeconds() const {
   // A fuller batch decodes each stream more slowly.
   const double share = static_cast<double>(this->running) /
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -66,6 +66,7 @@
   nlohmann::json Load();
   nlohmann::json Record() const;
   int64_t CachedTokens(const std::string& prompt);
+  void AddCacheEvent(uint64_t block);
   double TokenSeconds() const;
 
   EngineOptions options;
@@ -77,7 +78,9 @@
   std::list<uint64_t> cache;  // most recently used first
   std::unordered_map<uint64_t, std::list<uint64_t>::iterator> cache_index;
   std::deque<LoadReport> reports;
-  uint64_t cache_sequence = 0;
+  /// The latest stored prefixes, and the sequence of the next event.
+  std::deque<uint64_t> cache_events;
+  uint64_t next_event = 0;
   bool silent = false;
   bool leaving = false;
   bool reject = false;
