--- a/fuchsiadrum/request/claim_agent.cc
+++ b/fuchsiadrum/request/claim_agent.cc
@@ -181,10 +181,14 @@
 }
 
 void ClaimAgent::OnTick(TimePoint now, Outbox& out) {
+  const bool settled = this->IsViewSettled(now);
+  this->home.SetViewSettled(settled);
   this->entry.OnTick(now, this->local);
   this->home.OnTick(now, this->local);
-  this->policy.OnTick(now, this->home, this->witness, this->draining,
-                      this->local);
+  if (settled) {
+    this->policy.OnTick(now, this->home, this->witness, this->draining,
+                        this->local);
+  }
   if (this->draining && now - this->announced >= kAnnounceEvery) {
     this->announced = now;
     this->witness.AnnounceLeaving(this->local);
@@ -192,6 +196,14 @@
   this->Flush(now, out);
 }
 
+bool ClaimAgent::IsViewSettled(TimePoint now) {
+  const bool paused = !this->last_tick || now < *this->last_tick ||
+                      now - *this->last_tick > this->options.paused_after;
+  if (paused) this->awake_since = now;
+  this->last_tick = now;
+  return now - this->awake_since >= this->options.assign_after;
+}
+
 void ClaimAgent::BeginDrain(TimePoint now, Outbox& out) {
   this->draining = true;
   this->OnTick(now, out);
--- a/fuchsiadrum/request/claim_agent.h
+++ b/fuchsiadrum/request/claim_agent.h
@@ -61,6 +61,7 @@
   void Reconcile(TimePoint now, uint32_t shard);
   void Handle(TimePoint now, const VmRef& from, const pb::PeerMessage& message);
   void Flush(TimePoint now, Outbox& out);
+  bool IsViewSettled(TimePoint now);
 
   const ShardTable& table;
   const PeerView& peers;
@@ -71,6 +72,9 @@
   ClaimWitness witness;
   ShardPolicy policy;
   bool draining = false;
+  std::optional<TimePoint> last_tick;
+  /// Start, or end of the last pause, of this daemon.
+  TimePoint awake_since;
   TimePoint announced;
   /// What the roles want; messages to this daemon itself are handled at once.
   Outbox local;
--- a/fuchsiadrum/request/claim_home.cc
+++ b/fuchsiadrum/request/claim_home.cc
@@ -380,6 +380,7 @@
   const VmRef entry = VmRef::FromProto(record.intent.entry());
   if (entry == this->peers.Self().ref) return false;
 
+  if (!this->view_settled) return false;
   const auto silent = this->peers.SilentFor(now, entry);
   return silent.value_or(age) >= this->options.entry_lost_after;
 }
--- a/fuchsiadrum/request/claim_home.h
+++ b/fuchsiadrum/request/claim_home.h
@@ -42,6 +42,8 @@
               Outbox& out);
   void OnAck(const VmRef& from, const pb::IntentAck& ack, Outbox& out);
   void OnTick(TimePoint now, Outbox& out);
+  /// False while this daemon's view of the peers is out of date.
+  void SetViewSettled(bool settled) { this->view_settled = settled; }
 
   /// True if this daemon holds the records of the shard's present term.
   bool Serves(uint32_t shard) const;
@@ -105,6 +107,7 @@
   std::deque<Aged> bodies;
   size_t total_keys = 0;
   size_t answer_bytes = 0;
+  bool view_settled = false;
   TimePoint scanned;
   TimePoint listed;
 };
--- a/fuchsiadrum/request/claim_types.h
+++ b/fuchsiadrum/request/claim_types.h
@@ -83,10 +83,16 @@
   Duration take_over_after = std::chrono::seconds(5);
   /// Silence of a witness after which the home replaces it.
   Duration replace_after = std::chrono::seconds(3);
-  /// Silence of home and witness after which the term is reset.
-  Duration reset_after = std::chrono::seconds(15);
-  /// Time after the start before shards are assigned, so that the view of the
-  /// peers has settled.
+  /// Silence of home and witness after which the term is reset. A reset makes
+  /// callers' own keys unknown until an operator reopens the shard, so a
+  /// partition should end before. Known deaths (a newer incarnation of the VM)
+  /// do not wait.
+  Duration reset_after = std::chrono::seconds(60);
+  /// A longer gap between two ticks means that this daemon was paused; its view
+  /// of the peers is out of date for `assign_after`.
+  Duration paused_after = std::chrono::seconds(1);
+  /// Time after the start or a pause before anything is concluded from the
+  /// silence of peers.
   Duration assign_after = std::chrono::seconds(2);
   /// Time after which a record that was not read back is proposed again.
   Duration propose_again_after = std::chrono::seconds(10);
--- a/fuchsiadrum/request/shard_policy.cc
+++ b/fuchsiadrum/request/shard_policy.cc
@@ -103,7 +103,6 @@
 }
 
 void ShardPolicy::TryAssign(TimePoint now, uint32_t shard, Outbox& out) {
-  if (now - *this->started < this->options.assign_after) return;
   const VmInfo& self = this->peers.Self();
   if (this->PreferredHome(shard).ref != self.ref) return;
   const auto witness = this->PreferredWitness(shard, self, {});
