--- a/bench/main.cc
+++ b/bench/main.cc
@@ -3,12 +3,18 @@
 
 #include "bench/bench_case.h"
 #include "bench/matrix_bench.h"
+#include "bench/requests_bench.h"
 #include "fuchsiadrum/core/assert.h"
 
 namespace fuchsiadrum::bench {
 namespace {
 
-BenchTable AllBenches() { return {{"matrix", MakeMatrixBench}}; }
+BenchTable AllBenches() {
+  BenchTable table;
+  table["matrix"] = MakeMatrixBench;
+  table["requests"] = MakeRequestsBench;
+  return table;
+}
 
 int Main(int argc, char** argv) {
   CLI::App app("Measures the decision core of fuchsiadrum.");
--- a/fuchsiadrum/request/claim_entry.cc
+++ b/fuchsiadrum/request/claim_entry.cc
@@ -202,7 +202,8 @@
 
   const bool abandoned = this->abandoned.contains(ack.request_id());
   if (!abandoned) {
-    this->billings.push_back({ack.request_id(), ack.billed_here()});
+    this->billings.push_back(
+        {ack.request_id(), ack.billed_here(), ack.released()});
   }
   this->completions.erase(found);
 }
--- a/fuchsiadrum/request/claim_home.cc
+++ b/fuchsiadrum/request/claim_home.cc
@@ -262,7 +262,9 @@
   const uint64_t sequence = record->sequence;
   home.keys.Erase(index);
   --this->total_keys;
-  home.stream.ReplyAt(sequence, AckTo(from, done, false), out);
+  Envelope ack = AckTo(from, done, false);
+  ack.body.mutable_claim_done_ack()->set_released(true);
+  home.stream.ReplyAt(sequence, std::move(ack), out);
 }
 
 void ClaimHome::Finish(TimePoint now, HomeShard& home, KeyRecord& record,
@@ -380,6 +382,7 @@
   const VmRef entry = VmRef::FromProto(record.intent.entry());
   if (entry == this->peers.Self().ref) return false;
 
+  if (!this->view_settled) return false;
   const auto silent = this->peers.SilentFor(now, entry);
   return silent.value_or(age) >= this->options.entry_lost_after;
 }
