--- a/daemon/daemon_metrics.cc
+++ b/daemon/daemon_metrics.cc
@@ -77,11 +77,6 @@
   this->first_token_delay->Add(std::chrono::duration<double>(added).count());
 }
 
-void DaemonMetrics::SetConnections(int64_t open) {
-  const std::lock_guard lock(this->mutex);
-  this->connections = open;
-}
-
 std::string DaemonMetrics::Text() const {
   const std::lock_guard lock(this->mutex);
   const std::string prefix(kPrefix);
@@ -110,7 +105,7 @@
   ring_lines("ring_depth", "gauge", &RingCounters::depth);
 
   out << "# TYPE " << prefix << "connections gauge\n"
-      << prefix << "connections " << this->connections << "\n";
+      << prefix << "connections " << *this->connections << "\n";
   this->first_token_delay->Write(out, prefix + "first_token_added_seconds");
   return out.str();
 }
--- a/daemon/daemon_metrics.h
+++ b/daemon/daemon_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -30,8 +31,10 @@
   std::shared_ptr<RingCounters> AddRing(const std::string& ring);
   /// Adds the time that this daemon added to a request's first token.
   void AddFirstTokenDelay(Duration added);
-  /// Connections of callers that are open now.
-  void SetConnections(int64_t open);
+  /// Number of open connections of callers. The connections count themselves
+  /// and may outlive the server.
+  using ConnectionCount = std::shared_ptr<std::atomic<int64_t>>;
+  ConnectionCount Connections() const { return this->connections; }
   /// Everything in Prometheus text format.
   std::string Text() const;
 
@@ -43,7 +46,7 @@
   std::map<Key, uint64_t> counters;
   std::vector<std::pair<std::string, std::shared_ptr<RingCounters>>> rings;
   std::unique_ptr<Histogram> first_token_delay;
-  int64_t connections = 0;
+  ConnectionCount connections = std::make_shared<std::atomic<int64_t>>(0);
 };
 
 }  // namespace fuchsiadrum::daemon
--- a/daemon/front_connection.cc
+++ b/daemon/front_connection.cc
@@ -12,6 +12,8 @@
 // One write to a caller; a slow reader has the write timeout for each.
 constexpr size_t kWriteBytes = 16384;
 constexpr int kRetryAfterS = 1;
+// Streams need chunks and trailers, which HTTP/1.0 does not have.
+constexpr int kHttp11 = 11;
 constexpr std::string_view kKeysPath = "/v1/idempotency-keys";
 // Path of the same call at the decision core.
 constexpr const char* kKeysTarget = "/admin/idempotency-keys";
@@ -25,11 +27,13 @@
 
 FrontConnection::FrontConnection(FrontServer& owner, Tcp::socket socket,
                                  const HttpLimits& limits)
-    : HttpServerConnection(std::move(socket), limits), server(owner) {
-  this->server.AddConnection(1);
+    : HttpServerConnection(std::move(socket), limits),
+      server(owner),
+      connections(owner.Connections()) {
+  ++*this->connections;
 }
 
-FrontConnection::~FrontConnection() { this->server.AddConnection(-1); }
+FrontConnection::~FrontConnection() { --*this->connections; }
 
 void FrontConnection::RefuseConnection() {
   this->request_id = this->server.NewRequestId();
@@ -53,6 +57,13 @@
                                 .reason = "this daemon is stopping",
                                 .retry_after_s = kRetryAfterS});
   }
+  if (http_request.version < kHttp11) {
+    const BadInput old{505, "old-http", "HTTP/1.1 is needed"};
+    this->keep_alive = false;
+    this->server.CountBadInput(old);
+    return this->AnswerProblem(
+        {.status = old.status, .step = "front", .reason = old.reason});
+  }
   if (http_request.target == kKeysPath) return this->IssueKey(http_request);
   this->StartRequest(http_request);
 }
--- a/daemon/front_connection.h
+++ b/daemon/front_connection.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "daemon/caller_request.h"
+#include "daemon/daemon_metrics.h"
 #include "daemon/http_server_connection.h"
 #include "daemon/problem.h"
 #include "fuchsiadrum/node/node.h"
@@ -44,6 +45,7 @@
   void Abandon(const char* cause);
 
   FrontServer& server;
+  DaemonMetrics::ConnectionCount connections;
   std::string request_id;
   bool keep_alive = true;
   CallerRequestPtr request;
--- a/daemon/front_server.cc
+++ b/daemon/front_server.cc
@@ -52,7 +52,7 @@
 void FrontServer::OnSocket(Tcp::socket socket) {
   const auto connection =
       std::make_shared<FrontConnection>(*this, std::move(socket), this->limits);
-  if (this->connections >
+  if (*this->Connections() >
       static_cast<int64_t>(this->options.settings.max_connections())) {
     this->metrics.Count("refused_total", "cause", "max-connections");
     connection->RefuseConnection();
@@ -124,11 +124,6 @@
   this->sender.Send(CallerGone{request.start.handle});
 }
 
-void FrontServer::AddConnection(int change) {
-  this->connections += change;
-  this->metrics.SetConnections(this->connections);
-}
-
 void FrontServer::CountBadInput(const BadInput& input) {
   this->metrics.Count("bad_input_total", "kind", input.kind);
 }
--- a/daemon/front_server.h
+++ b/daemon/front_server.h
@@ -57,7 +57,9 @@
   void Forget(const CallerRequest& request);
   /// The caller closed its connection before that.
   void Gone(const CallerRequest& request);
-  void AddConnection(int change);
+  DaemonMetrics::ConnectionCount Connections() const {
+    return this->metrics.Connections();
+  }
   void CountBadInput(const BadInput& input);
   void CountCut(const char* cause);
   void RecordFirstToken(Duration added);
@@ -78,7 +80,6 @@
   std::string id_prefix;
   uint64_t last_id = 0;
   node::RequestHandle last_handle = 0;
-  int64_t connections = 0;
   std::atomic<bool> closing{false};
   std::atomic<size_t> in_flight{0};
 };
--- a/daemon/http_message.cc
+++ b/daemon/http_message.cc
@@ -104,6 +104,7 @@
       {502, "Bad Gateway"},
       {503, "Service Unavailable"},
       {504, "Gateway Timeout"},
+      {505, "HTTP Version Not Supported"},
   };
   const auto found = kTexts.find(status);
   return found == kTexts.end() ? "Status" : found->second;
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -16,6 +16,8 @@
   HttpHeaders headers;
   std::string body;
   bool keep_alive = true;
+  /// 10 for HTTP/1.0, 11 for HTTP/1.1.
+  int version = 11;
 
   /// Value of a header; empty if it is absent.
   std::string Header(std::string_view name) const;
--- a/daemon/http_server_connection.cc
+++ b/daemon/http_server_connection.cc
@@ -150,6 +150,7 @@
   request.method = message.method_string().to_string();
   request.target = message.target().to_string();
   request.keep_alive = message.keep_alive();
+  request.version = static_cast<int>(message.version());
   for (const auto& field : message) {
     request.headers.emplace_back(field.name_string().to_string(),
                                  field.value().to_string());
--- a/tests/daemon/front_test.cc
+++ b/tests/daemon/front_test.cc
@@ -49,6 +49,7 @@
   this->ExpectBadInput("POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" +
                            std::string(70000, 'a'),
                        413, "body-too-large");
+  this->ExpectBadInput("GET / HTTP/1.0\r\n\r\n", 505, "old-http");
   this->ExpectBadInput("GET / HT", 408, "request-timeout");
   this->ExpectBadInput("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", 408,
                        "request-timeout");
