Drive whole nodes over fakes through the fault matrix

Cause: the composed node had no proof under faults.

Conclusion: probes of non-repeatable calls use fleet-issued keys.

--- a/bench/fleet/callers.cc
+++ b/bench/fleet/callers.cc
@@ -119,6 +119,14 @@
   if (kind == CallKind::kKeyedDraft || kind == CallKind::kBooking) {
     record.key = "key-" + std::to_string(id);
   }
+  if (probe && kind == CallKind::kBooking) {
+    // A shard that lost home and witness answers callers' own keys "unknown"
+    // until an operator reopens it; keys that the fleet issues run at once.
+    const auto issued = nlohmann::json::parse(
+        this->fleet.Admin(daemon, "POST", "/admin/idempotency-keys", "{}")
+            .json);
+    record.key = issued.value("key", record.key);
+  }
   this->records.push_back(std::move(record));
   const size_t index = this->records.size() - 1;
   this->Attempt(index, daemon, probe ? kMaxTries : 0);
--- a/bench/fleet/faults.cc
+++ b/bench/fleet/faults.cc
@@ -43,10 +43,12 @@
   return kNames.at(static_cast<size_t>(fault));
 }
 
-FakeUpstream& FaultInjector::UpstreamNear(size_t daemon) {
+FakeUpstream& FaultInjector::HitUpstreamNear(size_t daemon) {
   // The first engine of the daemon's zone, which it prefers.
   for (const auto& upstream : this->fleet.Upstreams()) {
-    if (upstream->Zone() == this->fleet.ZoneOf(daemon)) return *upstream;
+    if (upstream->Zone() != this->fleet.ZoneOf(daemon)) continue;
+    this->hit.insert(upstream.get());
+    return *upstream;
   }
   throw std::logic_error("faults: a zone without upstreams");
 }
@@ -87,24 +89,19 @@
       this->fleet.wrongly_leaving.insert("vm-a1");
       break;
     case Fault::kConnectionSilent:
-      this->hit = &this->UpstreamNear(daemon);
-      this->hit->silent = true;
+      this->HitUpstreamNear(daemon).silent = true;
       break;
     case Fault::kUpstreamDies:
-      this->hit = &this->UpstreamNear(daemon);
-      this->hit->Die();
+      this->HitUpstreamNear(daemon).Die();
       break;
     case Fault::kUpstreamSlow:
-      this->hit = &this->UpstreamNear(daemon);
-      this->hit->slowness = 20;
+      this->HitUpstreamNear(daemon).slowness = 20;
       break;
     case Fault::kUpstreamRejects:
-      this->hit = &this->UpstreamNear(daemon);
-      this->hit->rejecting = true;
+      this->HitUpstreamNear(daemon).rejecting = true;
       break;
     case Fault::kUpstreamLeaves:
-      this->hit = &this->UpstreamNear(daemon);
-      this->hit->leaving = true;
+      this->HitUpstreamNear(daemon).leaving = true;
       break;
     case Fault::kAnswerDoubled:
       for (const auto& upstream : this->fleet.Upstreams()) {
@@ -165,12 +162,14 @@
     case Fault::kUpstreamSlow:
     case Fault::kUpstreamRejects:
     case Fault::kUpstreamLeaves:
-      if (this->hit == nullptr) break;
-      this->hit->silent = false;
-      this->hit->slowness = 1.0;
-      this->hit->rejecting = false;
-      this->hit->leaving = false;
-      this->hit->Revive();
+      for (FakeUpstream* upstream : this->hit) {
+        upstream->silent = false;
+        upstream->slowness = 1.0;
+        upstream->rejecting = false;
+        upstream->leaving = false;
+        upstream->Revive();
+      }
+      this->hit.clear();
       break;
     case Fault::kAnswerDoubled:
       for (const auto& upstream : this->fleet.Upstreams()) {
--- a/bench/fleet/faults.h
+++ b/bench/fleet/faults.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstddef>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -51,12 +52,13 @@
   void Heal(Fault fault, size_t daemon);
 
  private:
-  FakeUpstream& UpstreamNear(size_t daemon);
+  FakeUpstream& HitUpstreamNear(size_t daemon);
 
   Fleet& fleet;
   Callers& callers;
   Rng rng;
-  FakeUpstream* hit = nullptr;
+  /// Upstreams that a fault hit and that are not healed yet.
+  std::set<FakeUpstream*> hit;
 };
 
 }  // namespace fuchsiadrum::bench
--- a/bench/fleet/fleet_run.cc
+++ b/bench/fleet/fleet_run.cc
@@ -12,6 +12,8 @@
 constexpr Duration kWarmUp = std::chrono::seconds(5);
 constexpr Duration kCallInterval = std::chrono::milliseconds(60);
 constexpr Duration kEditInterval = std::chrono::seconds(3);
+/// Long enough for seals, which follow 15 s of silence.
+constexpr Duration kFaultWindow = std::chrono::seconds(25);
 constexpr Duration kAfterHealing = std::chrono::seconds(10);
 /// Dead holders are sealed within 30 s; the rest is the time to settle.
 constexpr Duration kSettling = std::chrono::seconds(50);
@@ -19,6 +21,12 @@
 constexpr Tokens kBudget(400000);
 constexpr size_t kTraceLength = 40;
 
+/// Steps that only the loss of a daemon brings about.
+bool NeedsDeadDaemon(const std::string& step) {
+  return step == "append:Seal" || step == "append:ShardTakeOver" ||
+         step == "append:ShardReplaceWitness";
+}
+
 /// One run over a fleet; see RunFleet.
 class FleetRun {
  public:
@@ -52,7 +60,7 @@
     this->Wait(kWarmUp);
 
     this->Arm();
-    this->Wait(std::chrono::seconds(20));
+    this->Wait(kFaultWindow);
     this->HealAll();
     this->Wait(kAfterHealing);
     this->callers.Stop();
@@ -91,6 +99,11 @@
     });
     if (this->options.step.empty()) {
       this->Trigger(this->rng.Below(this->fleet.Size()));
+    } else if (NeedsDeadDaemon(this->options.step)) {
+      const size_t dead = this->rng.Below(this->fleet.Size());
+      this->injected.emplace_back(Fault::kKill, dead);
+      this->faults.Inject(Fault::kKill, dead);
+      this->wait_for = 1;
     }
   }
 
@@ -114,13 +127,14 @@
       delay += Duration(this->rng.Between(1000, 4000000));
     }
     // Some faults end before the witnesses seal, some after.
-    const Duration length = std::chrono::seconds(this->rng.Between(1, 19));
+    const Duration length = std::chrono::seconds(this->rng.Between(1, 24));
     if (length >= std::chrono::seconds(8)) {
       this->fleet.Queue().After(length, [this] { this->HealAll(); });
     }
   }
 
   void HealAll() {
+    this->triggered = true;  // a step that comes later is not hit any more
     for (const auto& [fault, daemon] : this->injected) {
       this->Trace("heal " + std::string(FaultName(fault)), daemon);
       this->faults.Heal(fault, daemon);
--- a/fuchsiadrum/node/log_link.h
+++ b/fuchsiadrum/node/log_link.h
@@ -14,8 +14,8 @@
 class LogLink {
  public:
   LogLink(const log::ReplicaOptions& replica,
-          const log::AppenderOptions& appender,
-          std::vector<FoldPart*> parts, std::vector<Agent*> agents);
+          const log::AppenderOptions& appender, std::vector<FoldPart*> parts,
+          std::vector<Agent*> agents);
 
   /// Consecutive batches from offset `from`.
   void OnBatches(TimePoint now, uint64_t from,
--- a/fuchsiadrum/node/node.cc
+++ b/fuchsiadrum/node/node.cc
@@ -119,6 +119,9 @@
     RequestAction refusal;
     refusal.handle = request.handle;
     refusal.status = 503;
+    // An earlier attempt with the key may have run through another daemon.
+    refusal.outcome = request.idempotency_key.empty() ? Outcome::kNotRun
+                                                      : Outcome::kUnknown;
     refusal.step = "ready";
     refusal.reason = why;
     refusal.retry_after_s = 1;
--- a/fuchsiadrum/node/request_attempts.cc
+++ b/fuchsiadrum/node/request_attempts.cc
@@ -154,12 +154,7 @@
 
 void RequestPipeline::OnCallerGone(TimePoint now, ActiveRequest& request,
                                    const AttemptEvent& event, Outbox& out) {
-  if (request.stage == Stage::kQueued) {
-    this->parts.admission.Abandon(request.start.handle);
-    this->by_id.erase(request.start.request_id);
-    this->requests.erase(request.start.handle);
-    return;
-  }
+  if (request.stage == Stage::kReleasing) return;
   request.answered = true;
   if (request.stage != Stage::kRunning) {
     if (request.may_have_run) {
@@ -220,7 +215,41 @@
     request.reservation = 0;
   }
   this->ReportDone(now, request, {.ran = false, .outcome_known = true}, out);
+  if (request.admitted) {
+    if (request.stage == Stage::kQueued) {
+      this->parts.admission.Abandon(request.start.handle);
+    } else {
+      this->parts.admission.OnFinished(now, request.start.handle, Tokens(0));
+    }
+    request.admitted = false;
+  }
   answer.outcome = Outcome::kNotRun;
+  if (request.start.idempotency_key.empty()) {
+    this->Reply(now, request, answer);
+    this->Finish(now, request, Tokens(0));
+    return;
+  }
+
+  // Another request of the same key may have run through another daemon; only
+  // the home can rule that out.
+  request.held = std::move(answer);
+  if (!request.told_to_run) {
+    this->OnReleased(now, request, false);
+    return;
+  }
+  request.stage = Stage::kReleasing;
+  request.since = now;
+}
+
+void RequestPipeline::OnReleased(TimePoint now, ActiveRequest& request,
+                                 bool released) {
+  FD_ASSERT(request.held.has_value(), "pipeline: no answer is held");
+  Answer answer = std::move(*request.held);
+  if (!released) {
+    answer.outcome = Outcome::kUnknown;
+    answer.reason +=
+        "; this attempt did not run, an earlier one with the key may have";
+  }
   this->Reply(now, request, answer);
   this->Finish(now, request, Tokens(0));
 }
@@ -244,13 +273,6 @@
                       .step = "deadline",
                       .reason = "the deadline passed",
                       .retry_after = kUnavailableRetryAfter};
-  if (request.stage == Stage::kQueued) {
-    this->parts.admission.Abandon(request.start.handle);
-    this->Reply(now, request, answer);
-    this->by_id.erase(request.start.request_id);
-    this->requests.erase(request.start.handle);
-    return;
-  }
   if (request.stage != Stage::kRunning) {
     if (request.may_have_run) {
       this->EndUncertain(now, request, answer, out);
@@ -282,7 +304,7 @@
 void RequestPipeline::ReportDone(TimePoint now, const ActiveRequest& request,
                                  const request::Completion& completion,
                                  Outbox& out) {
-  if (request.stage == Stage::kClaiming) {
+  if (!request.told_to_run) {
     this->parts.claims.Abandon(now, request.start.request_id, out);
     return;
   }
@@ -293,7 +315,9 @@
                              Tokens used) {
   FD_ASSERT(request.reservation == 0,
             "pipeline: request ends with an open reservation");
-  this->parts.admission.OnFinished(now, request.start.handle, used);
+  if (request.admitted) {
+    this->parts.admission.OnFinished(now, request.start.handle, used);
+  }
   this->by_id.erase(request.start.request_id);
   this->requests.erase(request.start.handle);
 }
--- a/fuchsiadrum/node/request_pipeline.cc
+++ b/fuchsiadrum/node/request_pipeline.cc
@@ -19,7 +19,7 @@
   active.start = request;
   active.received = now;
   active.since = now;
-  auto plan = MakePlan(now, this->parts.catalogue, request);
+  auto plan = MakePlan(this->parts.catalogue, request);
   if (const Refusal* refusal = std::get_if<Refusal>(&plan)) {
     this->Reply(now, active,
                 {.status = refusal->status,
@@ -28,32 +28,25 @@
     return;
   }
   active.plan = std::get<RequestPlan>(std::move(plan));
-  this->Admit(now, std::move(active), out);
-  this->Advance(now, out);
-}
-
-void RequestPipeline::Admit(TimePoint now, ActiveRequest request, Outbox& out) {
-  const RequestHandle handle = request.start.handle;
-  FD_ASSERT(!this->requests.contains(handle), "pipeline: handle used twice");
-  const auto verdict = this->parts.admission.Offer(
-      now, {.handle = handle,
-            .organisation = request.plan.organisation,
-            .work_class = request.plan.work_class,
-            .tokens = request.plan.worst_case,
-            .deadline = request.start.deadline});
-  if (verdict.answer == request::AdmissionAnswer::kShed) {
-    this->Reply(now, request,
-                {.step = "admit",
-                 .reason = std::string(verdict.reason),
-                 .retry_after = verdict.retry_after});
+  if (request.deadline <= now) {
+    // A daemon that was paused may find the request of a caller who has tried
+    // another daemon since.
+    const bool keyed = !request.idempotency_key.empty();
+    this->Reply(now, active,
+                {.status = 504,
+                 .outcome = keyed ? Outcome::kUnknown : Outcome::kNotRun,
+                 .step = "deadline",
+                 .reason = "the deadline had passed on arrival"});
     return;
   }
-  this->by_id[request.start.request_id] = handle;
+
+  const RequestHandle handle = request.handle;
+  FD_ASSERT(!this->requests.contains(handle), "pipeline: handle used twice");
+  this->by_id[request.request_id] = handle;
   ActiveRequest& stored =
-      this->requests.emplace(handle, std::move(request)).first->second;
-  if (verdict.answer == request::AdmissionAnswer::kStart) {
-    this->Claim(now, stored, out);
-  }
+      this->requests.emplace(handle, std::move(active)).first->second;
+  this->Claim(now, stored, out);
+  this->Advance(now, out);
 }
 
 void RequestPipeline::Claim(TimePoint now, ActiveRequest& request,
@@ -77,8 +70,8 @@
                                  Outbox& out) {
   using request::ClaimOutcome;
   if (decision.outcome == ClaimOutcome::kRun) {
-    request.claimed = decision.claimed;
-    this->Reserve(now, request, out);
+    request.told_to_run = true;
+    this->Admit(now, request, out);
     return;
   }
 
@@ -128,6 +121,30 @@
   this->Finish(now, request, Tokens(0));
 }
 
+void RequestPipeline::Admit(TimePoint now, ActiveRequest& request,
+                            Outbox& out) {
+  request.stage = Stage::kQueued;
+  request.since = now;
+  const auto verdict = this->parts.admission.Offer(
+      now, {.handle = request.start.handle,
+            .organisation = request.plan.organisation,
+            .work_class = request.plan.work_class,
+            .tokens = request.plan.worst_case,
+            .deadline = request.start.deadline});
+  if (verdict.answer == request::AdmissionAnswer::kShed) {
+    this->EndNotRun(now, request,
+                    {.step = "admit",
+                     .reason = std::string(verdict.reason),
+                     .retry_after = verdict.retry_after},
+                    out);
+    return;
+  }
+  request.admitted = true;
+  if (verdict.answer == request::AdmissionAnswer::kStart) {
+    this->Reserve(now, request, out);
+  }
+}
+
 void RequestPipeline::Reserve(TimePoint now, ActiveRequest& request,
                               Outbox& out) {
   request.stage = Stage::kReserving;
@@ -226,17 +243,18 @@
   for (const auto& shed : this->parts.admission.TakeShed(now)) {
     ActiveRequest* request = this->Find(shed.handle);
     if (request == nullptr) continue;
-    this->Reply(now, *request,
-                {.step = "admit",
-                 .reason = std::string(shed.reason),
-                 .retry_after = shed.retry_after});
-    this->by_id.erase(request->start.request_id);
-    this->requests.erase(shed.handle);
+    request->admitted = false;
+    this->EndNotRun(now, *request,
+                    {.step = "admit",
+                     .reason = std::string(shed.reason),
+                     .retry_after = shed.retry_after},
+                    out);
   }
   for (const RequestHandle handle :
        this->parts.admission.TakeStarts(now, this->FreeCapacity())) {
-    if (ActiveRequest* request = this->Find(handle))
-      this->Claim(now, *request, out);
+    if (ActiveRequest* request = this->Find(handle)) {
+      this->Reserve(now, *request, out);
+    }
   }
   for (const auto& decision : this->parts.claims.TakeDecisions()) {
     ActiveRequest* request = this->FindById(decision.request_id);
@@ -252,6 +270,10 @@
     }
   }
   for (const auto& billing : this->parts.claims.TakeBillings()) {
+    ActiveRequest* request = this->FindById(billing.request_id);
+    if (request != nullptr && request->stage == Stage::kReleasing) {
+      this->OnReleased(now, *request, billing.released);
+    }
     const auto found = this->unbilled.find(billing.request_id);
     if (found == this->unbilled.end()) continue;
     this->parts.escrow.Confirm(now, found->second, billing.billed_here);
@@ -268,7 +290,11 @@
   for (const RequestHandle handle : handles) {
     ActiveRequest* request = this->Find(handle);
     if (request == nullptr) continue;
-    if (now >= request->start.deadline && !request->answered) {
+    if (request->stage == Stage::kReleasing) {
+      if (now - request->since >= this->options.release_wait) {
+        this->OnReleased(now, *request, false);
+      }
+    } else if (now >= request->start.deadline && !request->answered) {
       this->Expire(now, *request, out);
     } else if (request->stage == Stage::kChoosing ||
                (request->stage == Stage::kBackoff && now >= request->since)) {
--- a/fuchsiadrum/node/request_pipeline.h
+++ b/fuchsiadrum/node/request_pipeline.h
@@ -21,8 +21,10 @@
 
 namespace fuchsiadrum::node {
 
-/// The parts that a request passes through, in this order: catalogue,
-/// admission, claim, reservation, choice of upstream, attempts, settlement.
+/// The parts that a request passes through, in this order: catalogue, claim,
+/// admission, reservation, choice of upstream, attempts, settlement. The claim
+/// comes before the admission, so that a request that is shed can be answered
+/// "not-run": only its home knows that no other request of its key ran.
 struct PipelineParts {
   const catalogue::Catalogue& catalogue;
   request::Admission& admission;
@@ -43,6 +45,8 @@
   Duration budget_wait = std::chrono::seconds(1);
   /// Longest wait for an upstream with room.
   Duration upstream_wait = std::chrono::seconds(5);
+  /// Longest wait for the home to confirm that a key did not run.
+  Duration release_wait = std::chrono::milliseconds(500);
 };
 
 /// Carries each caller's request through the parts of one daemon.
@@ -69,12 +73,22 @@
 
  private:
   enum class Stage {
-    kQueued,     // waits for admission
     kClaiming,   // waits for the key's home
+    kQueued,     // waits for admission
     kReserving,  // waits for tokens
     kChoosing,   // waits for an upstream with room
     kBackoff,    // waits for its retry
     kRunning,    // an attempt is in flight
+    kReleasing,  // did not run; waits for its home to confirm that
+  };
+  /// Answer to a caller, before it is matched to a request.
+  struct Answer {
+    int status = 503;
+    Outcome outcome = Outcome::kNotRun;
+    std::string step;
+    std::string reason;
+    Duration retry_after = Duration::zero();
+    std::optional<pb::StoredAnswer> stored;
   };
   struct ActiveRequest {
     RequestStart start;
@@ -91,27 +105,23 @@
     std::string upstream;
     budget::ReservationId reservation = 0;
     Tokens reserved;
-    bool claimed = false;
+    /// Told to run by the claim agent, which waits for Done.
+    bool told_to_run = false;
+    /// In the admission queue or started by it.
+    bool admitted = false;
+    /// Answer that waits for the home's confirmation.
+    std::optional<Answer> held;
     /// A byte of the request may have reached an upstream.
     bool may_have_run = false;
     /// The caller has its answer or is gone; only the run is left.
     bool answered = false;
   };
-  /// Answer to a caller, before it is matched to a request.
-  struct Answer {
-    int status = 503;
-    Outcome outcome = Outcome::kNotRun;
-    std::string step;
-    std::string reason;
-    Duration retry_after = Duration::zero();
-    std::optional<pb::StoredAnswer> stored;
-  };
 
   // Stages, in the order in which a request passes them.
-  void Admit(TimePoint now, ActiveRequest request, Outbox& out);
   void Claim(TimePoint now, ActiveRequest& request, Outbox& out);
   void OnDecision(TimePoint now, ActiveRequest& request,
                   const request::Decision& decision, Outbox& out);
+  void Admit(TimePoint now, ActiveRequest& request, Outbox& out);
   void Reserve(TimePoint now, ActiveRequest& request, Outbox& out);
   void OnReserved(TimePoint now, ActiveRequest& request,
                   const budget::ReserveResult& result, Outbox& out);
@@ -135,6 +145,7 @@
   void Reply(TimePoint now, ActiveRequest& request, const Answer& answer);
   void EndNotRun(TimePoint now, ActiveRequest& request, Answer answer,
                  Outbox& out);
+  void OnReleased(TimePoint now, ActiveRequest& request, bool released);
   void EndUncertain(TimePoint now, ActiveRequest& request, const Answer& answer,
                     Outbox& out);
   void Finish(TimePoint now, ActiveRequest& request, Tokens used);
--- a/fuchsiadrum/node/request_plan.cc
+++ b/fuchsiadrum/node/request_plan.cc
@@ -65,8 +65,7 @@
 }  // namespace
 
 std::variant<RequestPlan, Refusal> MakePlan(
-    TimePoint now, const catalogue::Catalogue& catalogue,
-    const RequestStart& request) {
+    const catalogue::Catalogue& catalogue, const RequestStart& request) {
   if (request.bearer.empty()) {
     return Refusal{401, "authenticate", "a caller key is missing"};
   }
@@ -74,10 +73,6 @@
   if (!organisation) {
     return Refusal{401, "authenticate", "the caller key is not known"};
   }
-  if (request.deadline <= now) {
-    return Refusal{400, "deadline", "the deadline is in the past"};
-  }
-
   RequestPlan plan;
   plan.organisation = *organisation;
   auto refusal = request.service.empty() ? PlanModel(catalogue, request, plan)
--- a/fuchsiadrum/node/request_plan.h
+++ b/fuchsiadrum/node/request_plan.h
@@ -31,7 +31,6 @@
 
 /// Authenticates a request and looks up its model or service call.
 std::variant<RequestPlan, Refusal> MakePlan(
-    TimePoint now, const catalogue::Catalogue& catalogue,
-    const RequestStart& request);
+    const catalogue::Catalogue& catalogue, const RequestStart& request);
 
 }  // namespace fuchsiadrum::node
