--- a/fuchsiadrum/log/appender.cc
+++ b/fuchsiadrum/log/appender.cc
@@ -76,6 +76,7 @@
     this->FillBatch(next);
     this->sequence = next.sequence();
     this->batch = SealBatch(next, this->options.fleet_key);
+    this->started = now;
   } else if (now < this->repeat_at) {
     return std::nullopt;
   }
@@ -107,6 +108,11 @@
 }
 
 bool Appender::IsDue(TimePoint now) const {
+  // A clock that went backwards must not delay the next batch.
+  const bool spaced = this->sequence == 0 || now < this->started ||
+                      now - this->started >= this->options.min_spacing;
+  if (!spaced) return false;
+
   if (!this->queue.empty() || !this->relayed.empty()) {
     return now - this->oldest >= this->options.interval || now < this->oldest ||
            this->queue_bytes >= this->options.max_batch_bytes;
--- a/fuchsiadrum/log/appender.h
+++ b/fuchsiadrum/log/appender.h
@@ -23,6 +23,9 @@
   std::string fleet_key;
   /// Records of this long share a batch.
   Duration interval = Duration(20'000);
+  /// Shortest time between the first appends of two batches. Nine daemons stay
+  /// below 100 appends/s.
+  Duration min_spacing = Duration(100'000);
   /// Time after a stored append until the batch is repeated because it was not
   /// read back. Reading takes a few polls of the log.
   Duration repeat_after = Duration(1'000'000);
@@ -67,11 +70,15 @@
 
   /// Batch that is not read back yet, for a relay through peers; nullopt: none.
   const std::optional<std::string>& InFlight() const { return this->batch; }
+  /// When the batch in flight was made.
+  TimePoint InFlightSince() const { return this->started; }
   /// Sequence of the batch in flight, or of the last one.
   uint64_t Sequence() const { return this->sequence; }
   /// True when everything that was added has been read back.
   bool IsEmpty() const;
   size_t QueueBytes() const { return this->queue_bytes; }
+  /// Bytes of snapshot chunks that wait.
+  size_t ChunkBytes() const { return this->chunk_bytes; }
   /// Batches handed out by Next, repetitions included.
   uint64_t Appends() const { return this->appends; }
 
@@ -101,6 +108,8 @@
   uint64_t sequence = 0;
   bool awaits_answer = false;
   TimePoint repeat_at;
+  /// When the latest batch was made.
+  TimePoint started;
   uint64_t appends = 0;
 };
 
--- a/fuchsiadrum/log/mutation.h
+++ b/fuchsiadrum/log/mutation.h
@@ -10,7 +10,7 @@
   kReuseSequence,
   /// The catalogue accepts an edit that is based on an older revision.
   kAcceptOlderRevision,
-  /// A snapshot is used when its last chunk arrives, whatever is missing.
+  /// A snapshot is used as soon as one chunk arrives, whatever is missing.
   kTrustPartialSnapshot,
   /// A log that starts above offset 0 is taken for an empty state.
   kEmptyLogIsEmptyState,
--- a/fuchsiadrum/log/replica.cc
+++ b/fuchsiadrum/log/replica.cc
@@ -108,10 +108,12 @@
 
 bool Replica::LoadState(TimePoint now, const pb::Snapshot& snapshot,
                         Outbox& out) {
-  if (this->phase == ReplicaPhase::kFolding ||
-      this->phase == ReplicaPhase::kStopped ||
-      snapshot.base_offset() < this->first_retained ||
-      snapshot.base_offset() < this->next) {
+  const uint64_t base = snapshot.base_offset();
+  const bool is_newer =
+      base > this->next ||
+      (base == this->next && this->phase != ReplicaPhase::kFolding);
+  if (this->phase == ReplicaPhase::kStopped || base < this->first_retained ||
+      !is_newer) {
     return false;
   }
   return this->Install(now, snapshot, out);
@@ -125,6 +127,10 @@
   this->ready_at = this->log_end;
 }
 
+void Replica::NoteCaughtUp() {
+  if (!this->ready_at) this->ready_at = this->next;
+}
+
 pb::Snapshot Replica::MakeSnapshot() const {
   pb::Snapshot snapshot;
   snapshot.set_base_offset(this->next);
@@ -362,10 +368,11 @@
   if (this->ScanRecords(now, batch, out)) return;
   for (const pb::Record& record : batch.records()) {
     if (!record.has_combined_batch()) continue;
-    for (const std::string& inner : record.combined_batch().batches()) {
-      if (OpenBatch(inner, this->options.fleet_key, batch) ==
+    for (const std::string& bytes_inside : record.combined_batch().batches()) {
+      pb::Batch inner;
+      if (OpenBatch(bytes_inside, this->options.fleet_key, inner) ==
               BatchCheck::kValid &&
-          this->ScanRecords(now, batch, out)) {
+          this->ScanRecords(now, inner, out)) {
         return;
       }
     }
--- a/fuchsiadrum/log/replica.h
+++ b/fuchsiadrum/log/replica.h
@@ -88,6 +88,9 @@
   /// Replaces the state by one that a peer sent. False if it is malformed or
   /// older than the present state or the log's first record.
   bool LoadState(TimePoint now, const pb::Snapshot& snapshot, Outbox& out);
+  /// A peer that reaches the log has no further batches; stands for OnBounds on
+  /// a daemon that does not reach it.
+  void NoteCaughtUp();
   /// Takes the present state, which fell out of retention, for the state at
   /// `offset`. Only right when no daemon folded the records between them.
   void AdoptGap(TimePoint now, uint64_t offset);
--- a/fuchsiadrum/log/snapshot_reader.cc
+++ b/fuchsiadrum/log/snapshot_reader.cc
@@ -8,6 +8,25 @@
 
 std::optional<pb::Snapshot> SnapshotReader::Add(
     const pb::SnapshotChunk& chunk) {
+  const std::optional<Open> done = this->Collect(chunk);
+  if (!done) return std::nullopt;
+
+  auto snapshot = this->Finish(*done);
+  if (snapshot && snapshot->base_offset() != done->base_offset) {
+    this->last_reason = {.step = "snapshot", .text = "wrong base offset"};
+    return std::nullopt;
+  }
+  return snapshot;
+}
+
+std::optional<pb::Snapshot> SnapshotReader::AddState(
+    const pb::SnapshotChunk& chunk) {
+  const std::optional<Open> done = this->Collect(chunk);
+  return done ? this->Finish(*done) : std::nullopt;
+}
+
+std::optional<SnapshotReader::Open> SnapshotReader::Collect(
+    const pb::SnapshotChunk& chunk) {
   Open* const target = this->FindOrOpen(chunk);
   if (target == nullptr) return std::nullopt;
 
@@ -17,16 +36,14 @@
     --target->missing;
   }
 
-  const bool is_last = chunk.index() + 1 == chunk.count();
-  const bool finished =
-      target->missing == 0 ||
-      (is_last && this->mutation == Mutation::kTrustPartialSnapshot);
-  if (!finished) return std::nullopt;
+  const bool is_finished =
+      target->missing == 0 || this->mutation == Mutation::kTrustPartialSnapshot;
+  if (!is_finished) return std::nullopt;
 
-  const Open done = std::move(*target);
+  Open done = std::move(*target);
   target->id.clear();
   std::erase_if(this->open, [](const Open& o) { return o.id.empty(); });
-  return this->Finish(done);
+  return done;
 }
 
 SnapshotReader::Open* SnapshotReader::FindOrOpen(
@@ -70,12 +87,12 @@
   }
 
   pb::Snapshot snapshot;
-  const bool parsed = snapshot.ParseFromString(bytes);
+  const bool is_parsed = snapshot.ParseFromString(bytes);
   if (trusted) {
     snapshot.set_base_offset(finished.base_offset);
     return snapshot;
   }
-  if (!parsed || snapshot.base_offset() != finished.base_offset) {
+  if (!is_parsed) {
     this->last_reason = {.step = "snapshot", .text = "malformed contents"};
     return std::nullopt;
   }
--- a/fuchsiadrum/log/snapshot_reader.h
+++ b/fuchsiadrum/log/snapshot_reader.h
@@ -28,6 +28,8 @@
 
   /// Adds a chunk; the snapshot if this chunk completes it.
   std::optional<pb::Snapshot> Add(const pb::SnapshotChunk& chunk);
+  /// Like Add, for a state from a peer, whose base offset is only inside it.
+  std::optional<pb::Snapshot> AddState(const pb::SnapshotChunk& chunk);
   /// Forgets all unfinished snapshots.
   void Clear() { this->open.clear(); }
   /// Why the last chunk or snapshot was refused.
@@ -42,6 +44,7 @@
     uint32_t missing = 0;
   };
   Open* FindOrOpen(const pb::SnapshotChunk& chunk);
+  std::optional<Open> Collect(const pb::SnapshotChunk& chunk);
   std::optional<pb::Snapshot> Finish(const Open& finished);
 
   Mutation mutation;
