--- a/bench/catalogue_bench.cc
+++ b/bench/catalogue_bench.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <numeric>
@@ -43,8 +44,8 @@
 int64_t Quantile(std::vector<int64_t> values, double share) {
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
-  const auto rank =
-      static_cast<size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+  const auto rank = static_cast<size_t>(
+      std::lround(share * static_cast<double>(values.size() - 1)));
   return values[rank];
 }
 
--- a/fuchsiadrum/log/relay_client.cc
+++ b/fuchsiadrum/log/relay_client.cc
@@ -61,6 +61,7 @@
               return a.ref < b.ref;
             });
   std::vector<VmRef> out;
+  out.reserve(found.size());
   for (const Candidate& candidate : found) out.push_back(candidate.ref);
   return out;
 }
--- a/tests/log/snapshot_test.cc
+++ b/tests/log/snapshot_test.cc
@@ -127,8 +127,9 @@
 
     SnapshotReader reader;
     bool complete = false;
-    for (const auto& chunk : shuffled)
+    for (const auto& chunk : shuffled) {
       complete |= reader.Add(chunk).has_value();
+    }
     EXPECT_EQ(complete, !forged);
   }
 }
