--- a/bench/main.cc
+++ b/bench/main.cc
@@ -3,12 +3,20 @@
 
 #include "bench/bench_case.h"
 #include "bench/catalogue_bench.h"
+#include "bench/matrix_bench.h"
+#include "bench/requests_bench.h"
 #include "fuchsiadrum/core/assert.h"
 
 namespace fuchsiadrum::bench {
 namespace {
 
-BenchTable AllBenches() { return {{"catalogue", MakeCatalogueBench}}; }
+BenchTable AllBenches() {
+  BenchTable table;
+  table["catalogue"] = MakeCatalogueBench;
+  table["matrix"] = MakeMatrixBench;
+  table["requests"] = MakeRequestsBench;
+  return table;
+}
 
 int Main(int argc, char** argv) {
   CLI::App app("Measures the decision core of fuchsiadrum.");
--- a/fuchsiadrum/log/appender.h
+++ b/fuchsiadrum/log/appender.h
@@ -52,7 +52,8 @@
 
   /// Queues records in this order. False: the queue is full and nothing was
   /// taken; the caller keeps the records or tells its own caller. Records that
-  /// are larger than a batch or that no reader could parse are refused too.
+  /// are empty, larger than a batch or that no reader could parse are dropped
+  /// and counted.
   bool Add(TimePoint now, const std::vector<pb::Record>& records);
   /// Queues a serialised batch of another daemon. False: the queue is full. A
   /// batch that waits already is not queued twice.
@@ -79,6 +80,8 @@
   size_t QueueBytes() const { return this->queue_bytes; }
   /// Bytes of snapshot chunks that wait.
   size_t ChunkBytes() const { return this->chunk_bytes; }
+  /// Records that were dropped because they can never be appended.
+  uint64_t Unusable() const { return this->unusable; }
   /// Batches handed out by Next, repetitions included.
   uint64_t Appends() const { return this->appends; }
 
@@ -111,6 +114,7 @@
   /// When the latest batch was made.
   TimePoint started;
   uint64_t appends = 0;
+  uint64_t unusable = 0;
 };
 
 }  // namespace fuchsiadrum::log
