--- a/bench/main.cc
+++ b/bench/main.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "bench/bench_case.h"
+#include "bench/catalogue_bench.h"
 #include "bench/matrix_bench.h"
 #include "bench/requests_bench.h"
 #include "fuchsiadrum/core/assert.h"
@@ -11,6 +12,7 @@
 
 BenchTable AllBenches() {
   BenchTable table;
+  table["catalogue"] = MakeCatalogueBench;
   table["matrix"] = MakeMatrixBench;
   table["requests"] = MakeRequestsBench;
   return table;
--- a/fuchsiadrum/catalogue/entry_schema.cc
+++ b/fuchsiadrum/catalogue/entry_schema.cc
@@ -39,6 +39,35 @@
          name.find_first_not_of(kNameCharacters) == std::string_view::npos;
 }
 
+/// Free text: UTF-8, since readers of the log refuse anything else, without
+/// control characters, since it is shown on terminals.
+bool IsText(std::string_view text, size_t max_bytes) {
+  if (text.size() > max_bytes) return false;
+  size_t i = 0;
+  while (i < text.size()) {
+    const auto lead = static_cast<unsigned char>(text[i]);
+    if (lead < 0x20 || lead == 0x7F) return false;
+    const size_t more = lead < 0x80 ? 0 : lead < 0xE0 ? 1 : lead < 0xF0 ? 2 : 3;
+    const bool is_lead = lead < 0x80 || (lead >= 0xC2 && lead <= 0xF4);
+    if (!is_lead || i + more >= text.size()) return false;
+
+    for (size_t k = 1; k <= more; ++k) {
+      if ((static_cast<unsigned char>(text[i + k]) & 0xC0U) != 0x80) {
+        return false;
+      }
+    }
+    // Overlong forms, surrogates and values above U+10FFFF.
+    const auto second =
+        more > 0 ? static_cast<unsigned char>(text[i + 1]) : 0x80U;
+    if ((lead == 0xE0 && second < 0xA0) || (lead == 0xED && second >= 0xA0) ||
+        (lead == 0xF0 && second < 0x90) || (lead == 0xF4 && second >= 0x90)) {
+      return false;
+    }
+    i += more + 1;
+  }
+  return true;
+}
+
 bool IsClass(int value) { return pb::WorkClass_IsValid(value); }
 
 bool IsNamedClass(int value) {
@@ -96,8 +125,8 @@
 }
 
 Fault Check(const pb::Organisation& body) {
-  if (body.display_name().size() > kMaxText) {
-    return Invalid("organisation.display_name", "is too long");
+  if (!IsText(body.display_name(), kMaxText)) {
+    return Invalid("organisation.display_name", "is not short plain text");
   }
   for (const int work_class : body.allowed_classes()) {
     if (!IsNamedClass(work_class)) {
@@ -220,8 +249,8 @@
 }
 
 Fault Check(const pb::FleetSetting& body) {
-  if (body.value().size() > kMaxSetting) {
-    return Invalid("setting.value", "is too long");
+  if (!IsText(body.value(), kMaxSetting)) {
+    return Invalid("setting.value", "is not short plain text");
   }
   return std::nullopt;
 }
@@ -313,8 +342,8 @@
   if (!edit.shift().empty() && !IsName(edit.shift())) {
     return Invalid("shift", "is malformed");
   }
-  if (edit.reason().size() > kMaxText) {
-    return Invalid("reason", "is too long");
+  if (!IsText(edit.reason(), kMaxText)) {
+    return Invalid("reason", "is not short plain text");
   }
 
   if (!edit.has_entry()) return std::nullopt;
