--- a/fuchsiadrum/budget/grant_keeper.cc
+++ b/fuchsiadrum/budget/grant_keeper.cc
@@ -245,6 +245,7 @@
   held.settled_unknown = held.possibly_used;
 
   held.witnessed = grant.IsWitnessed();
+  held.ignores_ceilings = this->options.mutation == Mutation::kSkipWitness;
   held.fine = {.witness = grant.fine.vm,
                .term = grant.fine.term,
                .ceiling = grant.fine.start_ceiling};
--- a/fuchsiadrum/budget/held_budget.cc
+++ b/fuchsiadrum/budget/held_budget.cc
@@ -7,7 +7,7 @@
 namespace fuchsiadrum::budget {
 
 Tokens HeldGrant::Limit() const {
-  if (!this->witnessed) return this->amount;
+  if (!this->witnessed || this->ignores_ceilings) return this->amount;
   return std::min({this->amount, this->fine.ceiling, this->coarse.ceiling});
 }
 
--- a/fuchsiadrum/budget/held_budget.h
+++ b/fuchsiadrum/budget/held_budget.h
@@ -62,6 +62,8 @@
   Tokens overrun;
 
   bool witnessed = false;
+  /// Set by Mutation::kSkipWitness only.
+  bool ignores_ceilings = false;
   HeldCeiling fine;
   HeldCeiling coarse;
   /// Sealed or written off: nothing new is reserved under it.
