Let the last tokens of a budget reach any request that fits

Change: smallest minimum first between waiting daemons, early cut after two fruitless rounds, no grants ahead of need below 10% of the wanted size, up to 16 parts, slower decay of the largest reservation.

--- a/bench/budget_demand.cc
+++ b/bench/budget_demand.cc
@@ -5,7 +5,10 @@
 namespace fuchsiadrum::bench {
 
 void BudgetDemand::Start() {
-  for (size_t i = 0; i < this->demands.size(); ++i) this->Next(i);
+  // The first top-ups have to be read before the first request.
+  this->world.queue.After(std::chrono::seconds(1), [this] {
+    for (size_t i = 0; i < this->demands.size(); ++i) this->Next(i);
+  });
 }
 
 void BudgetDemand::Next(size_t organisation) {
--- a/bench/budget_world.h
+++ b/bench/budget_world.h
@@ -172,6 +172,7 @@
   void StartCall(const CallPtr& call, int index);
   void OnReserve(const CallPtr& call, const budget::ReserveResult& result);
   void OnRefused(const CallPtr& call, const budget::ReserveResult& result);
+  void TraceHoldings(const std::string& organisation);
   void Dispatch(const CallPtr& call);
   void Finish(const CallPtr& call);
   void Complete(const CallPtr& call);
--- a/fuchsiadrum/budget/escrow_agent.cc
+++ b/fuchsiadrum/budget/escrow_agent.cc
@@ -9,6 +9,10 @@
 namespace fuchsiadrum::budget {
 namespace {
 
+/// After so many rounds over the peers without a gain a waiting reservation is
+/// cut to what is there. The first one makes peers raise their ceilings.
+constexpr int kFruitlessRounds = 2;
+
 /// A caller of an exhausted budget gains nothing from a quick retry.
 constexpr Duration kRetryExhausted = std::chrono::seconds(60);
 /// Long enough for a grant or for a partition's end to be noticed.
@@ -80,7 +84,7 @@
   slot.state = SlotState::kWaiting;
   if (budget.waiting.empty()) budget.waiting_since = now;
   budget.waiting.push_back(index);
-  budget.waiting_tokens += slot.amount;
+  this->CountWaiting(budget);
   this->GetTokens(now, budget, out);
   if (now < slot.wait_until) {
     return {.status = ReserveStatus::kWaiting, .id = this->IdOf(index)};
@@ -391,13 +395,14 @@
     const uint32_t index = budget.waiting[i];
     Slot& slot = this->slots[index];
     const RefusalReason reason = this->WhyNot(budget, slot.minimum);
-    if (now < slot.wait_until && reason != RefusalReason::kExhausted) {
+    const Tokens room = std::min(budget.Room(), slot.amount);
+    const bool cut = room >= slot.minimum && this->IsAllFound(budget);
+    if (now < slot.wait_until && reason != RefusalReason::kExhausted && !cut) {
       ++i;
       continue;
     }
 
     this->LeaveQueue(budget, index);
-    const Tokens room = std::min(budget.Room(), slot.amount);
     if (room >= slot.minimum && budget.Take(room, slot.parts)) {
       this->finished.push_back(this->Decide(index, room));
     } else {
@@ -406,12 +411,33 @@
   }
 }
 
+bool EscrowAgent::IsAllFound(const HeldBudget& budget) const {
+  if (budget.search.fruitless < kFruitlessRounds) return false;
+  if (!this->peers.IsLogReachable()) return true;
+  const Account* const account = this->ledger.Find(budget.organisation);
+  return account == nullptr || account->available <= Tokens(0);
+}
+
 void EscrowAgent::LeaveQueue(HeldBudget& budget, uint32_t index) {
   const auto found =
       std::find(budget.waiting.begin(), budget.waiting.end(), index);
   FD_ASSERT(found != budget.waiting.end(), "budget: a waiting slot is lost");
   budget.waiting.erase(found);
-  budget.waiting_tokens -= this->slots[index].amount;
+  this->CountWaiting(budget);
+}
+
+void EscrowAgent::CountWaiting(HeldBudget& budget) {
+  budget.waiting_tokens = Tokens(0);
+  budget.waiting_minimum = Tokens(0);
+  for (const uint32_t index : budget.waiting) {
+    const Slot& slot = this->slots[index];
+    budget.waiting_tokens += slot.amount;
+    if (budget.waiting_minimum == Tokens(0) ||
+        slot.minimum < budget.waiting_minimum) {
+      budget.waiting_minimum = slot.minimum;
+    }
+  }
+  if (budget.waiting.empty()) budget.search.fruitless = 0;
 }
 
 }  // namespace fuchsiadrum::budget
--- a/fuchsiadrum/budget/escrow_agent.h
+++ b/fuchsiadrum/budget/escrow_agent.h
@@ -130,7 +130,10 @@
   void GetTokens(TimePoint now, HeldBudget& budget, Outbox& out);
   void ServeWaiting(HeldBudget& budget);
   void ExpireWaiting(TimePoint now, HeldBudget& budget);
+  /// True if neither the pool nor the peers have more to give for now.
+  bool IsAllFound(const HeldBudget& budget) const;
   void LeaveQueue(HeldBudget& budget, uint32_t index);
+  void CountWaiting(HeldBudget& budget);
 
   const Ledger& ledger;
   const PeerView& peers;
--- a/fuchsiadrum/budget/grant_keeper.cc
+++ b/fuchsiadrum/budget/grant_keeper.cc
@@ -11,9 +11,16 @@
 /// A new grant is asked for once this share of the wanted tokens is left.
 constexpr double kRefillShare = 0.85;
 
-/// A share that nothing uses goes back to the pool after this time; at once
-/// would move tokens back and forth at the end of a budget.
-constexpr Duration kKeepShare = std::chrono::milliseconds(300);
+/// Smallest grant ahead of need, as a share of the wanted tokens.
+constexpr double kWorthwhileShare = 0.1;
+
+/// More grants of one organisation than this are merged: the smallest goes
+/// back to the pool, so that a reservation finds its tokens in a few parts.
+constexpr size_t kMostGrants = 8;
+
+/// A share that nothing uses goes back to the pool after this time. Sooner, it
+/// would be on its way through the log when a peer asks for it.
+constexpr Duration kKeepShare = std::chrono::seconds(2);
 
 Tokens Scaled(Tokens tokens, double share) {
   return Tokens(
@@ -40,7 +47,10 @@
   const Tokens fair(account->available.count / daemons);
   const Tokens bound = std::max(fair, waits ? urgent : std::min(urgent, fair));
   const Tokens size = std::min({want - unused, bound, account->available});
-  if (size <= Tokens(0) || (!waits && size < budget.sizer.FineMargin())) return;
+  // Ahead of need, a grant has to be worth its record and its ceilings.
+  const Tokens smallest =
+      std::max(budget.sizer.FineMargin(), Scaled(want, kWorthwhileShare));
+  if (size <= Tokens(0) || (!waits && size < smallest)) return;
 
   const auto fine = ChooseWitness(this->peers, now, this->options.suspect_after,
                                   WitnessRole::kFine, "", "", this->rng);
@@ -66,7 +76,8 @@
 }
 
 void GrantKeeper::ReturnSurplus(HeldBudget& budget, Outbox& out) {
-  if (!this->peers.IsLogReachable()) return;
+  // Waiting requests compete by shares; the pool would give to the fastest.
+  if (!this->peers.IsLogReachable() || !budget.waiting.empty()) return;
   const Account* const account = this->ledger.Find(budget.organisation);
   if (account == nullptr) return;
 
@@ -115,6 +126,10 @@
 
   for (const auto& budget : this->budgets.All()) {
     this->Replenish(now, *budget, out);
+    const bool lends = now < budget->lend_until;
+    if (budget->grants.size() > kMostGrants && !lends) {
+      this->CloseSmallest(*budget, out);
+    }
     for (const auto& grant : budget->grants) {
       if (!grant->recorded || grant->closing) continue;
       if (this->IsCloseDue(now, *grant)) {
@@ -309,10 +324,26 @@
 
   // A share is meant for the request that waited; the rest goes back.
   return !grant.witnessed && grant.budget->waiting.empty() &&
-         this->peers.IsLogReachable() &&
+         now >= grant.budget->lend_until && this->peers.IsLogReachable() &&
          (now < grant.received_at || now - grant.received_at > kKeepShare);
 }
 
+void GrantKeeper::CloseSmallest(HeldBudget& budget, Outbox& out) {
+  if (!this->peers.IsLogReachable() || !budget.waiting.empty()) return;
+
+  HeldGrant* smallest = nullptr;
+  for (const auto& grant : budget.grants) {
+    // One at a time, so that the daemon keeps tokens to serve from.
+    if (grant->closing) return;
+    if (!grant->recorded || !grant->IsIdle()) continue;
+    if (smallest == nullptr ||
+        grant->amount - grant->Used() < smallest->amount - smallest->Used()) {
+      smallest = grant.get();
+    }
+  }
+  if (smallest != nullptr) this->Close(*smallest, out);
+}
+
 void GrantKeeper::Close(HeldGrant& grant, Outbox& out) {
   grant.closing = true;
   pb::Close& record = *out.AddRecord().mutable_close();
--- a/fuchsiadrum/budget/grant_keeper.h
+++ b/fuchsiadrum/budget/grant_keeper.h
@@ -45,6 +45,7 @@
   void Settle(HeldGrant& grant, Outbox& out);
   bool IsCloseDue(TimePoint now, const HeldGrant& grant) const;
   void Close(HeldGrant& grant, Outbox& out);
+  void CloseSmallest(HeldBudget& budget, Outbox& out);
 
   const Ledger& ledger;
   const PeerView& peers;
--- a/fuchsiadrum/budget/grant_sizer.cc
+++ b/fuchsiadrum/budget/grant_sizer.cc
@@ -11,8 +11,12 @@
 /// A clock that jumps ahead must not make the estimates vanish.
 constexpr double kLongestWindowS = 10.0;
 
-/// Share of the recent maxima that survives a second: they halve in 22 s.
-constexpr double kDecay = 0.97;
+/// Share of the largest reservation that survives a second: it halves in six
+/// minutes, so that an organisation with few requests keeps a useful step.
+constexpr double kLargestDecay = 0.998;
+
+/// The same for the peak of tokens in flight, which halves in 70 s.
+constexpr double kPeakDecay = 0.99;
 
 /// A daemon may hold this multiple of the fair share of what is left, so that
 /// an uneven load is not refused while others have tokens.
@@ -65,11 +69,11 @@
   this->slow_rate = blend(this->slow_rate, this->options.slow);
   this->window = Tokens(0);
 
-  const auto decay = [](Tokens tokens) {
-    return FromDouble(static_cast<double>(tokens.count) * kDecay);
+  const auto decay = [](Tokens tokens, double share) {
+    return FromDouble(static_cast<double>(tokens.count) * share);
   };
-  this->largest = decay(this->largest);
-  this->peak = std::max(in_flight, decay(this->peak));
+  this->largest = decay(this->largest, kLargestDecay);
+  this->peak = std::max(in_flight, decay(this->peak, kPeakDecay));
 }
 
 Tokens GrantSizer::FineMargin() const {
--- a/fuchsiadrum/budget/held_budget.cc
+++ b/fuchsiadrum/budget/held_budget.cc
@@ -40,18 +40,13 @@
 }
 
 bool HeldBudget::Take(Tokens amount, ReservedParts& parts) {
-  parts.count = 0;
-  Tokens missing = amount;
-
-  for (const auto& grant : this->grants) {
-    const Tokens part = std::min(missing, grant->Room());
-    if (part <= Tokens(0)) continue;
-    if (parts.count == static_cast<int>(parts.parts.size())) break;
-    parts.parts[static_cast<size_t>(parts.count++)] = {grant.get(), part};
-    missing -= part;
-    if (missing == Tokens(0)) break;
+  if (!this->Collect(amount, Tokens(1), parts)) {
+    // Many small grants: only large ones give their part.
+    const auto most = static_cast<int64_t>(parts.parts.size());
+    const Tokens least(amount.count / most);
+    if (least <= Tokens(1) || !this->Collect(amount, least, parts))
+      return false;
   }
-  if (missing > Tokens(0)) return false;
 
   for (int i = 0; i < parts.count; ++i) {
     const ReservedPart& part = parts.parts[static_cast<size_t>(i)];
@@ -60,6 +55,21 @@
   return true;
 }
 
+bool HeldBudget::Collect(Tokens amount, Tokens least, ReservedParts& parts) {
+  parts.count = 0;
+  Tokens missing = amount;
+  for (const auto& grant : this->grants) {
+    const Tokens room = grant->Room();
+    const Tokens part = std::min(missing, room);
+    if (part <= Tokens(0) || room < least) continue;
+    if (parts.count == static_cast<int>(parts.parts.size())) return false;
+    parts.parts[static_cast<size_t>(parts.count++)] = {grant.get(), part};
+    missing -= part;
+    if (missing == Tokens(0)) return true;
+  }
+  return false;
+}
+
 HeldBudget* HeldBudgets::Find(std::string_view organisation) {
   const auto found = this->by_name.find(organisation);
   return found == this->by_name.end() ? nullptr : found->second;
--- a/fuchsiadrum/budget/held_budget.h
+++ b/fuchsiadrum/budget/held_budget.h
@@ -97,10 +97,11 @@
   Tokens amount;
 };
 
-/// Parts of a reservation. Eight grants of one organisation at one daemon with
-/// room at the same time are more than happens outside the end of a budget.
+/// Parts of a reservation. Sixteen grants of one organisation at one daemon
+/// with room at the same time are more than happens outside the end of a
+/// budget.
 struct ReservedParts {
-  std::array<ReservedPart, 8> parts;
+  std::array<ReservedPart, 16> parts;
   int count = 0;
 };
 
@@ -112,6 +113,9 @@
   int outstanding = 0;
   TimePoint last_sent;
   bool active = false;
+  /// Room when the round began, and rounds in a row that added nothing.
+  Tokens room_before;
+  int fruitless = 0;
 };
 
 /// What one daemon holds of one organisation's budget.
@@ -137,6 +141,8 @@
   /// want.
   std::deque<uint32_t> waiting;
   Tokens waiting_tokens;
+  /// Smallest minimum of the waiting reservations; 0: none waits.
+  Tokens waiting_minimum;
   TimePoint waiting_since;
   /// Tokens that peers asked for lately and that the ceilings did not allow.
   Tokens lend_need;
@@ -146,6 +152,11 @@
   ShareSearch search;
   /// Last ask of each peer, so that a doubled message is answered once.
   std::map<std::string, uint64_t> last_asks;
+
+ private:
+  /// Parts of at least `least` tokens that make up `amount`; false if there
+  /// are too few or too many.
+  bool Collect(Tokens amount, Tokens least, ReservedParts& parts);
 };
 
 /// All budgets of one daemon.
--- a/fuchsiadrum/budget/share_exchange.cc
+++ b/fuchsiadrum/budget/share_exchange.cc
@@ -22,6 +22,9 @@
 /// The receiver appends the record itself if the giver's is not read by then.
 constexpr Duration kRecordSelfAfter = std::chrono::seconds(1);
 
+/// Grants out of which one ask is answered.
+constexpr int kMostParts = 4;
+
 /// Peers asked in one round, those with the largest grants first.
 constexpr size_t kMostPeers = 12;
 
@@ -33,6 +36,7 @@
   ShareSearch& search = budget.search;
   if (shortage <= Tokens(0)) {
     search.active = false;
+    search.fruitless = 0;
     return;
   }
 
@@ -59,36 +63,55 @@
 void ShareExchange::OnAsk(TimePoint now, const VmRef& from,
                           const pb::GrantAsk& ask, Outbox& out) {
   HeldBudget* const budget = this->budgets.Find(ask.organisation());
-  Tokens share;
-  HeldGrant* grant = nullptr;
+  const Tokens wanted(ask.wanted());
+  Tokens given;
 
   if (budget != nullptr) {
     uint64_t& last = budget->last_asks[from.ToString()];
     if (ask.ask_id() <= last) return;
     last = ask.ask_id();
-
-    grant = this->LargestGrant(*budget);
-    const Tokens spare = budget->Room() - budget->waiting_tokens;
-    const Tokens room = grant == nullptr ? Tokens(0) : grant->Room();
-    share = std::min({Tokens(ask.wanted()), spare, room,
-                      std::max(budget->sizer.FineStep(), Tokens(1))});
+    given = this->GiveUpTo(now, *budget, from, ask, out);
   }
-
-  if (share > Tokens(0)) {
-    this->Give(now, *grant, share, from, ask.ask_id(), out);
-  } else {
+  if (given == Tokens(0)) {
     pb::Transfer& answer = *out.AddMessage(from).mutable_transfer();
     answer.set_organisation(ask.organisation());
     answer.set_ask_id(ask.ask_id());
   }
 
   // What the ceilings did not allow now, they allow at the next ask.
-  if (budget != nullptr && share < Tokens(ask.wanted())) {
-    budget->lend_need = std::min(Tokens(ask.wanted()), budget->Unused());
+  if (budget != nullptr && given < wanted) {
+    budget->lend_need = std::min(wanted, budget->Unused());
     budget->lend_until = now + kLendFor;
   }
 }
 
+Tokens ShareExchange::GiveUpTo(TimePoint now, HeldBudget& budget,
+                               const VmRef& from, const pb::GrantAsk& ask,
+                               Outbox& out) {
+  // Of two daemons that both wait, the one with the smaller minimum goes
+  // first, so that the last tokens do not lie in parts that serve nobody.
+  const Tokens wanted(ask.wanted());
+  const Tokens minimum(ask.minimum());
+  const bool asker_first =
+      minimum < budget.waiting_minimum ||
+      (minimum == budget.waiting_minimum && from < this->peers.Self().ref);
+  const Tokens spare =
+      asker_first ? budget.Room() : budget.Room() - budget.waiting_tokens;
+
+  Tokens left =
+      std::min({wanted, spare, std::max(budget.sizer.FineStep(), Tokens(1))});
+  Tokens given;
+  for (int i = 0; i < kMostParts && left > Tokens(0); ++i) {
+    HeldGrant* const grant = this->LargestGrant(budget);
+    if (grant == nullptr || grant->Room() <= Tokens(0)) break;
+    const Tokens share = std::min(left, grant->Room());
+    this->Give(now, *grant, share, from, ask.ask_id(), out);
+    given += share;
+    left -= share;
+  }
+  return given;
+}
+
 HeldBudget* ShareExchange::OnTransfer(TimePoint now, const VmRef& from,
                                       const pb::Transfer& transfer,
                                       Outbox& out) {
@@ -182,6 +205,7 @@
   search.next = 0;
   search.outstanding = 0;
   search.active = true;
+  search.room_before = budget.Room();
 }
 
 void ShareExchange::AskNext(TimePoint now, HeldBudget& budget, Tokens wanted,
@@ -194,12 +218,15 @@
     ask.set_organisation(budget.organisation);
     ask.set_wanted(wanted.count);
     ask.set_ask_id(this->next_ask++);
+    ask.set_minimum(budget.waiting_minimum.count);
     search.last_sent = now;
     ++search.outstanding;
   }
   if (search.next >= search.peers.size() && search.outstanding == 0) {
     search.active = false;
     search.last_sent = now;
+    const bool gained = budget.Room() > search.room_before;
+    search.fruitless = gained ? 0 : search.fruitless + 1;
   }
 }
 
--- a/fuchsiadrum/budget/share_exchange.h
+++ b/fuchsiadrum/budget/share_exchange.h
@@ -48,6 +48,9 @@
   void StartSearch(HeldBudget& budget);
   void AskNext(TimePoint now, HeldBudget& budget, Tokens wanted, Outbox& out);
   Tokens Shortage(const HeldBudget& budget) const;
+  /// Gives what can be spared, from a few grants. Returns how much that is.
+  Tokens GiveUpTo(TimePoint now, HeldBudget& budget, const VmRef& from,
+                  const pb::GrantAsk& ask, Outbox& out);
   HeldGrant* LargestGrant(HeldBudget& budget) const;
   void Give(TimePoint now, HeldGrant& grant, Tokens share, const VmRef& to,
             uint64_t ask_id, Outbox& out);
