Bound what a killed daemon strands by its fine step

Change: confirmed spend is reported once it exceeds half a margin; higher ceilings count against the step of later grants; the step in force covers margin, slack and tokens in flight. An earlier life of the own VM counts as gone.

--- a/bench/budget_run.cc
+++ b/bench/budget_run.cc
@@ -48,6 +48,7 @@
   }
   this->world = std::make_unique<BudgetWorld>(seed, world_options);
   this->world->keep_trace = keep_trace;
+  this->trimmed = this->world->queue.Now();
 }
 
 BudgetRunFigures BudgetRun::Run() {
--- a/bench/budget_run_checks.cc
+++ b/bench/budget_run_checks.cc
@@ -18,6 +18,7 @@
   this->CheckOpenGrants();
   this->CheckBilling(false);
   this->CheckStranded();
+  if (world.figures.violations > 0) return;
 
   for (int i = 0; i < kDaemons; ++i) world.BeginDrain(i);
   if (!this->Advance(std::chrono::seconds(15))) return;
--- a/fuchsiadrum/budget/ceiling_holder.cc
+++ b/fuchsiadrum/budget/ceiling_holder.cc
@@ -16,6 +16,23 @@
   return role == WitnessRole::kFine ? grant.fine : grant.coarse;
 }
 
+/// Confirmed spend that a witness does not know counts as lost when the holder
+/// dies; it is reported once it exceeds this share of the margin.
+constexpr double kReportThreshold = 0.5;
+
+/// Confirmed spend under all grants that the witnesses of a role do not know.
+Tokens Unreported(const HeldBudget& budget, WitnessRole role) {
+  Tokens unreported;
+  for (const auto& grant : budget.grants) {
+    if (!grant->witnessed || grant->closing) continue;
+    const HeldCeiling& ceiling =
+        role == WitnessRole::kFine ? grant->fine : grant->coarse;
+    const Tokens known = std::max(ceiling.reported, grant->settled_spent);
+    unreported += std::max(Tokens(0), grant->confirmed - known);
+  }
+  return unreported;
+}
+
 Tokens Share(Tokens tokens, double share) {
   return Tokens(
       static_cast<int64_t>(static_cast<double>(tokens.count) * share));
@@ -59,6 +76,7 @@
         continue;
       }
       if (ack.leaving()) ceiling->leaving = true;
+      ceiling->reported = std::max(ceiling->reported, Tokens(item.spent()));
       // The replacement's record names the ceiling from before it.
       if (ceiling->frozen && this->options.mutation != Mutation::kNoFreeze) {
         continue;
@@ -83,6 +101,7 @@
 
     ceiling->witness = VmRef::FromProto(record.new_witness());
     ceiling->term = at;
+    ceiling->reported = Tokens(0);
     ceiling->pending = false;
     ceiling->leaving = false;
     // Without the freeze the old ceiling, perhaps risen since, lives on.
@@ -102,6 +121,10 @@
                              : budget.sizer.CoarseMargin(this->IsDegraded());
   const Tokens kept = Share(margin, fine ? kFineThreshold : kCoarseThreshold);
 
+  const Tokens slack = Share(margin, kReportThreshold);
+  const Tokens step = need + margin + slack + budget.Unconfirmed();
+  const bool report = Unreported(budget, role) > slack;
+
   // The step is spread over the grants in the order in which they are used.
   Tokens wanted_left = need + margin;
   Tokens needed_left = need + kept;
@@ -111,25 +134,41 @@
     const Tokens used = grant.Used();
     const Tokens target = std::min(grant.amount, used + wanted_left);
     const Tokens needed = std::min(grant.amount, used + needed_left);
-    wanted_left -= std::max(Tokens(0), target - used);
-    needed_left = std::max(Tokens(0), needed_left - (needed - used));
+    HeldCeiling& ceiling = CeilingOf(grant, role);
+    // A ceiling that is higher than needed leaves less for the next grants.
+    const Tokens reach =
+        grant.witnessed ? std::max(target, ceiling.ceiling) : target;
+    wanted_left = std::max(Tokens(0), wanted_left - (reach - used));
+    needed_left = std::max(Tokens(0), needed_left - (reach - used));
     if (!grant.witnessed) continue;
 
-    HeldCeiling& ceiling = CeilingOf(grant, role);
-    if (!this->IsRaiseDue(now, ceiling, target, needed)) continue;
-    if (!ceiling.pending) ceiling.asked_at = now;
-    ceiling.pending = true;
-    ceiling.asked = target;
+    const bool raise_due = this->IsRaiseDue(now, ceiling, target, needed);
+    if (!raise_due && !(report && this->IsReportDue(now, grant, ceiling))) {
+      continue;
+    }
+    if (raise_due) {
+      if (!ceiling.pending) ceiling.asked_at = now;
+      ceiling.pending = true;
+      ceiling.asked = target;
+      ceiling.step = step;
+    }
     ceiling.sent_at = now;
 
     pb::CeilingItem& raise = *raises[ceiling.witness].add_items();
     *raise.mutable_grant() = grant.id.ToProto();
     *raise.mutable_term() = ceiling.term.ToProto();
-    raise.set_ceiling(target.count);
+    raise.set_ceiling(raise_due ? target.count : ceiling.ceiling.count);
     raise.set_spent(grant.confirmed.count);
   }
 }
 
+bool CeilingHolder::IsReportDue(TimePoint now, const HeldGrant& grant,
+                                const HeldCeiling& ceiling) const {
+  if (grant.confirmed <= ceiling.reported) return false;
+  return now < ceiling.sent_at ||
+         now - ceiling.sent_at >= this->options.resend_after;
+}
+
 bool CeilingHolder::IsRaiseDue(TimePoint now, const HeldCeiling& ceiling,
                                Tokens target, Tokens needed) const {
   if (ceiling.frozen || target <= ceiling.ceiling) return false;
--- a/fuchsiadrum/budget/ceiling_holder.h
+++ b/fuchsiadrum/budget/ceiling_holder.h
@@ -34,6 +34,8 @@
 
   void Collect(TimePoint now, HeldBudget& budget, WitnessRole role,
                Raises& raises);
+  bool IsReportDue(TimePoint now, const HeldGrant& grant,
+                   const HeldCeiling& ceiling) const;
   bool IsRaiseDue(TimePoint now, const HeldCeiling& ceiling, Tokens target,
                   Tokens needed) const;
   void Send(Raises& raises, Outbox& out);
--- a/fuchsiadrum/budget/ceiling_witness.cc
+++ b/fuchsiadrum/budget/ceiling_witness.cc
@@ -76,6 +76,7 @@
     *answer.mutable_grant() = item.grant();
     *answer.mutable_term() = item.term();
     answer.set_ceiling(entry.ceiling.count);
+    answer.set_spent(entry.spent.count);
   }
   if (ack.items().empty()) return;
 
@@ -127,7 +128,10 @@
 }
 
 Duration CeilingWitness::Silence(TimePoint now, const VmRef& peer) {
-  if (peer == this->peers.Self().ref) return Duration(0);
+  // An earlier life of this VM is over; the view only knows other VMs.
+  const VmRef& self = this->peers.Self().ref;
+  if (peer == self) return Duration(0);
+  if (peer.vm == self.vm) return Duration::max();
   if (const auto silent = this->peers.SilentFor(now, peer)) {
     this->unheard.erase(peer);
     return *silent;
--- a/fuchsiadrum/budget/escrow_agent.cc
+++ b/fuchsiadrum/budget/escrow_agent.cc
@@ -296,9 +296,10 @@
   const HeldBudget* const budget = this->budgets.Find(organisation);
   if (budget == nullptr) return {};
 
-  EscrowFigures figures{.room = budget->Room(),
-                        .fine_step = budget->sizer.FineStep(),
-                        .coarse_step = budget->sizer.CoarseStep()};
+  EscrowFigures figures{
+      .room = budget->Room(),
+      .fine_step = budget->StepInForce(WitnessRole::kFine),
+      .coarse_step = budget->StepInForce(WitnessRole::kCoarse)};
   figures.above_ceilings = budget->Unused() - figures.room;
   for (const auto& grant : budget->grants) {
     figures.reserved += grant->reserved;
--- a/fuchsiadrum/budget/held_budget.cc
+++ b/fuchsiadrum/budget/held_budget.cc
@@ -39,6 +39,31 @@
   return in_flight;
 }
 
+Tokens HeldBudget::Unconfirmed() const {
+  Tokens unconfirmed = this->InFlight();
+  for (const auto& grant : this->grants) {
+    unconfirmed += grant->possibly_used - grant->settled_unknown;
+  }
+  return unconfirmed;
+}
+
+Tokens HeldBudget::StepInForce(WitnessRole role) const {
+  const bool fine = role == WitnessRole::kFine;
+  Tokens step =
+      fine ? this->sizer.FineMargin() : this->sizer.CoarseMargin(true);
+  step += Tokens(step.count / 2) + this->Unconfirmed();
+  Tokens shares;
+
+  for (const auto& grant : this->grants) {
+    if (!grant->witnessed) {
+      shares += grant->amount - grant->confirmed - grant->given;
+      continue;
+    }
+    step = std::max(step, fine ? grant->fine.step : grant->coarse.step);
+  }
+  return step + shares;
+}
+
 bool HeldBudget::Take(Tokens amount, ReservedParts& parts) {
   if (!this->Collect(amount, Tokens(1), parts)) {
     // Many small grants: only large ones give their part.
--- a/fuchsiadrum/budget/held_budget.h
+++ b/fuchsiadrum/budget/held_budget.h
@@ -12,6 +12,7 @@
 
 #include "fuchsiadrum/budget/account.h"
 #include "fuchsiadrum/budget/grant_sizer.h"
+#include "fuchsiadrum/budget/witness_choice.h"
 #include "fuchsiadrum/core/types.h"
 
 namespace fuchsiadrum::budget {
@@ -26,6 +27,10 @@
   Tokens ceiling;
   /// Ceiling asked for and not yet acknowledged.
   Tokens asked;
+  /// Step of the organisation with which it was asked for last.
+  Tokens step;
+  /// Confirmed spend that the witness knows.
+  Tokens reported;
   TimePoint asked_at;
   TimePoint sent_at;
   bool pending = false;
@@ -130,6 +135,11 @@
   Tokens Unused() const;
   /// Reserved, or used with the billing undecided.
   Tokens InFlight() const;
+  /// In flight, or of unknown outcome and not yet settled.
+  Tokens Unconfirmed() const;
+  /// What is lost from use at most if this daemon dies (kFine) or its zone
+  /// is lost (kCoarse): the step of the present ceilings, and shares.
+  Tokens StepInForce(WitnessRole role) const;
   /// Takes exactly `amount` from the grants; false (nothing taken) if the room
   /// does not suffice.
   bool Take(Tokens amount, ReservedParts& parts);
