--- a/bench/budget_bench.cc
+++ b/bench/budget_bench.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <sstream>
+#include <string>
 
 #include "bench/budget_run.h"
 
@@ -93,6 +95,13 @@
     const BudgetRunFigures one = run.Run();
     std::cerr << "budget: violation with seed " << seed << ", faults "
               << one.plan << "\n";
+    std::istringstream trace(one.trace);
+    for (std::string line; std::getline(trace, line);) {
+      if (line.find(" violation at ") == std::string::npos) continue;
+      std::cerr << "  " << line << "\n";
+      break;
+    }
+    std::cerr << "last events:\n";
     for (const std::string& event : one.last_events) {
       std::cerr << "  " << event << "\n";
     }
--- a/bench/budget_daemon.h
+++ b/bench/budget_daemon.h
@@ -79,6 +79,8 @@
   bool draining = false;
   /// What happened to a paused daemon and is handled when it resumes.
   std::deque<std::function<void()>> deferred;
+  /// Its connection for appends delivers nothing until then.
+  TimePoint append_stalled_until;
   /// Local clock minus true time.
   Duration clock_offset{0};
 
--- a/bench/budget_faults.cc
+++ b/bench/budget_faults.cc
@@ -50,6 +50,25 @@
   });
 }
 
+void StallAppends(BudgetWorld& world, int index, Duration length) {
+  world.At(index).append_stalled_until = world.queue.Now() + length;
+}
+
+/// A witness seals on a wrong clock while its appends are stuck. Meanwhile its
+/// holders replace it, and appoint it again when its successor stops: the seal
+/// that arrives in the end is of an earlier term.
+void MakeStaleSeal(BudgetWorld& world, int index) {
+  StallAppends(world, index, std::chrono::seconds(12));
+  world.queue.After(std::chrono::milliseconds(200), [&world, index] {
+    world.At(index).clock_offset += std::chrono::seconds(40);
+  });
+  const int neighbour = (index / 3) * 3 + (index + 1) % 3;
+  const Duration later(world.rng.Between(1'500'000, 4'000'000));
+  world.queue.After(later, [&world, neighbour] {
+    PauseOne(world, neighbour, std::chrono::seconds(5));
+  });
+}
+
 }  // namespace
 
 std::string_view FaultName(FaultKind kind) {
@@ -59,7 +78,8 @@
       "answers-lost", "kill",
       "pause",        "clock-jump",
       "message-loss", "message-duplicate",
-      "drain"};
+      "drain",        "stalled-append",
+      "stale-seal"};
   return kNames.at(static_cast<size_t>(kind));
 }
 
@@ -92,6 +112,10 @@
       world.Kill(index);
       world.queue.After(length, [&world, index] { world.Restart(index); });
       return;
+    case FaultKind::kStalledAppend:
+      return StallAppends(world, index, length);
+    case FaultKind::kStaleSeal:
+      return MakeStaleSeal(world, index);
     case FaultKind::kDrain:
       world.BeginDrain(index);
       // The process ends after its planned stop, or is killed in it.
--- a/bench/budget_faults.h
+++ b/bench/budget_faults.h
@@ -19,8 +19,10 @@
   kMessageLoss,
   kMessageDuplicate,
   kDrain,
+  kStalledAppend,
+  kStaleSeal,
 };
-inline constexpr int kFaultKinds = 11;
+inline constexpr int kFaultKinds = 13;
 
 /// Name of a kind, for traces.
 std::string_view FaultName(FaultKind kind);
--- a/bench/budget_world.cc
+++ b/bench/budget_world.cc
@@ -175,8 +175,9 @@
                          (this->faults.log_slow ? kSlowDelay : Duration(0));
 
   // A one-way cut loses the request or the answer.
-  const bool stored =
-      !this->faults.log_down && !this->network.IsCut(daemon->Zone(), kLogZone);
+  const bool stored = !this->faults.log_down &&
+                      this->queue.Now() >= daemon->append_stalled_until &&
+                      !this->network.IsCut(daemon->Zone(), kLogZone);
   const bool answered = stored &&
                         !this->network.IsCut(kLogZone, daemon->Zone()) &&
                         !this->rng.Chance(this->faults.answer_loss);
@@ -561,6 +562,26 @@
                             std::to_string(folded->amount.count),
                         daemon.Ref().ToString());
       }
+      this->CheckCeiling(daemon, *grant, grant->fine);
+      this->CheckCeiling(daemon, *grant, grant->coarse);
+    }
+  }
+}
+
+void BudgetWorld::CheckCeiling(const BudgetDaemon& holder,
+                               const budget::HeldGrant& grant,
+                               const budget::HeldCeiling& ceiling) {
+  if (!grant.witnessed || !grant.IsUsable()) return;
+  for (const auto& daemon : this->daemons) {
+    if (!daemon->alive || daemon->Ref() != ceiling.witness) continue;
+    const auto known = daemon->policy->ProductAgent()->WitnessedCeiling(
+        grant.id, ceiling.term);
+    if (known && *known < std::min(ceiling.ceiling, grant.amount)) {
+      this->Violation("the witness of grant " + grant.id.ToString() +
+                          " acknowledged " + std::to_string(known->count) +
+                          " but the holder uses " +
+                          std::to_string(ceiling.ceiling.count),
+                      holder.Ref().ToString());
     }
   }
 }
--- a/bench/budget_world.h
+++ b/bench/budget_world.h
@@ -177,6 +177,8 @@
   void Finish(const CallPtr& call);
   void Complete(const CallPtr& call);
   void AfterCall(const std::shared_ptr<BudgetDaemon>& daemon);
+  void CheckCeiling(const BudgetDaemon& holder, const budget::HeldGrant& grant,
+                    const budget::HeldCeiling& ceiling);
   void CheckLimits(const BudgetDaemon& daemon);
 
   std::vector<std::shared_ptr<BudgetDaemon>> daemons;
--- a/fuchsiadrum/budget/ceiling_witness.cc
+++ b/fuchsiadrum/budget/ceiling_witness.cc
@@ -116,6 +116,15 @@
          now - this->drain_began >= this->options.witness_drain_limit;
 }
 
+std::optional<Tokens> CeilingWitness::CeilingOf(LogPosition id,
+                                                LogPosition term) const {
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end() || found->second.term != term) {
+    return std::nullopt;
+  }
+  return found->second.ceiling;
+}
+
 bool CeilingWitness::IsSealDue(TimePoint now, const Entry& entry) {
   const Duration silence = this->Silence(now, entry.holder);
   if (silence <= this->options.seal_after) return false;
--- a/fuchsiadrum/budget/ceiling_witness.h
+++ b/fuchsiadrum/budget/ceiling_witness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "fuchsiadrum/budget/escrow_options.h"
 #include "fuchsiadrum/budget/ledger.h"
@@ -27,6 +28,8 @@
   void BeginDrain(TimePoint now);
   /// True once no holder relies on this witness, or the limit passed.
   bool IsDrained(TimePoint now) const;
+  /// Highest ceiling acknowledged in this term; nullopt: not the witness.
+  std::optional<Tokens> CeilingOf(LogPosition id, LogPosition term) const;
   /// Grants under watch.
   size_t size() const { return this->entries.size(); }
 
--- a/fuchsiadrum/budget/escrow_agent.h
+++ b/fuchsiadrum/budget/escrow_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -102,6 +103,12 @@
   EscrowFigures Figures(std::string_view organisation);
   /// What this daemon holds, for tests and benches.
   const HeldBudgets& Budgets() const { return this->budgets; }
+  /// Ceiling that this daemon acknowledged as a witness in this term; nullopt:
+  /// it is not the witness of the grant in that term.
+  std::optional<Tokens> WitnessedCeiling(LogPosition grant,
+                                         LogPosition term) const {
+    return this->witness.CeilingOf(grant, term);
+  }
   /// Grants that this daemon witnesses.
   size_t WitnessedGrants() const { return this->witness.size(); }
 
