--- a/bench/main.cc
+++ b/bench/main.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "bench/bench_case.h"
+#include "bench/budget_bench.h"
 #include "bench/catalogue_bench.h"
 #include "bench/matrix_bench.h"
 #include "bench/requests_bench.h"
@@ -12,6 +13,7 @@
 
 BenchTable AllBenches() {
   BenchTable table;
+  table["budget"] = MakeBudgetBench;
   table["catalogue"] = MakeCatalogueBench;
   table["matrix"] = MakeMatrixBench;
   table["requests"] = MakeRequestsBench;
