Exercise retries in bench requests

Cause: with 25 calls/s no budget of a class and upstream earned a retry, so the mixed runs never retried. Ended terms are counted once.

--- a/bench/requests_daemon.h
+++ b/bench/requests_daemon.h
@@ -49,6 +49,7 @@
   Duration first_byte_timeout = std::chrono::milliseconds(800);
   Duration idle_timeout = std::chrono::milliseconds(500);
   bool witness_in_home_zone = false;
+  int initial_retries = 0;
   uint64_t seed = 1;
 };
 
--- a/bench/requests_world.h
+++ b/bench/requests_world.h
@@ -28,7 +28,9 @@
   Duration zone_delay = Duration(1500);
   double loss = 0.0;
   double duplicate = 0.0;
-  bool witness_in_home_zone = false;
+  /// Retries that each budget starts with: a short run has too few first
+  /// attempts for each class and upstream to earn one.
+  int initial_retries = 0;
   /// Receives one line for each event; nullptr: none.
   std::ofstream* trace = nullptr;
 };
@@ -115,6 +117,7 @@
   bool IsLogReachable(const Slot& slot) const;
   size_t IndexOf(const std::string& vm) const;
   void CountRecords();
+  void CountOnce(uint32_t shard, const pb::Position& term, int& counter);
 
   WorldOptions options;
   EventQueue queue;
@@ -128,6 +131,8 @@
   std::map<std::string, size_t> index;
   OnCallerReply on_reply;
   std::deque<std::string> events;
+  /// Terms whose end was counted; several daemons may propose it.
+  std::set<std::pair<uint32_t, LogPosition>> ended;
 };
 
 }  // namespace fuchsiadrum::bench::requests
--- a/fuchsiadrum/request/retry_budget.cc
+++ b/fuchsiadrum/request/retry_budget.cc
@@ -35,7 +35,7 @@
 
 void RetryBudget::OnFirstAttempt(pb::WorkClass work_class,
                                  const std::string& upstream) {
-  int64_t& balance = this->saved[{upstream, static_cast<int>(work_class)}];
+  int64_t& balance = this->BalanceOf(work_class, upstream);
   balance = std::min<int64_t>(balance + this->options.percent,
                               this->options.max_saved * kRetryCost);
 }
@@ -57,15 +57,21 @@
   const Duration backoff = this->Backoff(question.retries);
   if (now + backoff >= question.deadline) return {RetryVerdict::kDeadline};
 
-  const auto found = this->saved.find(
-      {question.next_upstream, static_cast<int>(question.work_class)});
-  if (found == this->saved.end() || found->second < kRetryCost) {
-    return {RetryVerdict::kBudget};
-  }
-  found->second -= kRetryCost;
+  int64_t& balance =
+      this->BalanceOf(question.work_class, question.next_upstream);
+  if (balance < kRetryCost) return {RetryVerdict::kBudget};
+  balance -= kRetryCost;
   return {RetryVerdict::kRetry, backoff};
 }
 
+int64_t& RetryBudget::BalanceOf(pb::WorkClass work_class,
+                                const std::string& upstream) {
+  const auto [it, inserted] =
+      this->saved.try_emplace({upstream, static_cast<int>(work_class)},
+                              this->options.initial_retries * kRetryCost);
+  return it->second;
+}
+
 void RetryBudget::Forget(const std::string& upstream) {
   auto it = this->saved.lower_bound({upstream, 0});
   while (it != this->saved.end() && it->first.first == upstream) {
--- a/fuchsiadrum/request/retry_budget.h
+++ b/fuchsiadrum/request/retry_budget.h
@@ -18,6 +18,8 @@
   int percent = 10;
   /// Retries that may be saved up; bounds the burst after a quiet hour.
   int max_saved = 10;
+  /// Retries that a budget starts with, before any first attempt.
+  int initial_retries = 0;
   /// Retries of one request.
   uint32_t max_retries = 3;
   /// Backoff before the first retry; it doubles with each further one.
@@ -78,6 +80,7 @@
 
  private:
   Duration Backoff(uint32_t retries);
+  int64_t& BalanceOf(pb::WorkClass work_class, const std::string& upstream);
 
   RetryBudgetOptions options;
   Rng rng;
