--- a/fuchsiadrum/report/burn_report.cc
+++ b/fuchsiadrum/report/burn_report.cc
@@ -37,11 +37,11 @@
 }
 
 void AppendIndicatorText(const pb::BurnIndicator& indicator, std::string& out) {
-  out += Format(
-      "    %-15s target %.2f%%  bad %llu of %llu", indicator.name().c_str(),
-      100 * indicator.target_ratio(),
-      static_cast<unsigned long long>(indicator.bad()),
-      static_cast<unsigned long long>(indicator.bad() + indicator.good()));
+  const uint64_t all = indicator.bad() + indicator.good();
+  out += Format("    %-15s target %.2f%%", indicator.name().c_str(),
+                100 * indicator.target_ratio());
+  out +=
+      "  bad " + std::to_string(indicator.bad()) + " of " + std::to_string(all);
   for (const pb::BurnWindow& window : indicator.windows()) {
     out += Format("  burn %um/%um %.2f/%.2f%s", window.short_s() / 60,
                   window.long_s() / 60, window.short_burn(), window.long_burn(),
