Let run.sh pass through requests, accounts and races

Cause: the sample needed an operator with a key; an occupied port went unnoticed. Change: operator-key make, signed edits in run.sh, a check that each stand-in runs.

--- a/ctl/catalogue_command.cc
+++ b/ctl/catalogue_command.cc
@@ -1,6 +1,7 @@
 #include "ctl/catalogue_command.h"
 
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -75,6 +76,16 @@
   this->make_key =
       keys->add_subcommand("make", "print a new key and its catalogue entry");
   this->make_key->add_option("organisation", this->organisation)->required();
+
+  CLI::App* operators = app.add_subcommand("operator-key", "operators' keys");
+  operators->require_subcommand(1);
+  this->make_operator_key = operators->add_subcommand(
+      "make", "write a new private key to a file and print the entry");
+  this->make_operator_key->add_option("name", this->operator_name)->required();
+  this->make_operator_key->add_option("--out", this->file, "private key file")
+      ->required();
+  this->make_operator_key->add_option(
+      "--owner", this->owners, "owner whose entries may be edited; * for all");
 }
 
 std::optional<ExitCode> CatalogueCommand::Run() {
@@ -83,26 +94,29 @@
   if (this->put->parsed()) return this->Put();
   if (this->remove->parsed()) return this->Remove();
   if (this->history->parsed()) return this->History();
-  if (this->upstream_list->parsed()) {
-    ExitCode failure = ExitCode::kOk;
-    const auto body = this->Fetch("/admin/upstreams", failure);
-    if (!body) return failure;
-    this->Out().Json(*body);
-    std::vector<std::vector<std::string>> rows = {
-        {"UPSTREAM", "ZONE", "STATE", "RUNNING", "QUEUED", "TOKENS/S"}};
-    for (const auto& u : *body) {
-      rows.push_back({Plain(u["upstream"]), Plain(u["availability_zone"]),
-                      Plain(u["state"]), Plain(u["running"]),
-                      Plain(u["queued"]), Plain(u["tokens_per_second"])});
-    }
-    this->Out().Table(rows);
-    return ExitCode::kOk;
-  }
+  if (this->upstream_list->parsed()) return this->ListUpstreams();
   if (this->upstream_drain->parsed()) return this->Drain();
   if (this->make_key->parsed()) return this->MakeCallerKey();
+  if (this->make_operator_key->parsed()) return this->MakeOperatorKey();
   return std::nullopt;
 }
 
+ExitCode CatalogueCommand::ListUpstreams() {
+  ExitCode failure = ExitCode::kOk;
+  const auto body = this->Fetch("/admin/upstreams", failure);
+  if (!body) return failure;
+  this->Out().Json(*body);
+  std::vector<std::vector<std::string>> rows = {
+      {"UPSTREAM", "ZONE", "STATE", "RUNNING", "QUEUED", "TOKENS/S"}};
+  for (const auto& u : *body) {
+    rows.push_back({Plain(u["upstream"]), Plain(u["availability_zone"]),
+                    Plain(u["state"]), Plain(u["running"]), Plain(u["queued"]),
+                    Plain(u["tokens_per_second"])});
+  }
+  this->Out().Table(rows);
+  return ExitCode::kOk;
+}
+
 ExitCode CatalogueCommand::List(const std::string& kind) {
   ExitCode failure = ExitCode::kOk;
   const auto body = this->Fetch("/admin/catalogue", failure);
@@ -192,6 +206,21 @@
   return ExitCode::kOk;
 }
 
+ExitCode CatalogueCommand::MakeOperatorKey() {
+  const std::string secret = FromHex(RandomId() + RandomId());
+  std::ofstream(this->file) << ToHex(secret) << "\n";
+  std::filesystem::permissions(
+      this->file,
+      std::filesystem::perms::owner_read | std::filesystem::perms::owner_write);
+  nlohmann::json entry = {{"name", this->operator_name},
+                          {"owner", "operators"}};
+  entry["operator"] = {{"publicKeyHex", ToHex(PublicKeyEd25519(secret))},
+                       {"owners", nlohmann::json::array({this->owners})}};
+  this->Out().Json({{"entry", entry}});
+  this->Out().Line(entry.dump());
+  return ExitCode::kOk;
+}
+
 ExitCode CatalogueCommand::Edit(const std::string& key,
                                 const nlohmann::json& entry,
                                 uint64_t base_revision) {
--- a/ctl/catalogue_command.h
+++ b/ctl/catalogue_command.h
@@ -8,7 +8,7 @@
 namespace fuchsiadrum::ctl {
 
 /// catalogue list|show|put|remove|history, upstream list|drain, caller-key
-/// make.
+/// make, operator-key make.
 class CatalogueCommand : public Command {
  public:
   CatalogueCommand(CLI::App& app, const GlobalOptions& globals);
@@ -22,7 +22,9 @@
   ExitCode Remove();
   ExitCode History();
   ExitCode Drain();
+  ExitCode ListUpstreams();
   ExitCode MakeCallerKey();
+  ExitCode MakeOperatorKey();
   /// Sends an edit and waits for its verdict. A null entry removes.
   ExitCode Edit(const std::string& key, const nlohmann::json& entry,
                 uint64_t base_revision);
@@ -38,12 +40,15 @@
   CLI::App* upstream_list;
   CLI::App* upstream_drain;
   CLI::App* make_key;
+  CLI::App* make_operator_key;
   std::string kind;
   std::string key;
   std::string file;
   std::string reason;
   std::string shift;
   std::string organisation;
+  std::string operator_name;
+  std::string owners = "*";
   uint64_t base_revision = 0;
   uint32_t wait_ms = 10000;
 };
--- a/run.sh
+++ b/run.sh
@@ -36,7 +36,7 @@
   done
   fail "$text"
 }
-ctl() { "$bin/fuchsiadrumctl" --admin "${ADMIN:-127.0.0.1:8081}" --author ana "$@"; }
+ctl() { "$bin/fuchsiadrumctl" --admin "${ADMIN:-127.0.0.1:8081}" --author ana --key "$work/ana.key" "$@"; }
 # put KIND/NAME JSON: adds an entry.
 put() {
   echo "$2" | ctl catalogue put "$1" --file - --base 0 --reason "sample set-up" >/dev/null ||
@@ -69,6 +69,11 @@
 start booking "$bin/fuchsiadrum-standin" --listen 127.0.0.1:9011 service --name booking
 start draw "$bin/fuchsiadrum-standin" --listen 127.0.0.1:9012 service --name draw
 
+sleep 0.3
+for pid in "${pids[@]}"; do
+  kill -0 "$pid" 2>/dev/null || fail "a stand-in did not start: $(cat "$work"/*.log | grep -v listening)"
+done
+
 say "starting three daemons, one in each availability zone"
 for zone in a b c; do
   "$bin/fuchsiadrumd" --config "examples/daemon-$zone.ini" --check >/dev/null || fail "settings of daemon $zone"
@@ -82,6 +87,9 @@
 ctl fleet status
 
 say "filling the catalogue and the budgets"
+ctl operator-key make ana --out "$work/ana.key" >"$work/ana.json"
+"$bin/fuchsiadrumctl" --author root catalogue put operator/ana --file "$work/ana.json" --base 0 \
+  --reason "first operator" >/dev/null || fail "the root operator cannot add an operator"
 put organisation/choir-hire '{"name":"choir-hire","owner":"coral-andina","organisation":{"displayName":"Choir robe hire"}}'
 put organisation/gift-draw '{"name":"gift-draw","owner":"darilni-zreb","organisation":{"displayName":"Gift draw"}}'
 put model/contract-drafter '{"name":"contract-drafter","owner":"coral-andina","workClass":"CONTRACT_DRAFT","model":{"maxOutputTokens":200,"maxPromptTokens":20000,"defaultClass":"CONTRACT_DRAFT"}}'
@@ -174,7 +182,7 @@
 
 say "operators"
 ctl catalogue list --kind upstream
-echo '{"name":"gift-writer","owner":"darilni-zreb","model":{"maxOutputTokens":300}}' >"$work/late.json"
+echo '{"name":"gift-writer","owner":"darilni-zreb","workClass":"SUGGESTION","model":{"maxOutputTokens":300,"maxPromptTokens":20000,"defaultClass":"SUGGESTION"}}' >"$work/late.json"
 code=0
 ctl catalogue put model/gift-writer --file "$work/late.json" --base 1 --reason "late edit" >"$work/race" 2>&1 || code=$?
 [ $code = 3 ] || fail "an edit on an old revision exits with $code, expected 3"
