--- a/fuchsiadrum/log/replica.cc
+++ b/fuchsiadrum/log/replica.cc
@@ -429,7 +429,12 @@
 }
 
 void Replica::KeepDigest() {
-  if (this->next % this->options.digest_interval != 0) return;
+  // While a daemon catches up nobody compares; the digest of a large state
+  // costs more than folding a batch.
+  const uint64_t interval = this->options.digest_interval;
+  if (this->next % interval != 0 || this->log_end > this->next + interval) {
+    return;
+  }
   this->digests[this->next] = this->Digest();
   if (this->digests.size() > this->options.digest_count) {
     this->digests.erase(this->digests.begin());
