--- a/fuchsiadrum/log/log_agent.cc
+++ b/fuchsiadrum/log/log_agent.cc
@@ -162,7 +162,11 @@
 }
 
 void LogAgent::WriteSnapshotIfDue(TimePoint now) {
-  if (!this->IsDirect(now) || !this->replica.IsReady()) return;
+  // A snapshot whose chunks still wait is not followed by another.
+  if (!this->IsDirect(now) || !this->replica.IsReady() ||
+      this->appender.ChunkBytes() > 0) {
+    return;
+  }
   const bool is_due = this->schedule.IsDue(now, this->replica, this->peers) ||
                       std::exchange(this->snapshot_at_once, false);
   if (!is_due) return;
--- a/fuchsiadrum/log/snapshot_schedule.cc
+++ b/fuchsiadrum/log/snapshot_schedule.cc
@@ -12,6 +12,7 @@
     this->changed_at = now;
     this->seen_base = replica.SnapshotBase();
     this->missing_since.reset();
+    this->written_at.reset();
   }
 
   const bool usable =
@@ -27,9 +28,13 @@
   const bool periodic =
       now - *this->changed_at >= this->options.retention / 4 + rank;
   const bool urgent = this->missing_since && now - *this->missing_since >= rank;
-  if (!periodic && !urgent) return false;
+  const bool is_on_its_way =
+      this->written_at && now >= *this->written_at &&
+      now - *this->written_at < this->options.rewrite_after;
+  if ((!periodic && !urgent) || is_on_its_way) return false;
 
   this->changed_at = now;
+  this->written_at = now;
   this->missing_since.reset();
   return true;
 }
--- a/fuchsiadrum/log/snapshot_schedule.h
+++ b/fuchsiadrum/log/snapshot_schedule.h
@@ -16,6 +16,8 @@
   /// Each daemon waits this long for each daemon before it in the order of
   /// writers, so that usually one writes.
   Duration rank_delay = Duration(2'000'000);
+  /// Time for a snapshot to be read back before this daemon writes another.
+  Duration rewrite_after = Duration(10'000'000);
 };
 
 /// Decides when this daemon writes a snapshot: when a quarter of the retention
@@ -39,6 +41,7 @@
   std::optional<TimePoint> changed_at;
   /// Since when the log is without a usable snapshot.
   std::optional<TimePoint> missing_since;
+  std::optional<TimePoint> written_at;
 };
 
 }  // namespace fuchsiadrum::log
--- a/tests/membership/membership_agent_test.cc
+++ b/tests/membership/membership_agent_test.cc
@@ -32,8 +32,9 @@
     agent.OnMessage(Ms(ms), from, message, this->out);
   }
   void Tick(MembershipAgent& agent, int64_t from, int64_t to) {
-    for (int64_t ms = from; ms <= to; ms += 100)
+    for (int64_t ms = from; ms <= to; ms += 100) {
       agent.OnTick(Ms(ms), this->out);
+    }
   }
 
   const VmRef b0{.vm = "b0", .incarnation = 4};
@@ -173,8 +174,9 @@
     this->agent.OnTick(Ms(ms), from_agent);
     other.OnTick(Ms(ms), from_other);
     for (const auto& sent : std::exchange(from_agent.messages, {})) {
-      if (sent.to.vm == "b0")
+      if (sent.to.vm == "b0") {
         other.OnMessage(Ms(ms), self, sent.body, from_other);
+      }
     }
     for (const auto& sent : std::exchange(from_other.messages, {})) {
       if (sent.to.vm == "b0") {
