--- a/bench/budget_baselines.cc
+++ b/bench/budget_baselines.cc
@@ -341,8 +341,8 @@
       if (this->asked.contains(organisation)) continue;
       Tokens left;
       for (const auto& [at, lease] : this->own) {
-        if (lease.organisation == organisation)
-          left += lease.amount - lease.used;
+        if (lease.organisation != organisation) continue;
+        left += lease.amount - lease.used;
       }
       const Tokens pool_left = this->pool[organisation];
       const Tokens size(std::max(pool_left.count / this->daemons,
--- a/bench/budget_run.cc
+++ b/bench/budget_run.cc
@@ -83,6 +83,7 @@
 std::vector<OrganisationDemand> BudgetRun::TenOrganisations() const {
   const bool coral = this->options.deployment == "coral-andina";
   std::vector<OrganisationDemand> demands;
+  demands.reserve(10);
   const std::array<double, 10> rates = {4,   3,   1.5, 0.7, 0.7,
                                         0.6, 0.5, 0.4, 0.3, 0.3};
   for (size_t i = 0; i < rates.size(); ++i) {
@@ -127,6 +128,7 @@
 void BudgetRun::RunMixed() {
   BudgetWorld& world = *this->world;
   std::vector<OrganisationDemand> demands;
+  demands.reserve(3);
   for (int i = 0; i < 3; ++i) {
     demands.push_back({.name = "org-" + std::to_string(i),
                        .rate = world.rng.Chance(0.3) ? 3.0 : 12.0,
--- a/bench/budget_world.cc
+++ b/bench/budget_world.cc
@@ -115,7 +115,7 @@
   for (const Envelope& envelope : messages) this->Send(daemon, envelope);
 
   if (auto batch = daemon->BatchToAppend()) {
-    this->Append(daemon, std::move(*batch));
+    this->Append(daemon, *batch);
   }
 }
 
@@ -170,7 +170,7 @@
 }
 
 void BudgetWorld::Append(const std::shared_ptr<BudgetDaemon>& daemon,
-                         std::string batch) {
+                         const std::string& batch) {
   const Duration delay = kAppendDelay + Duration(this->rng.Between(0, 6000)) +
                          (this->faults.log_slow ? kSlowDelay : Duration(0));
 
--- a/bench/budget_world.h
+++ b/bench/budget_world.h
@@ -164,7 +164,8 @@
   void Send(const std::shared_ptr<BudgetDaemon>& from,
             const Envelope& envelope);
   void Deliver(const VmRef& from, const VmRef& to, const pb::PeerMessage& body);
-  void Append(const std::shared_ptr<BudgetDaemon>& daemon, std::string batch);
+  void Append(const std::shared_ptr<BudgetDaemon>& daemon,
+              const std::string& batch);
   void Store(const std::string& batch);
   void ReadLog(const std::shared_ptr<BudgetDaemon>& daemon);
   bool CanReach(const BudgetDaemon& daemon) const;
--- a/fuchsiadrum/budget/grant_keeper.cc
+++ b/fuchsiadrum/budget/grant_keeper.cc
@@ -11,6 +11,9 @@
 /// A new grant is asked for once this share of the wanted tokens is left.
 constexpr double kRefillShare = 0.85;
 
+/// A daemon that holds this multiple of what it wants returns the rest.
+constexpr double kSurplus = 1.25;
+
 /// Smallest grant ahead of need, as a share of the wanted tokens.
 constexpr double kWorthwhileShare = 0.1;
 
@@ -85,8 +88,8 @@
   const Tokens left = account->available + account->open;
   const Tokens fair(left.count / daemons);
   const Tokens urgent = budget.waiting_tokens + budget.sizer.FineMargin();
-  const Tokens keep = std::max(
-      std::min(urgent, fair), std::min(fair, budget.sizer.Want(left, daemons)));
+  const Tokens keep =
+      std::max(std::min(urgent, fair), budget.sizer.Want(left, daemons));
   const Tokens surplus = budget.Unused() - keep;
   if (surplus <= Tokens(0) || surplus < Scaled(keep, 0.1)) return;
 
@@ -130,6 +133,7 @@
     if (budget->grants.size() > kMostGrants && !lends) {
       this->CloseSmallest(*budget, out);
     }
+    if (settle) this->Rebalance(now, *budget, out);
     for (const auto& grant : budget->grants) {
       if (!grant->recorded || grant->closing) continue;
       if (this->IsCloseDue(now, *grant)) {
@@ -141,6 +145,20 @@
   }
 }
 
+void GrantKeeper::Rebalance(TimePoint now, HeldBudget& budget, Outbox& out) {
+  const Account* const account = this->ledger.Find(budget.organisation);
+  if (account == nullptr) return;
+  budget.sizer.OnBilled(now, account->billed);
+
+  // Others find the pool empty only when a partition keeps them from asking.
+  const int daemons = static_cast<int>(this->peers.AlivePeers().size()) + 1;
+  const Tokens left = account->available + account->open;
+  const Tokens want = budget.sizer.Want(left, daemons);
+  if (account->available.count > left.count / daemons) return;
+  if (budget.Unused() > Scaled(want, kSurplus))
+    this->ReturnSurplus(budget, out);
+}
+
 void GrantKeeper::OnRecord(TimePoint now, LogPosition at,
                            const pb::Record& record, Verdict verdict) {
   const bool accepted = verdict == Verdict::kAccepted;
--- a/fuchsiadrum/budget/grant_keeper.h
+++ b/fuchsiadrum/budget/grant_keeper.h
@@ -41,6 +41,8 @@
                   const pb::TransferRecord& record);
   void OnClosed(const pb::Position& id);
   void OnSealed(const pb::Position& id);
+  /// Follows the fleet's demand and returns what others may need.
+  void Rebalance(TimePoint now, HeldBudget& budget, Outbox& out);
   void Adopt(const Grant& grant);
   void Settle(HeldGrant& grant, Outbox& out);
   bool IsCloseDue(TimePoint now, const HeldGrant& grant) const;
--- a/fuchsiadrum/budget/grant_sizer.cc
+++ b/fuchsiadrum/budget/grant_sizer.cc
@@ -18,9 +18,14 @@
 /// The same for the peak of tokens in flight, which halves in 70 s.
 constexpr double kPeakDecay = 0.99;
 
-/// A daemon may hold this multiple of the fair share of what is left, so that
-/// an uneven load is not refused while others have tokens.
-constexpr int64_t kShareFactor = 2;
+/// Bounds of a daemon's share of what is left, as multiples of an equal share:
+/// a young estimate must neither starve a daemon nor give it everything.
+constexpr double kLeastShare = 0.5;
+constexpr double kMostShare = 2.0;
+
+/// A daemon may hold this multiple of its share; more would leave others short
+/// when a partition begins.
+constexpr double kShareSlack = 1.1;
 
 /// A grant holds this much more than its coarse step, which leaves time for
 /// the next grant before the step is cut short.
@@ -39,11 +44,11 @@
 }  // namespace
 
 GrantSizerOptions GrantSizerOptions::CoralAndina() {
-  return {.fine_seconds = 2.0, .coarse_seconds = 3600 * 2.0};
+  return {.fine_seconds = 2.0, .coarse_seconds = 3600 * 2.2};
 }
 
 GrantSizerOptions GrantSizerOptions::DarilniZreb() {
-  return {.fine_seconds = 1.0, .coarse_seconds = 3600 * 1.7};
+  return {.fine_seconds = 1.0, .coarse_seconds = 3600 * 2.0};
 }
 
 void GrantSizer::OnTick(TimePoint now, Tokens in_flight) {
@@ -99,7 +104,35 @@
       FromDouble(static_cast<double>(coarse.count) * kGrantFactor);
   const Tokens fair(left.count / daemons);
   const Tokens start(fair.count / kStartDivisor);
-  return std::clamp(want, start, Tokens(fair.count * kShareFactor));
+
+  // What is left is shared by demand, as far as the fleet's demand is known.
+  const double equal = 1.0 / daemons;
+  const double by_demand =
+      this->fleet_rate > 0 ? this->slow_rate / this->fleet_rate : equal;
+  const double share =
+      std::clamp(by_demand, equal * kLeastShare, equal * kMostShare);
+  const Tokens bound =
+      FromDouble(static_cast<double>(left.count) * share * kShareSlack);
+  return std::clamp(want, start, std::max(start, bound));
+}
+
+void GrantSizer::OnBilled(TimePoint now, Tokens billed) {
+  if (!this->fleet_known || now <= this->fleet_updated) {
+    this->fleet_known = true;
+    this->fleet_updated = now;
+    this->fleet_billed = billed;
+    return;
+  }
+
+  const double dt = Seconds(now - this->fleet_updated);
+  const double sample =
+      static_cast<double>((billed - this->fleet_billed).count) / dt;
+  this->fleet_updated = now;
+  this->fleet_billed = billed;
+  this->fleet_age_s += dt;
+  const double span =
+      std::max(dt, std::min(this->fleet_age_s, Seconds(this->options.slow)));
+  this->fleet_rate += (sample - this->fleet_rate) * dt / span;
 }
 
 }  // namespace fuchsiadrum::budget
--- a/fuchsiadrum/budget/grant_sizer.h
+++ b/fuchsiadrum/budget/grant_sizer.h
@@ -46,6 +46,9 @@
   /// awaits its confirmation or waits for tokens.
   void OnTick(TimePoint now, Tokens in_flight);
 
+  /// What the fold has billed to the organisation, over all daemons.
+  void OnBilled(TimePoint now, Tokens billed);
+
   /// Estimated spend, tokens/s, over the last half hour.
   double Rate() const { return this->slow_rate; }
   /// What a ceiling may stand above the use under it, besides reservations:
@@ -69,6 +72,11 @@
   double age_s = 0;
   TimePoint updated;
   bool started = false;
+  double fleet_rate = 0;
+  double fleet_age_s = 0;
+  TimePoint fleet_updated;
+  Tokens fleet_billed;
+  bool fleet_known = false;
   Tokens window;
   Tokens largest;
   Tokens peak;
--- a/fuchsiadrum/budget/held_budget.cc
+++ b/fuchsiadrum/budget/held_budget.cc
@@ -69,8 +69,8 @@
     // Many small grants: only large ones give their part.
     const auto most = static_cast<int64_t>(parts.parts.size());
     const Tokens least(amount.count / most);
-    if (least <= Tokens(1) || !this->Collect(amount, least, parts))
-      return false;
+    const bool found = least > Tokens(1) && this->Collect(amount, least, parts);
+    if (!found) return false;
   }
 
   for (int i = 0; i < parts.count; ++i) {
--- a/tests/budget/test_fleet.h
+++ b/tests/budget/test_fleet.h
@@ -60,7 +60,7 @@
     }
   }
 
-  TestDaemon& Start(VmInfo info) {
+  TestDaemon& Start(const VmInfo& info) {
     this->daemons.push_back(std::make_unique<TestDaemon>(info, this->options));
     for (const auto& one : this->daemons) {
       one->view.alive.clear();
