--- a/bench/budget_run.h
+++ b/bench/budget_run.h
@@ -60,6 +60,8 @@
   bool Advance(Duration span);
   /// Heals, waits and checks that every token is accounted for.
   void CheckAfterHealing();
+  /// Waits until every daemon has read the whole log.
+  bool AwaitReaders();
   void CheckAccounts();
   void CheckOpenGrants();
   void CheckBilling(bool drained);
--- a/bench/budget_run_checks.cc
+++ b/bench/budget_run_checks.cc
@@ -14,6 +14,7 @@
   // Dead holders are sealed after 15 s of silence, replaced ones at once.
   if (!this->Advance(std::chrono::seconds(50))) return;
 
+  if (!this->AwaitReaders()) return;
   this->CheckAccounts();
   this->CheckOpenGrants();
   this->CheckBilling(false);
@@ -22,6 +23,7 @@
 
   for (int i = 0; i < kDaemons; ++i) world.BeginDrain(i);
   if (!this->Advance(std::chrono::seconds(15))) return;
+  if (!this->AwaitReaders()) return;
   for (int i = 0; i < kDaemons; ++i) {
     if (!world.At(i).policy->IsDrained()) {
       world.Violation("a planned stop does not end",
@@ -32,6 +34,24 @@
   this->CheckBilling(true);
 }
 
+bool BudgetRun::AwaitReaders() {
+  BudgetWorld& world = *this->world;
+  const auto all_read = [&] {
+    for (int i = 0; i < kDaemons; ++i) {
+      if (world.At(i).next_offset != world.log.End()) return false;
+    }
+    return true;
+  };
+
+  // Records are written all the time; a moment without unread ones comes soon.
+  for (int i = 0; i < 1000; ++i) {
+    if (all_read()) return true;
+    if (!this->Advance(std::chrono::milliseconds(10))) return false;
+  }
+  world.Violation("a daemon does not read the log", "");
+  return false;
+}
+
 void BudgetRun::CheckAccounts() {
   BudgetWorld& world = *this->world;
   const uint64_t digest = world.reference.Digest();
--- a/fuchsiadrum/budget/ceiling_holder.cc
+++ b/fuchsiadrum/budget/ceiling_holder.cc
@@ -137,7 +137,9 @@
     HeldCeiling& ceiling = CeilingOf(grant, role);
     // A ceiling that is higher than needed leaves less for the next grants.
     const Tokens reach =
-        grant.witnessed ? std::max(target, ceiling.ceiling) : target;
+        grant.witnessed
+            ? std::max(target, std::min(grant.amount, ceiling.ceiling))
+            : target;
     wanted_left = std::max(Tokens(0), wanted_left - (reach - used));
     needed_left = std::max(Tokens(0), needed_left - (reach - used));
     if (!grant.witnessed) continue;
--- a/fuchsiadrum/budget/share_exchange.cc
+++ b/fuchsiadrum/budget/share_exchange.cc
@@ -89,12 +89,14 @@
                                const VmRef& from, const pb::GrantAsk& ask,
                                Outbox& out) {
   // Of two daemons that both wait, the one with the smaller minimum goes
-  // first, so that the last tokens do not lie in parts that serve nobody.
+  // first, so that the last tokens do not lie in parts that serve nobody. Who
+  // has reached its minimum keeps it: it is served after the present search.
   const Tokens wanted(ask.wanted());
   const Tokens minimum(ask.minimum());
-  const bool asker_first =
+  const bool smaller =
       minimum < budget.waiting_minimum ||
       (minimum == budget.waiting_minimum && from < this->peers.Self().ref);
+  const bool asker_first = smaller && budget.Room() < budget.waiting_minimum;
   const Tokens spare =
       asker_first ? budget.Room() : budget.Room() - budget.waiting_tokens;
 
