--- a/fuchsiadrum/request/admission.cc
+++ b/fuchsiadrum/request/admission.cc
@@ -15,6 +15,9 @@
 
 constexpr size_t kDrawCheckLevel = 0;
 
+/// Microseconds in a second.
+constexpr int64_t kMicros = 1'000'000;
+
 size_t LevelOf(pb::WorkClass work_class) {
   if (work_class < pb::DRAW_CHECK || work_class > pb::LETTER) {
     return pb::LETTER - pb::DRAW_CHECK;
@@ -47,14 +50,20 @@
 void Admission::Refill(TimePoint now, Organisation& organisation) const {
   const auto rate =
       static_cast<int64_t>(organisation.limits.max_tokens_per_second);
+  if (rate == 0) return;
   // A clock that jumps back must not take allowance away.
   const Duration gone = std::clamp<Duration>(
       now - organisation.refilled, Duration::zero(), std::chrono::seconds(60));
-  organisation.refilled = now;
-  organisation.allowance = std::min(
-      rate,
-      organisation.allowance +
-          static_cast<int64_t>(static_cast<double>(rate) * Seconds(gone)));
+  if (gone == Duration::zero()) {
+    organisation.refilled = std::min(organisation.refilled, now);
+    return;
+  }
+
+  // Time that does not make a whole token yet is kept for the next call.
+  const int64_t earned = gone.count() * rate / kMicros;
+  organisation.refilled =
+      now - (gone - Duration((earned * kMicros + rate - 1) / rate));
+  organisation.allowance = std::min(rate, organisation.allowance + earned);
 }
 
 bool Admission::MayStart(TimePoint now, OrganisationId id) {
