--- a/bench/requests_bench.cc
+++ b/bench/requests_bench.cc
@@ -24,7 +24,7 @@
 using requests::Violation;
 using requests::World;
 
-constexpr int kInitialRetries = 3;
+constexpr int64_t kInitialRetries = 3;
 
 constexpr TimePoint Seconds(int64_t s) { return {s * 1'000'000}; }
 
@@ -163,7 +163,7 @@
   // The budget holds for each daemon, class and upstream.
   for (World::Slot& slot : world.Slots()) {
     for (const auto& [where, counts] : slot.daemon->attempts) {
-      if (counts.second * 10 > counts.first + 10 * kInitialRetries) {
+      if (counts.second * 10 > counts.first + kInitialRetries * 10) {
         record.Violate("retry_budget", slot.info.ref.ToString());
       }
     }
@@ -208,7 +208,7 @@
                .zone_delay = Duration(coral ? 1500 : 500),
                .loss = mixed ? 0.02 : 0.0,
                .duplicate = mixed ? 0.02 : 0.0,
-               .initial_retries = kInitialRetries,
+               .initial_retries = static_cast<int>(kInitialRetries),
                .trace = trace});
   try {
     this->RunFaults(world, rng);
--- a/bench/requests_daemon.cc
+++ b/bench/requests_daemon.cc
@@ -52,7 +52,7 @@
 
 }  // namespace
 
-BenchDaemon::BenchDaemon(VmInfo self, const std::vector<VmInfo>& fleet,
+BenchDaemon::BenchDaemon(const VmInfo& self, const std::vector<VmInfo>& fleet,
                          const DaemonOptions& options, DaemonHost& host)
     : options(options),
       host(host),
--- a/bench/requests_daemon.h
+++ b/bench/requests_daemon.h
@@ -56,7 +56,7 @@
 /// One daemon: the request parts of the product joined as the node joins them.
 class BenchDaemon : public AttemptListener {
  public:
-  BenchDaemon(VmInfo self, const std::vector<VmInfo>& fleet,
+  BenchDaemon(const VmInfo& self, const std::vector<VmInfo>& fleet,
               const DaemonOptions& options, DaemonHost& host);
 
   void OnRequest(TimePoint now, const CallSpec& call,
--- a/bench/requests_world.h
+++ b/bench/requests_world.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bench/fakes/event_queue.h"
@@ -91,7 +92,9 @@
   std::vector<Slot>& Slots() { return this->slots; }
   std::vector<FakeUpstream>& Upstreams() { return this->upstreams; }
   RunRecord& Record() override { return this->record; }
-  void SetOnReply(OnCallerReply callback) { this->on_reply = callback; }
+  void SetOnReply(OnCallerReply callback) {
+    this->on_reply = std::move(callback);
+  }
   void Note(const std::string& text) override;
   const std::deque<std::string>& LastEvents() const { return this->events; }
   std::string ZoneName(size_t index) const;
--- a/fuchsiadrum/request/claim_agent.cc
+++ b/fuchsiadrum/request/claim_agent.cc
@@ -38,6 +38,7 @@
       rng(rng),
       entry(table, peers, this->options),
       home(table, peers, this->options),
+      witness(this->options.max_answer_bytes),
       policy(table, peers, this->options) {}
 
 std::optional<Decision> ClaimAgent::Ask(TimePoint now, const Call& call,
--- a/fuchsiadrum/request/claim_agent.h
+++ b/fuchsiadrum/request/claim_agent.h
@@ -29,7 +29,8 @@
   /// request may be dispatched only after kRun, and then Done must be called.
   std::optional<Decision> Ask(TimePoint now, const Call& call, Outbox& out);
   /// Decisions that were made since the last call. Take them after each call
-  /// of this object.
+  /// of this object. A kRun for a request that has gone meanwhile must be
+  /// answered by Done with `ran` = false, or its key stays blocked.
   std::vector<Decision> TakeDecisions();
   /// A request with kRun has ended. `ran` = false only if no byte of it can
   /// have reached an upstream.
--- a/fuchsiadrum/request/claim_home.cc
+++ b/fuchsiadrum/request/claim_home.cc
@@ -150,7 +150,7 @@
   // An idempotent call of a lost term may have been billed before.
   intent.set_unbilled(lost_term && ask.idempotent());
   intent.set_phase(pb::INTENT_RUNNING);
-  KeyRecord* record = this->NewRecord(now, home, intent);
+  KeyRecord* record = this->NewRecord(now, home, intent, out);
   if (record == nullptr) {
     out.messages.push_back(ReplyTo(from, ask, pb::CLAIM_REFUSED));
     return;
@@ -240,7 +240,7 @@
     intent.set_unbilled(done.idempotent() &&
                         this->IsKeyOfLostTerm(done.shard(), done.key().key()));
     intent.set_phase(pb::INTENT_RUNNING);
-    record = this->NewRecord(now, *home, intent);
+    record = this->NewRecord(now, *home, intent, out);
     // Without room the completion is not acknowledged; the entry repeats it.
     if (record == nullptr) return;
   }
@@ -393,9 +393,9 @@
 }
 
 KeyRecord* ClaimHome::NewRecord(TimePoint now, HomeShard& home,
-                                const pb::Intent& intent) {
+                                const pb::Intent& intent, Outbox& out) {
   if (home.stream.Unacked() >= this->options.max_unacked) return nullptr;
-  if (!this->MakeRoom(now)) return nullptr;
+  if (!this->MakeRoom(now, out)) return nullptr;
   ++this->total_keys;
   return &home.keys.Put(intent, now);
 }
@@ -408,7 +408,7 @@
   return record;
 }
 
-bool ClaimHome::MakeRoom(TimePoint now) {
+bool ClaimHome::MakeRoom(TimePoint now, Outbox& out) {
   while (this->total_keys >= this->options.max_keys) {
     if (this->finished.empty()) return false;
     const Aged oldest = this->finished.front();
@@ -416,7 +416,12 @@
     if (record != nullptr) {
       if (now - oldest.at < this->options.key_lifetime) return false;
       this->answer_bytes -= record->intent.stored().body().size();
-      this->shards.at(oldest.shard).keys.Erase(oldest.index);
+      // The witness forgets it as well, or its memory would grow.
+      HomeShard& home = this->shards.at(oldest.shard);
+      record->intent.clear_stored();
+      record->intent.set_phase(pb::INTENT_RELEASED);
+      home.stream.Send(now, *record, out);
+      home.keys.Erase(oldest.index);
       --this->total_keys;
     }
     this->finished.pop_front();
--- a/fuchsiadrum/request/claim_home.h
+++ b/fuchsiadrum/request/claim_home.h
@@ -89,9 +89,9 @@
   void FindLostEntries(TimePoint now, HomeShard& home, Outbox& out);
   bool IsEntryLost(TimePoint now, const KeyRecord& record) const;
   bool IsKeyOfLostTerm(uint32_t shard, const std::string& key) const;
-  KeyRecord* NewRecord(TimePoint now, HomeShard& home,
-                       const pb::Intent& intent);
-  bool MakeRoom(TimePoint now);
+  KeyRecord* NewRecord(TimePoint now, HomeShard& home, const pb::Intent& intent,
+                       Outbox& out);
+  bool MakeRoom(TimePoint now, Outbox& out);
   void Remember(TimePoint now, uint32_t shard, KeyRecord& record);
   void EvictAnswers();
   KeyRecord* Present(const Aged& aged);
--- a/fuchsiadrum/request/claim_types.h
+++ b/fuchsiadrum/request/claim_types.h
@@ -109,18 +109,19 @@
   /// Age at which an intent without an outcome is unknown in any case.
   Duration intent_limit = std::chrono::minutes(30);
 
-  /// Keys remembered by this daemon as home.
-  size_t max_keys = 500000;
+  /// Keys remembered by this daemon as home. A record takes about 0.8 KB here
+  /// and at the witness, so this is about 100 MB for both roles.
+  size_t max_keys = 60000;
   /// A finished key is forgotten only when the memory is full and it is at
-  /// least this old.
-  Duration key_lifetime = std::chrono::hours(1);
+  /// least this old. With max_keys this allows 100 keyed calls/s.
+  Duration key_lifetime = std::chrono::minutes(10);
   /// Bytes of stored answers; the oldest bodies are dropped first.
   size_t max_answer_bytes = size_t{64} << 20U;
   /// Larger bodies are kept by the home only, not by the witness.
   size_t small_answer_bytes = 4096;
   /// Stores that may be unacknowledged for each shard; above it no claim is
   /// given.
-  size_t max_unacked = 4096;
+  size_t max_unacked = 512;
   /// Completions that wait for their home's acknowledgement.
   size_t max_completions = 20000;
   /// Abandoned asks that are remembered, to release late claims.
--- a/fuchsiadrum/request/claim_witness.cc
+++ b/fuchsiadrum/request/claim_witness.cc
@@ -15,9 +15,17 @@
 void ClaimWitness::Start(uint32_t shard, LogPosition term, const VmRef& home) {
   const auto found = this->replicas.find(shard);
   if (found != this->replicas.end() && found->second.term == term) return;
+  this->Drop(shard);
   this->replicas[shard] = Replica{.term = term, .home = home};
 }
 
+void ClaimWitness::Drop(uint32_t shard) {
+  const auto found = this->replicas.find(shard);
+  if (found == this->replicas.end()) return;
+  this->body_bytes -= found->second.body_bytes;
+  this->replicas.erase(found);
+}
+
 void ClaimWitness::OnStore(TimePoint now, const VmRef& from,
                            const pb::IntentStore& store, Outbox& out) {
   const auto found = this->replicas.find(store.shard());
@@ -48,16 +56,33 @@
 void ClaimWitness::Apply(TimePoint now, Replica& replica,
                          const pb::IntentStore& store) {
   for (const pb::Intent& intent : store.intents()) {
-    if (intent.phase() == pb::INTENT_RELEASED) {
-      replica.keys.Erase(KeyTable::IndexOf(intent.key()));
-    } else {
-      replica.keys.Put(intent, now);
+    const std::string index = KeyTable::IndexOf(intent.key());
+    this->Forget(replica, index);
+    if (intent.phase() == pb::INTENT_RELEASED) continue;
+
+    KeyRecord& record = replica.keys.Put(intent, now);
+    const size_t bytes = intent.stored().body().size();
+    if (bytes > 0 && this->body_bytes + bytes > this->max_body_bytes) {
+      record.intent.mutable_stored()->clear_body();
+      record.intent.mutable_stored()->set_body_gone(true);
+      continue;
     }
+    replica.body_bytes += bytes;
+    this->body_bytes += bytes;
   }
   replica.applied = store.sequence();
   if (store.bulk_end()) replica.complete = true;
 }
 
+void ClaimWitness::Forget(Replica& replica, const std::string& index) {
+  const KeyRecord* record = replica.keys.Find(index);
+  if (record == nullptr) return;
+  const size_t bytes = record->intent.stored().body().size();
+  replica.body_bytes -= bytes;
+  this->body_bytes -= bytes;
+  replica.keys.Erase(index);
+}
+
 void ClaimWitness::Acknowledge(uint32_t shard, const Replica& replica,
                                bool leaving, Outbox& out) {
   FD_ASSERT(!replica.sealed, "request: a sealed witness does not acknowledge");
@@ -86,7 +111,7 @@
   }
 
   KeyTable keys = std::move(found->second.keys);
-  this->replicas.erase(found);
+  this->Drop(shard);
   return keys;
 }
 
--- a/tests/request/claim_agent_test.cc
+++ b/tests/request/claim_agent_test.cc
@@ -322,6 +322,7 @@
     fleet.Deliver();
   }
   EXPECT_LE(fleet.At("a").agent.Home().AnswerBytes(), 1000U);
+  EXPECT_LE(fleet.At("b").agent.Witness().BodyBytes(), 1000U);
   fleet.Ask("d", "again", "k0");
   fleet.Deliver();
   ASSERT_EQ(fleet.OutcomeOf("d", "again"), ClaimOutcome::kDone);
@@ -348,6 +349,11 @@
   fleet.Ask("c", "r4", "k4");
   fleet.Deliver();
   EXPECT_EQ(fleet.OutcomeOf("c", "r4"), ClaimOutcome::kRun);
+
+  // Guards against a witness that keeps what the home forgot.
+  fleet.TakeOver({1, 0}, "b", "d");
+  fleet.FoldAll();
+  EXPECT_EQ(fleet.At("b").agent.Home().Keys(), 2U);
 }
 
 }  // namespace
