--- a/bench/main.cc
+++ b/bench/main.cc
@@ -2,12 +2,13 @@
 #include <iostream>
 
 #include "bench/bench_case.h"
+#include "bench/routing_bench.h"
 #include "fuchsiadrum/core/assert.h"
 
 namespace fuchsiadrum::bench {
 namespace {
 
-BenchTable AllBenches() { return {}; }
+BenchTable AllBenches() { return {{"routing", MakeRoutingBench}}; }
 
 int Main(int argc, char** argv) {
   CLI::App app("Measures the decision core of fuchsiadrum.");
--- a/fuchsiadrum/routing/cost_router.cc
+++ b/fuchsiadrum/routing/cost_router.cc
@@ -8,7 +8,8 @@
                        const CostRouterOptions& options)
     : BaseRouter(table, options.base),
       options(options),
-      speed(table, options.speed),
+      engine_speed(table, options.speed),
+      service_speed(table, options.speed),
       prefixes(options.prefixes) {}
 
 std::optional<UpstreamIndex> CostRouter::Pick(
@@ -54,18 +55,37 @@
   for (const uint64_t hash : request.prefix_hashes) {
     this->prefixes.Add(hash, upstream);
   }
+  this->AddPending(dispatch, 1);
   return dispatch;
 }
 
+void CostRouter::OnFailed(TimePoint now, const Dispatch& dispatch,
+                          FailureKind kind) {
+  if (!dispatch.first_token_seen) this->AddPending(dispatch, -1);
+  BaseRouter::OnFailed(now, dispatch, kind);
+}
+
+void CostRouter::AddPending(const Dispatch& dispatch, int sign) {
+  if (!this->IsCurrent(dispatch)) return;
+  if (this->pending.size() <= dispatch.upstream) {
+    this->pending.resize(this->table.Slots());
+  }
+  int64_t& tokens = this->pending[dispatch.upstream];
+  tokens = std::max<int64_t>(
+      0, tokens + sign * (dispatch.prompt_tokens - dispatch.cached_tokens));
+}
+
 void CostRouter::OnFirstToken(TimePoint now, Dispatch& dispatch) {
   const bool first = !dispatch.first_token_seen && this->IsCurrent(dispatch);
   BaseRouter::OnFirstToken(now, dispatch);
   if (!first) return;
+  this->AddPending(dispatch, -1);
   const double uncached =
       static_cast<double>(dispatch.prompt_tokens - dispatch.cached_tokens);
-  this->speed.OnFirstToken(dispatch.upstream,
-                           this->Factors(dispatch.upstream, uncached),
-                           now - dispatch.at);
+  this->SpeedOf(dispatch.upstream)
+      .OnFirstToken(dispatch.upstream,
+                    this->Factors(dispatch.upstream, uncached),
+                    now - dispatch.at);
 }
 
 void CostRouter::OnReport(TimePoint now, UpstreamIndex upstream,
@@ -79,8 +99,8 @@
 double CostRouter::ExpectedFirstToken(const Dispatch& dispatch) const {
   const double uncached =
       static_cast<double>(dispatch.prompt_tokens - dispatch.cached_tokens);
-  return this->speed.Expected(dispatch.upstream,
-                              this->Factors(dispatch.upstream, uncached));
+  return this->SpeedOf(dispatch.upstream)
+      .Expected(dispatch.upstream, this->Factors(dispatch.upstream, uncached));
 }
 
 void CostRouter::Consider(UpstreamIndex index, const RequestFeatures& request,
@@ -92,7 +112,13 @@
       static_cast<double>(request.prompt_bound.count) -
       this->options.cached_weight *
           static_cast<double>(this->CachedTokens(index, request));
-  double cost = this->speed.Expected(index, this->Factors(index, uncached));
+  const double waiting = index < this->pending.size()
+                             ? this->options.pending_factor *
+                                   static_cast<double>(this->pending[index])
+                             : 0.0;
+  const FirstTokenFactors factors = this->Factors(index, uncached + waiting);
+  double cost = this->SpeedOf(index).Expected(index, factors);
+  cost += this->options.load_square_us * factors.requests * factors.requests;
   cost *= 1.0 + this->options.noise * this->rng.Unit();
   if (zone != state.zone) {
     cost += static_cast<double>(this->options.zone_distance.count());
@@ -119,6 +145,16 @@
   return std::min(tokens, request.prompt_bound.count);
 }
 
+SpeedEstimator& CostRouter::SpeedOf(UpstreamIndex index) {
+  return this->table.At(index).service.empty() ? this->engine_speed
+                                               : this->service_speed;
+}
+
+const SpeedEstimator& CostRouter::SpeedOf(UpstreamIndex index) const {
+  return this->table.At(index).service.empty() ? this->engine_speed
+                                               : this->service_speed;
+}
+
 FirstTokenFactors CostRouter::Factors(UpstreamIndex index,
                                       double uncached) const {
   const upstream::UpstreamState& state = this->table.At(index);
@@ -142,13 +178,24 @@
   const uint32_t epoch = this->table.At(upstream).epoch;
   if (cursor.epoch != epoch) cursor = CacheCursor{.epoch = epoch};
 
-  // After a gap it is unknown which prefixes were evicted meanwhile.
-  if (cursor.started && events.first_sequence != cursor.next) {
+  // A sequence that goes back is another process of the upstream.
+  const auto events_here =
+      static_cast<int64_t>(events.stored.size() + events.evicted.size());
+  if (cursor.started && events.first_sequence >= cursor.next) {
+    cursor.missed += static_cast<int64_t>(events.first_sequence - cursor.next);
+  }
+  const bool restarted = cursor.started && events.first_sequence < cursor.next;
+  if (restarted ||
+      static_cast<double>(cursor.missed) >
+          this->options.most_missed * static_cast<double>(cursor.held)) {
     this->prefixes.Invalidate(upstream);
+    cursor.held = 0;
+    cursor.missed = 0;
   }
   cursor.started = true;
-  cursor.next =
-      events.first_sequence + events.stored.size() + events.evicted.size();
+  cursor.next = events.first_sequence + static_cast<uint64_t>(events_here);
+  cursor.held += static_cast<int64_t>(events.stored.size()) -
+                 static_cast<int64_t>(events.evicted.size());
 
   for (const uint64_t hash : events.evicted) {
     this->prefixes.Remove(hash, upstream);
--- a/fuchsiadrum/routing/outlier_ejector.cc
+++ b/fuchsiadrum/routing/outlier_ejector.cc
@@ -1,6 +1,8 @@
 #include "fuchsiadrum/routing/outlier_ejector.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
 
 namespace fuchsiadrum::routing {
 namespace {
@@ -43,15 +45,23 @@
 }
 
 void OutlierEjector::OnTick(TimePoint now) {
+  std::optional<UpstreamIndex> soonest;
   for (UpstreamIndex index = 0; index < this->records.size(); ++index) {
     const upstream::UpstreamState& state = this->table.At(index);
     if (!state.ejected) continue;
-    Record& record = this->records[index];
-    if (record.epoch == state.epoch && now < record.until) continue;
-    this->table.SetEjected(index, false);
-    record.failures = 0;
-    record.slowness = 1.0;
+    const Record& record = this->records[index];
+    if (record.epoch != state.epoch || now >= record.until) {
+      this->Reinstate(index);
+    } else if (!this->IsWithinFloor(index, 0) &&
+               (!soonest || record.until < this->records[*soonest].until)) {
+      soonest = index;
+    }
   }
+
+  // One reinstatement may be enough for several groups, so look again.
+  if (!soonest) return;
+  this->Reinstate(*soonest);
+  this->OnTick(now);
 }
 
 OutlierEjector::Record& OutlierEjector::RecordOf(UpstreamIndex index) {
@@ -65,7 +75,7 @@
 }
 
 void OutlierEjector::Eject(TimePoint now, UpstreamIndex index, Record& record) {
-  if (this->table.At(index).ejected || !this->LeavesHalf(index)) return;
+  if (this->table.At(index).ejected || !this->IsWithinFloor(index, 1)) return;
 
   Duration time = this->options.first_time;
   for (int i = 0; i < record.ejections; ++i) {
@@ -76,24 +86,33 @@
   this->table.SetEjected(index, true);
 }
 
-bool OutlierEjector::LeavesHalf(UpstreamIndex index) const {
+void OutlierEjector::Reinstate(UpstreamIndex index) {
+  this->table.SetEjected(index, false);
+  this->records[index].failures = 0;
+  this->records[index].slowness = 1.0;
+}
+
+bool OutlierEjector::IsWithinFloor(UpstreamIndex index, size_t more) const {
   const upstream::UpstreamState& state = this->table.At(index);
   if (!state.service.empty()) {
-    const auto* group = this->table.ForService(state.service);
-    return group == nullptr || this->LeavesHalfOf(*group);
+    return this->IsWithinFloor(this->table.ForService(state.service), more);
   }
   return std::all_of(state.models.begin(), state.models.end(),
-                     [this](const std::string& model) {
-                       const auto* group = this->table.ForModel(model);
-                       return group == nullptr || this->LeavesHalfOf(*group);
+                     [this, more](const std::string& model) {
+                       return this->IsWithinFloor(this->table.ForModel(model),
+                                                  more);
                      });
 }
 
-bool OutlierEjector::LeavesHalfOf(const upstream::CandidateGroup& group) const {
+bool OutlierEjector::IsWithinFloor(const upstream::CandidateGroup* group,
+                                   size_t more) const {
+  if (group == nullptr) return true;
   const auto ejected = static_cast<size_t>(std::count_if(
-      group.all.begin(), group.all.end(),
+      group->all.begin(), group->all.end(),
       [this](UpstreamIndex index) { return this->table.At(index).ejected; }));
-  return 2 * (ejected + 1) <= group.all.size();
+  if (ejected + more == 0) return true;
+  return static_cast<double>(ejected + more) <=
+         this->options.most_ejected * static_cast<double>(group->all.size());
 }
 
 }  // namespace fuchsiadrum::routing
--- a/fuchsiadrum/routing/outlier_ejector.h
+++ b/fuchsiadrum/routing/outlier_ejector.h
@@ -12,6 +12,8 @@
 
 /// Options of the ejection.
 struct OutlierEjectorOptions {
+  /// Largest share of the candidates for a model or service that is ejected.
+  double most_ejected = 0.5;
   /// Failures in a row that eject an upstream.
   int failures = 3;
   /// A slow upstream is ejected when its time to first token, measured against
@@ -39,7 +41,8 @@
   void OnSuccess(TimePoint now, UpstreamIndex index, double ratio);
   /// A poll failed.
   void OnUnreachable(TimePoint now, UpstreamIndex index);
-  /// Ends ejections whose time is over.
+  /// Ends ejections whose time is over, and those that became too many because
+  /// other candidates left.
   void OnTick(TimePoint now);
 
  private:
@@ -54,8 +57,10 @@
 
   Record& RecordOf(UpstreamIndex index);
   void Eject(TimePoint now, UpstreamIndex index, Record& record);
-  bool LeavesHalf(UpstreamIndex index) const;
-  bool LeavesHalfOf(const upstream::CandidateGroup& group) const;
+  void Reinstate(UpstreamIndex index);
+  /// True if the groups of the upstream bear `more` further ejections.
+  bool IsWithinFloor(UpstreamIndex index, size_t more) const;
+  bool IsWithinFloor(const upstream::CandidateGroup* group, size_t more) const;
 
   upstream::UpstreamTable& table;
   OutlierEjectorOptions options;
--- a/fuchsiadrum/routing/speed_estimator.h
+++ b/fuchsiadrum/routing/speed_estimator.h
@@ -17,7 +17,7 @@
   /// Share of the past that each observation keeps, for an upstream's slowness
   /// and for the fleet's coefficients.
   double upstream_memory = 0.95;
-  double fleet_memory = 0.995;
+  double fleet_memory = 0.999;
   /// Observations that the prior counts as.
   double prior_weight = 2.0;
   /// Prior time to first token: fixed part, for each uncached prompt token and
