--- a/bench/main.cc
+++ b/bench/main.cc
@@ -6,6 +6,7 @@
 #include "bench/catalogue_bench.h"
 #include "bench/matrix_bench.h"
 #include "bench/requests_bench.h"
+#include "bench/routing_bench.h"
 #include "fuchsiadrum/core/assert.h"
 
 namespace fuchsiadrum::bench {
@@ -17,6 +18,7 @@
   table["catalogue"] = MakeCatalogueBench;
   table["matrix"] = MakeMatrixBench;
   table["requests"] = MakeRequestsBench;
+  table["routing"] = MakeRoutingBench;
   return table;
 }
 
