--- a/bench/main.cc
+++ b/bench/main.cc
@@ -2,8 +2,11 @@
 #include <iostream>
 
 #include "bench/bench_case.h"
+#include "bench/budget_bench.h"
+#include "bench/catalogue_bench.h"
 #include "bench/matrix_bench.h"
 #include "bench/requests_bench.h"
+#include "bench/routing_bench.h"
 #include "fuchsiadrum/core/assert.h"
 
 namespace fuchsiadrum::bench {
@@ -11,8 +14,11 @@
 
 BenchTable AllBenches() {
   BenchTable table;
+  table["budget"] = MakeBudgetBench;
+  table["catalogue"] = MakeCatalogueBench;
   table["matrix"] = MakeMatrixBench;
   table["requests"] = MakeRequestsBench;
+  table["routing"] = MakeRoutingBench;
   return table;
 }
 
--- a/fuchsiadrum/budget/escrow_agent.h
+++ b/fuchsiadrum/budget/escrow_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -102,6 +103,12 @@
   EscrowFigures Figures(std::string_view organisation);
   /// What this daemon holds, for tests and benches.
   const HeldBudgets& Budgets() const { return this->budgets; }
+  /// Ceiling that this daemon acknowledged as a witness in this term; nullopt:
+  /// it is not the witness of the grant in that term.
+  std::optional<Tokens> WitnessedCeiling(LogPosition grant,
+                                         LogPosition term) const {
+    return this->witness.CeilingOf(grant, term);
+  }
   /// Grants that this daemon witnesses.
   size_t WitnessedGrants() const { return this->witness.size(); }
 
@@ -130,7 +137,10 @@
   void GetTokens(TimePoint now, HeldBudget& budget, Outbox& out);
   void ServeWaiting(HeldBudget& budget);
   void ExpireWaiting(TimePoint now, HeldBudget& budget);
+  /// True if neither the pool nor the peers have more to give for now.
+  bool IsAllFound(const HeldBudget& budget) const;
   void LeaveQueue(HeldBudget& budget, uint32_t index);
+  void CountWaiting(HeldBudget& budget);
 
   const Ledger& ledger;
   const PeerView& peers;
@@ -143,6 +153,8 @@
   std::vector<Slot> slots;
   std::vector<uint32_t> free_slots;
   std::vector<ReserveResult> finished;
+  /// Reservations that wait, over all budgets.
+  size_t waiting_count = 0;
   TimePoint last_now;
   bool draining = false;
 };
--- a/fuchsiadrum/budget/grant_keeper.h
+++ b/fuchsiadrum/budget/grant_keeper.h
@@ -41,10 +41,13 @@
                   const pb::TransferRecord& record);
   void OnClosed(const pb::Position& id);
   void OnSealed(const pb::Position& id);
+  /// Follows the fleet's demand and returns what others may need.
+  void Rebalance(TimePoint now, HeldBudget& budget, Outbox& out);
   void Adopt(const Grant& grant);
   void Settle(HeldGrant& grant, Outbox& out);
   bool IsCloseDue(TimePoint now, const HeldGrant& grant) const;
   void Close(HeldGrant& grant, Outbox& out);
+  void CloseSmallest(HeldBudget& budget, Outbox& out);
 
   const Ledger& ledger;
   const PeerView& peers;
--- a/fuchsiadrum/budget/held_budget.cc
+++ b/fuchsiadrum/budget/held_budget.cc
@@ -7,7 +7,7 @@
 namespace fuchsiadrum::budget {
 
 Tokens HeldGrant::Limit() const {
-  if (!this->witnessed) return this->amount;
+  if (!this->witnessed || this->ignores_ceilings) return this->amount;
   return std::min({this->amount, this->fine.ceiling, this->coarse.ceiling});
 }
 
@@ -39,19 +39,39 @@
   return in_flight;
 }
 
-bool HeldBudget::Take(Tokens amount, ReservedParts& parts) {
-  parts.count = 0;
-  Tokens missing = amount;
+Tokens HeldBudget::Unconfirmed() const {
+  Tokens unconfirmed = this->InFlight();
+  for (const auto& grant : this->grants) {
+    unconfirmed += grant->possibly_used - grant->settled_unknown;
+  }
+  return unconfirmed;
+}
+
+Tokens HeldBudget::StepInForce(WitnessRole role) const {
+  const bool fine = role == WitnessRole::kFine;
+  Tokens step =
+      fine ? this->sizer.FineMargin() : this->sizer.CoarseMargin(true);
+  step += Tokens(step.count / 2) + this->Unconfirmed();
+  Tokens shares;
 
   for (const auto& grant : this->grants) {
-    const Tokens part = std::min(missing, grant->Room());
-    if (part <= Tokens(0)) continue;
-    if (parts.count == static_cast<int>(parts.parts.size())) break;
-    parts.parts[static_cast<size_t>(parts.count++)] = {grant.get(), part};
-    missing -= part;
-    if (missing == Tokens(0)) break;
+    if (!grant->witnessed) {
+      shares += grant->amount - grant->confirmed - grant->given;
+      continue;
+    }
+    step = std::max(step, fine ? grant->fine.step : grant->coarse.step);
+  }
+  return step + shares;
+}
+
+bool HeldBudget::Take(Tokens amount, ReservedParts& parts) {
+  if (!this->Collect(amount, Tokens(1), parts)) {
+    // Many small grants: only large ones give their part.
+    const auto most = static_cast<int64_t>(parts.parts.size());
+    const Tokens least(amount.count / most);
+    const bool found = least > Tokens(1) && this->Collect(amount, least, parts);
+    if (!found) return false;
   }
-  if (missing > Tokens(0)) return false;
 
   for (int i = 0; i < parts.count; ++i) {
     const ReservedPart& part = parts.parts[static_cast<size_t>(i)];
@@ -60,6 +80,21 @@
   return true;
 }
 
+bool HeldBudget::Collect(Tokens amount, Tokens least, ReservedParts& parts) {
+  parts.count = 0;
+  Tokens missing = amount;
+  for (const auto& grant : this->grants) {
+    const Tokens room = grant->Room();
+    const Tokens part = std::min(missing, room);
+    if (part <= Tokens(0) || room < least) continue;
+    if (parts.count == static_cast<int>(parts.parts.size())) return false;
+    parts.parts[static_cast<size_t>(parts.count++)] = {grant.get(), part};
+    missing -= part;
+    if (missing == Tokens(0)) return true;
+  }
+  return false;
+}
+
 HeldBudget* HeldBudgets::Find(std::string_view organisation) {
   const auto found = this->by_name.find(organisation);
   return found == this->by_name.end() ? nullptr : found->second;
--- a/fuchsiadrum/budget/held_budget.h
+++ b/fuchsiadrum/budget/held_budget.h
@@ -12,6 +12,7 @@
 
 #include "fuchsiadrum/budget/account.h"
 #include "fuchsiadrum/budget/grant_sizer.h"
+#include "fuchsiadrum/budget/witness_choice.h"
 #include "fuchsiadrum/core/types.h"
 
 namespace fuchsiadrum::budget {
@@ -26,6 +27,10 @@
   Tokens ceiling;
   /// Ceiling asked for and not yet acknowledged.
   Tokens asked;
+  /// Step of the organisation with which it was asked for last.
+  Tokens step;
+  /// Confirmed spend that the witness knows.
+  Tokens reported;
   TimePoint asked_at;
   TimePoint sent_at;
   bool pending = false;
@@ -62,6 +67,8 @@
   Tokens overrun;
 
   bool witnessed = false;
+  /// Set by Mutation::kSkipWitness only.
+  bool ignores_ceilings = false;
   HeldCeiling fine;
   HeldCeiling coarse;
   /// Sealed or written off: nothing new is reserved under it.
@@ -95,10 +102,11 @@
   Tokens amount;
 };
 
-/// Parts of a reservation. Eight grants of one organisation at one daemon with
-/// room at the same time are more than happens outside the end of a budget.
+/// Parts of a reservation. Sixteen grants of one organisation at one daemon
+/// with room at the same time are more than happens outside the end of a
+/// budget.
 struct ReservedParts {
-  std::array<ReservedPart, 8> parts;
+  std::array<ReservedPart, 16> parts;
   int count = 0;
 };
 
@@ -110,6 +118,9 @@
   int outstanding = 0;
   TimePoint last_sent;
   bool active = false;
+  /// Room when the round began, and rounds in a row that added nothing.
+  Tokens room_before;
+  int fruitless = 0;
 };
 
 /// What one daemon holds of one organisation's budget.
@@ -124,6 +135,11 @@
   Tokens Unused() const;
   /// Reserved, or used with the billing undecided.
   Tokens InFlight() const;
+  /// In flight, or of unknown outcome and not yet settled.
+  Tokens Unconfirmed() const;
+  /// What is lost from use at most if this daemon dies (kFine) or its zone
+  /// is lost (kCoarse): the step of the present ceilings, and shares.
+  Tokens StepInForce(WitnessRole role) const;
   /// Takes exactly `amount` from the grants; false (nothing taken) if the room
   /// does not suffice.
   bool Take(Tokens amount, ReservedParts& parts);
@@ -135,6 +151,8 @@
   /// want.
   std::deque<uint32_t> waiting;
   Tokens waiting_tokens;
+  /// Smallest minimum of the waiting reservations; 0: none waits.
+  Tokens waiting_minimum;
   TimePoint waiting_since;
   /// Tokens that peers asked for lately and that the ceilings did not allow.
   Tokens lend_need;
@@ -144,6 +162,11 @@
   ShareSearch search;
   /// Last ask of each peer, so that a doubled message is answered once.
   std::map<std::string, uint64_t> last_asks;
+
+ private:
+  /// Parts of at least `least` tokens that make up `amount`; false if there
+  /// are too few or too many.
+  bool Collect(Tokens amount, Tokens least, ReservedParts& parts);
 };
 
 /// All budgets of one daemon.
--- a/fuchsiadrum/log/appender.cc
+++ b/fuchsiadrum/log/appender.cc
@@ -21,12 +21,15 @@
 bool Appender::Add(TimePoint now, const std::vector<pb::Record>& records) {
   size_t bytes = 0;
   size_t chunk_bytes = 0;
+  std::vector<size_t> sizes;
+  sizes.reserve(records.size());
   for (const pb::Record& record : records) {
+    // A record that can never be appended must not hold up the others.
     const size_t size = record.ByteSizeLong();
-    if (size > this->options.max_batch_bytes || !IsReadable(record)) {
-      return false;
-    }
-    (record.has_snapshot_chunk() ? chunk_bytes : bytes) += size;
+    const bool fits =
+        size <= this->options.max_batch_bytes && IsReadable(record);
+    sizes.push_back(fits ? size : 0);
+    if (fits) (record.has_snapshot_chunk() ? chunk_bytes : bytes) += size;
   }
   if (this->queue_bytes + bytes > this->options.max_queue_bytes ||
       this->chunk_bytes + chunk_bytes > this->options.max_chunk_queue_bytes) {
@@ -34,9 +37,13 @@
   }
 
   if (this->queue.empty() && this->relayed.empty()) this->oldest = now;
-  for (const pb::Record& record : records) {
-    auto& target = record.has_snapshot_chunk() ? this->chunks : this->queue;
-    target.emplace_back(record, record.ByteSizeLong());
+  for (size_t i = 0; i < records.size(); ++i) {
+    if (sizes[i] == 0) {
+      ++this->unusable;
+      continue;
+    }
+    auto& target = records[i].has_snapshot_chunk() ? this->chunks : this->queue;
+    target.emplace_back(records[i], sizes[i]);
   }
   this->queue_bytes += bytes;
   this->chunk_bytes += chunk_bytes;
@@ -76,6 +83,7 @@
     this->FillBatch(next);
     this->sequence = next.sequence();
     this->batch = SealBatch(next, this->options.fleet_key);
+    this->started = now;
   } else if (now < this->repeat_at) {
     return std::nullopt;
   }
@@ -107,6 +115,11 @@
 }
 
 bool Appender::IsDue(TimePoint now) const {
+  // A clock that went backwards must not delay the next batch.
+  const bool spaced = this->sequence == 0 || now < this->started ||
+                      now - this->started >= this->options.min_spacing;
+  if (!spaced) return false;
+
   if (!this->queue.empty() || !this->relayed.empty()) {
     return now - this->oldest >= this->options.interval || now < this->oldest ||
            this->queue_bytes >= this->options.max_batch_bytes;
--- a/fuchsiadrum/request/retry_budget.h
+++ b/fuchsiadrum/request/retry_budget.h
@@ -18,6 +18,8 @@
   int percent = 10;
   /// Retries that may be saved up; bounds the burst after a quiet hour.
   int max_saved = 10;
+  /// Retries that a budget starts with, before any first attempt.
+  int initial_retries = 0;
   /// Retries of one request.
   uint32_t max_retries = 3;
   /// Backoff before the first retry; it doubles with each further one.
@@ -43,6 +45,9 @@
 struct RetryQuestion {
   bool idempotent = false;
   bool delivered = false;
+  /// The next upstream can continue the answer after the delivered part; it
+  /// may then be the one that failed.
+  bool can_resume = false;
   /// Retries that the request has had.
   uint32_t retries = 0;
   TimePoint deadline;
@@ -75,6 +80,7 @@
 
  private:
   Duration Backoff(uint32_t retries);
+  int64_t& BalanceOf(pb::WorkClass work_class, const std::string& upstream);
 
   RetryBudgetOptions options;
   Rng rng;
