--- a/ctl/fleet_command.cc
+++ b/ctl/fleet_command.cc
@@ -1,10 +1,13 @@
 #include "ctl/fleet_command.h"
 
+#include <chrono>
 #include <fstream>
+#include <thread>
 
 namespace fuchsiadrum::ctl {
 namespace {
 
+constexpr std::chrono::milliseconds kPeersAnswer(300);
 constexpr double kMsPerHour = 3600.0 * 1000.0;
 
 using Rows = std::vector<std::vector<std::string>>;
@@ -77,7 +80,12 @@
   const std::string format = !this->html_file.empty() ? "html"
                              : this->globals.json     ? "json"
                                                       : "text";
-  const auto response = client.Get("/report/burn?format=" + format);
+  // The first answer makes the daemon ask its peers; the second one has their
+  // figures.
+  const std::string target = "/report/burn?format=" + format;
+  client.Get(target);
+  std::this_thread::sleep_for(kPeersAnswer);
+  const auto response = client.Get(target);
   if (!response) {
     Output::Error(client.LastReason().ToString());
     return ExitCode::kUnreachable;
--- a/daemon/admin_connection.cc
+++ b/daemon/admin_connection.cc
@@ -76,7 +76,8 @@
                  .reply = {}};
   const bool asked = this->server.Pass(
       *this, std::move(call), [this](node::Node::AdminAnswer answer) {
-        this->Answer(answer.status, kJson, std::move(answer.json));
+        this->Answer(answer.status, answer.content_type.c_str(),
+                     std::move(answer.json));
       });
   if (!asked) this->AnswerOverloaded();
 }
--- a/fuchsiadrum/node/admin_api.cc
+++ b/fuchsiadrum/node/admin_api.cc
@@ -16,10 +16,17 @@
 
 using Answer = Node::AdminAnswer;
 
-Answer Ok(const nlohmann::json& json) { return {200, json.dump()}; }
+Answer Json(int status, const nlohmann::json& json) {
+  Answer answer;
+  answer.status = status;
+  answer.json = json.dump();
+  return answer;
+}
+
+Answer Ok(const nlohmann::json& json) { return Json(200, json); }
 
 Answer Fail(int status, const std::string& reason) {
-  return {status, nlohmann::json({{"reason", reason}}).dump()};
+  return Json(status, {{"reason", reason}});
 }
 
 template <typename T>
@@ -101,7 +108,8 @@
                         Outbox& out) {
   Call call{.now = now, .method = method};
   call.path = target.substr(0, target.find('?'));
-  if (!Strip(call.path, kPrefix)) return Fail(404, "no such path");
+  const bool is_burn = call.path == "/report/burn";
+  if (!is_burn && !Strip(call.path, kPrefix)) return Fail(404, "no such path");
 
   std::string rest = target.find('?') == std::string::npos
                          ? ""
@@ -115,10 +123,11 @@
   }
   if (method == "POST") {
     call.body = nlohmann::json::parse(body, nullptr, false);
-    if (!call.body.is_object())
+    if (!call.body.is_object()) {
       return Fail(400, "the body is not a JSON object");
+    }
   }
-  return this->Route(call, out);
+  return is_burn ? this->ShowBurn(call, out) : this->Route(call, out);
 }
 
 Answer AdminApi::Route(const Call& call, Outbox& out) {
@@ -184,7 +193,7 @@
   }
   *out.AddRecord().mutable_catalogue_edit() = *edit;
   this->pending_edits.insert(edit->edit_id());
-  return {202, nlohmann::json({{"edit_id", edit->edit_id()}}).dump()};
+  return Json(202, {{"edit_id", edit->edit_id()}});
 }
 
 Answer AdminApi::CanonicalForm(const Call& call) const {
@@ -233,10 +242,12 @@
   const auto since = Number<int64_t>(call.query, "since_ms", 0);
   const auto report = this->parts.catalogue.HandoverReport("", since);
   nlohmann::json changes = nlohmann::json::array();
-  for (const auto* change : report.accepted)
+  for (const auto* change : report.accepted) {
     changes.push_back(ChangeJson(*change));
-  for (const auto* change : report.rejected)
+  }
+  for (const auto* change : report.rejected) {
     changes.push_back(ChangeJson(*change));
+  }
 
   nlohmann::json low = nlohmann::json::array();
   for (const auto& [name, account] : this->parts.ledger.Accounts()) {
@@ -279,7 +290,7 @@
     return Fail(404, "no budget was ever topped up for this organisation");
   }
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->parts.log.Age(call.now));
+      call.now - this->parts.last_read);
   return Ok({{"accounts", accounts}, {"age_ms", age.count()}});
 }
 
@@ -299,7 +310,7 @@
   if (top_up.top_up_id().empty()) return Fail(400, "top_up_id is missing");
   if (top_up.author().empty()) return Fail(400, "author is missing");
   *out.AddRecord().mutable_top_up() = top_up;
-  return {202, nlohmann::json({{"top_up_id", top_up.top_up_id()}}).dump()};
+  return Json(202, {{"top_up_id", top_up.top_up_id()}});
 }
 
 Answer AdminApi::ShowTopUp(const std::string& organisation,
@@ -336,9 +347,9 @@
     daemons.push_back(std::move(row));
   }
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->parts.log.Age(call.now));
+      call.now - this->parts.last_read);
   return Ok({{"daemons", daemons},
-             {"log_offset", this->parts.log.Reader().FoldedOffset()},
+             {"log_offset", this->parts.replica.FoldedOffset()},
              {"log_reachable", this->parts.membership.IsLogReachable()},
              {"catalogue_revision", this->parts.catalogue.Revision()},
              {"age_ms", age.count()},
@@ -399,7 +410,25 @@
   reopen.set_shard(number);
   reopen.set_author(Text(call.body, "author"));
   reopen.set_reason(Text(call.body, "reason"));
-  return {202, nlohmann::json({{"shard", number}}).dump()};
+  return Json(202, {{"shard", number}});
+}
+
+Answer AdminApi::ShowBurn(const Call& call, Outbox& out) {
+  // The answer holds the figures at hand; those of the peers are asked for now
+  // and belong to the next answer.
+  this->parts.burn.AskPeers(call.now, out);
+  const auto found = call.query.find("format");
+  const std::string format = found == call.query.end() ? "text" : found->second;
+  std::vector<std::string> expected = {this->parts.options.self.ref.vm};
+  for (const VmInfo& peer : this->parts.options.configured_peers) {
+    expected.push_back(peer.ref.vm);
+  }
+  Answer answer;
+  answer.json = this->parts.burn.Render(call.now, format, expected);
+  answer.content_type = format == "html"   ? "text/html; charset=utf-8"
+                        : format == "json" ? "application/json"
+                                           : "text/plain; charset=utf-8";
+  return answer;
 }
 
 Answer AdminApi::PostKey(const Call& /*call*/) {
--- a/fuchsiadrum/node/admin_api.h
+++ b/fuchsiadrum/node/admin_api.h
@@ -51,6 +51,7 @@
   Node::AdminAnswer PostReopen(const Call& call, const std::string& shard,
                                Outbox& out);
   Node::AdminAnswer PostKey(const Call& call);
+  Node::AdminAnswer ShowBurn(const Call& call, Outbox& out);
   /// Refuses records while the log is out of reach; they could wait for long.
   std::optional<Node::AdminAnswer> RefuseIfCutOff() const;
 
--- a/fuchsiadrum/node/node.cc
+++ b/fuchsiadrum/node/node.cc
@@ -23,11 +23,13 @@
 void Node::Parts::Flush(TimePoint now, NodeActions& out) {
   this->FollowCatalogue(now);
   this->pipeline.Advance(now, this->outbox);
+  this->AddRecords(now, std::exchange(this->outbox.records, {}));
+  if (auto batch = this->log.NextAppend(now, this->outbox)) {
+    out.append = std::move(batch);
+  }
   std::move(this->outbox.messages.begin(), this->outbox.messages.end(),
             std::back_inserter(out.messages));
   this->outbox.messages.clear();
-  this->log.Add(now, std::exchange(this->outbox.records, {}));
-  if (auto batch = this->log.Next(now)) out.append = std::move(batch);
   auto actions = this->pipeline.TakeActions();
   std::move(actions.begin(), actions.end(), std::back_inserter(out.requests));
 }
@@ -37,25 +39,28 @@
 
 Node::~Node() = default;
 
-uint64_t Node::NextLogOffset() const {
-  return this->parts->log.Reader().NextOffset();
-}
+uint64_t Node::NextLogOffset() const { return this->parts->log.NextOffset(); }
 
 void Node::OnLogBatches(TimePoint now, uint64_t from,
                         const std::vector<std::string>& batches,
                         NodeActions& out) {
-  this->parts->log.OnBatches(now, from, batches, this->parts->outbox);
+  this->parts->last_read = now;
+  this->parts->log.OnLogBatches(now, from, batches, this->parts->outbox);
   this->parts->Flush(now, out);
 }
 
 void Node::OnLogBounds(TimePoint now, uint64_t first_retained, uint64_t end,
                        NodeActions& out) {
-  this->parts->log.OnBounds(now, first_retained, end);
+  this->parts->last_read = now;
+  this->parts->log.OnLogBounds(now, first_retained, end);
+  if (this->parts->replica.FoldedOffset() >= end) {
+    this->parts->placement.OnLogEndRead(now);
+  }
   this->parts->Flush(now, out);
 }
 
 void Node::OnLogUnreachable(TimePoint now, NodeActions& out) {
-  this->parts->log.OnUnreachable();
+  this->parts->log.OnLogUnreachable(now);
   this->parts->Flush(now, out);
 }
 
@@ -84,27 +89,36 @@
   this->parts->membership.OnMessage(now, from, message, outbox);
   this->parts->escrow.OnMessage(now, from, message, outbox);
   this->parts->claims.OnMessage(now, from, message, outbox);
+  this->parts->log.OnMessage(now, from, message, outbox);
+  this->parts->burn.OnMessage(now, from, message, outbox);
   this->parts->Flush(now, out);
 }
 
 void Node::OnTick(TimePoint now, NodeActions& out) {
   Parts& all = *this->parts;
-  const log::Replica& replica = all.log.Reader();
+  const log::Replica& replica = all.replica;
   const auto digest = replica.LatestDigest();
   all.membership.SetOwnStatus(
       {.log_offset = replica.FoldedOffset(),
        .digest = digest ? digest->second : 0,
        .digest_offset = digest ? digest->first : 0,
-       .log_reachable = all.log.IsReachable(),
+       .log_reachable = all.log.IsDirect(now),
        .load = static_cast<double>(all.admission.Running()) /
                all.options.settings.request().max_in_flight()});
+  all.membership.SetRelayReachable(all.log.IsRelayReachable(now));
   all.membership.OnTick(now, all.outbox);
+  all.log.OnTick(now, all.outbox);
+  all.TakeAlarms();
   all.FollowHints(now);
   all.upstreams.OnTick(now);
   all.router->OnTick(now);
   if (replica.IsReady()) {
     all.escrow.OnTick(now, all.outbox);
     all.claims.OnTick(now, all.outbox);
+    all.placement.OnTick(now, all.outbox);
+    for (auto& order : all.placement.TakeOrders()) {
+      out.orders.push_back(std::move(order));
+    }
   }
   all.pipeline.OnTick(now, all.outbox);
   all.Flush(now, out);
@@ -120,8 +134,8 @@
     refusal.handle = request.handle;
     refusal.status = 503;
     // An earlier attempt with the key may have run through another daemon.
-    refusal.outcome = request.idempotency_key.empty() ? Outcome::kNotRun
-                                                      : Outcome::kUnknown;
+    refusal.outcome =
+        request.idempotency_key.empty() ? Outcome::kNotRun : Outcome::kUnknown;
     refusal.step = "ready";
     refusal.reason = why;
     refusal.retry_after_s = 1;
@@ -178,6 +192,12 @@
   all.Flush(now, out);
 }
 
+void Node::OnOrderAnswer(TimePoint now, const std::string& upstream,
+                         upstream::OrderAnswer answer, NodeActions& out) {
+  this->parts->placement.OnOrderAnswer(now, upstream, answer);
+  this->parts->Flush(now, out);
+}
+
 Node::AdminAnswer Node::OnAdmin(TimePoint now, const std::string& method,
                                 const std::string& target,
                                 const std::string& body, NodeActions& out) {
@@ -193,7 +213,7 @@
 
 std::string Node::ReadyReason(TimePoint /*now*/) const {
   if (this->parts->draining) return "the daemon is stopping";
-  const log::Replica& replica = this->parts->log.Reader();
+  const log::Replica& replica = this->parts->replica;
   if (!replica.IsReady()) {
     const std::string& why = replica.LastReason().text;
     return why.empty() ? "the state has not been read yet" : why;
@@ -203,13 +223,13 @@
 
 std::string Node::Metrics(TimePoint now) const {
   const Parts& all = *this->parts;
-  const auto& counters = all.log.Reader().Counters();
+  const auto& counters = all.replica.Counters();
   std::string out = all.metrics.Text();
   out += NodeMetrics::Line("log_next_offset",
-                           static_cast<double>(all.log.Reader().NextOffset()));
+                           static_cast<double>(all.replica.NextOffset()));
   out += NodeMetrics::Line(
       "log_age_seconds",
-      std::chrono::duration<double>(all.log.Age(now)).count());
+      std::chrono::duration<double>(now - all.last_read).count());
   out += NodeMetrics::Line("log_bad_mac_total",
                            static_cast<double>(counters.bad_macs));
   out += NodeMetrics::Line("log_malformed_total",
@@ -235,6 +255,7 @@
   all.membership.BeginDrain(now, all.outbox);
   all.claims.BeginDrain(now, all.outbox);
   all.escrow.BeginDrain(now, all.outbox);
+  all.placement.BeginDrain(now, all.outbox);
   all.Flush(now, out);
 }
 
@@ -242,7 +263,8 @@
   const Parts& all = *this->parts;
   return all.draining && all.pipeline.Active() == 0 &&
          all.pipeline.Unbilled() == 0 && all.claims.IsDrained() &&
-         all.escrow.IsDrained() && all.log.IsFlushed();
+         all.escrow.IsDrained() && all.placement.IsDrained() &&
+         all.backlog.empty() && all.log.IsDrained();
 }
 
 }  // namespace fuchsiadrum::node
--- a/fuchsiadrum/node/node.h
+++ b/fuchsiadrum/node/node.h
@@ -10,6 +10,7 @@
 #include "fuchsiadrum/core/reason.h"
 #include "fuchsiadrum/core/types.h"
 #include "fuchsiadrum/node/request_events.h"
+#include "fuchsiadrum/upstream/placement_agent.h"
 #include "schema/settings.pb.h"
 
 namespace fuchsiadrum::node {
@@ -37,6 +38,8 @@
   /// Serialised batch to append to the log; at most one is in flight until
   /// OnAppendAnswer.
   std::optional<std::string> append;
+  /// Placement orders to send to engines, once each; see OnOrderAnswer.
+  std::vector<upstream::PlacementOrder> orders;
   /// Lines for the log, already prefixed, with a severity of Boost.Log's names.
   struct LogLine {
     std::string severity;
@@ -115,11 +118,17 @@
   void OnUpstreamReport(TimePoint now, const UpstreamReport& report,
                         NodeActions& out);
 
+  /// A placement order was answered or given up.
+  void OnOrderAnswer(TimePoint now, const std::string& upstream,
+                     upstream::OrderAnswer answer, NodeActions& out);
+
   /// Operators' request on the admin port: a path below /admin/ and a JSON
-  /// body. The answer is JSON; an edit is answered by AdminVerdict later.
+  /// body, or /report/burn. An edit is only handed to the log; its verdict is
+  /// asked for by its id later.
   struct AdminAnswer {
     int status = 200;
     std::string json;
+    std::string content_type = "application/json";
   };
   AdminAnswer OnAdmin(TimePoint now, const std::string& method,
                       const std::string& target, const std::string& body,
--- a/fuchsiadrum/node/node_parts.cc
+++ b/fuchsiadrum/node/node_parts.cc
@@ -1,5 +1,6 @@
 #include "fuchsiadrum/node/node_parts.h"
 
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -13,6 +14,7 @@
 /// Tokens that one prefix hash of the front door covers: 512 bytes at its
 /// bound of 3 bytes for each token.
 constexpr int64_t kPrefixBlockTokens = 170;
+constexpr size_t kMostAlarms = 100;
 
 Duration Milliseconds(uint32_t ms) { return std::chrono::milliseconds(ms); }
 
@@ -45,6 +47,21 @@
   return options;
 }
 
+log::LogAgentOptions LogOptions(const NodeOptions& options) {
+  log::LogAgentOptions log_options;
+  log_options.appender.self = options.self.ref;
+  log_options.appender.fleet_key = options.fleet_key;
+  log_options.appender.interval =
+      Milliseconds(options.settings.platform().append_interval_ms());
+  log_options.server.fleet_key = options.fleet_key;
+  log_options.schedule.retention =
+      std::chrono::seconds(options.settings.platform().retention_s());
+  for (const VmInfo& peer : options.configured_peers) {
+    log_options.members.push_back(peer.ref.vm);
+  }
+  return log_options;
+}
+
 std::unique_ptr<routing::Router> MakeNodeRouter(
     const NodeOptions& options, upstream::UpstreamTable& upstreams) {
   routing::CostRouterOptions router_options;
@@ -75,14 +92,14 @@
              BudgetOptions(this->options.settings), this->rng.Fork("budget")),
       claims(this->shards, this->membership,
              ClaimOptions(this->options.settings), this->rng.Fork("request")),
-      log({.fleet_key = this->options.fleet_key,
-           .self = this->options.self.ref},
-          {.self = this->options.self.ref,
-           .fleet_key = this->options.fleet_key,
-           .interval = Milliseconds(
-               this->options.settings.platform().append_interval_ms())},
-          {&this->catalogue, &this->ledger, &this->shards},
-          {&this->escrow, &this->claims}),
+      replica({.fleet_key = this->options.fleet_key,
+               .self = this->options.self.ref},
+              {&this->catalogue, &this->ledger, &this->shards,
+               &this->placement_owners},
+              {&this->escrow, &this->claims}),
+      log(LogOptions(this->options), this->replica, this->membership),
+      placement({}, this->membership, this->placement_owners, this->upstreams),
+      burn(this->membership, this->catalogue),
       router(MakeNodeRouter(this->options, this->upstreams)),
       admission(request::AdmissionOptions{}),
       retries(request::RetryBudgetOptions{}, this->rng.Fork("retry")),
@@ -100,8 +117,26 @@
                 .budget_wait =
                     Milliseconds(this->options.settings.budget().wait_ms())}) {}
 
-void NodeParts::OnRequestEnd(TimePoint /*now*/, const RequestEnd& end) {
+void NodeParts::OnRequestEnd(TimePoint now, const RequestEnd& end) {
   this->metrics.Count(end);
+  this->burn.OnRequestEnd(now, end);
+}
+
+void NodeParts::AddRecords(TimePoint now, std::vector<pb::Record> records) {
+  this->backlog.insert(this->backlog.end(),
+                       std::make_move_iterator(records.begin()),
+                       std::make_move_iterator(records.end()));
+  if (this->backlog.empty()) return;
+  if (this->log.AddRecords(now, this->backlog)) this->backlog.clear();
+}
+
+void NodeParts::TakeAlarms() {
+  for (const Reason& alarm : this->log.TakeAlarms()) {
+    this->alarms.push_back(alarm.ToString());
+    if (this->alarms.size() > kMostAlarms) {
+      this->alarms.erase(this->alarms.begin());
+    }
+  }
 }
 
 void NodeParts::FollowCatalogue(TimePoint now) {
@@ -125,6 +160,12 @@
     this->retries.Forget(name);
     this->cache_cursors.erase(name);
   }
+  std::vector<pb::Placement> placements;
+  for (const auto* row : this->catalogue.OfKind("placement")) {
+    placements.push_back(row->entry.placement());
+  }
+  this->placement.SetWanted(placements);
+  this->burn.FollowCatalogue();
   for (const auto* row : this->catalogue.OfKind("organisation")) {
     const pb::Organisation& organisation = row->entry.organisation();
     this->admission.SetLimits(
--- a/fuchsiadrum/node/node_parts.h
+++ b/fuchsiadrum/node/node_parts.h
@@ -8,8 +8,10 @@
 #include "fuchsiadrum/budget/escrow_agent.h"
 #include "fuchsiadrum/budget/ledger.h"
 #include "fuchsiadrum/catalogue/catalogue.h"
+#include "fuchsiadrum/log/log_agent.h"
+#include "fuchsiadrum/log/replica.h"
 #include "fuchsiadrum/membership/membership_agent.h"
-#include "fuchsiadrum/node/log_link.h"
+#include "fuchsiadrum/node/burn_service.h"
 #include "fuchsiadrum/node/node.h"
 #include "fuchsiadrum/node/node_metrics.h"
 #include "fuchsiadrum/node/request_observer.h"
@@ -19,6 +21,8 @@
 #include "fuchsiadrum/request/retry_budget.h"
 #include "fuchsiadrum/request/shard_table.h"
 #include "fuchsiadrum/routing/router.h"
+#include "fuchsiadrum/upstream/placement_agent.h"
+#include "fuchsiadrum/upstream/placement_owners.h"
 #include "fuchsiadrum/upstream/upstream_table.h"
 
 namespace fuchsiadrum::node {
@@ -31,6 +35,10 @@
   void OnRequestEnd(TimePoint now, const RequestEnd& end) override;
   /// Takes the catalogue's upstreams and limits over after a change.
   void FollowCatalogue(TimePoint now);
+  /// Hands records over to the appender, keeping what it does not take.
+  void AddRecords(TimePoint now, std::vector<pb::Record> records);
+  /// Moves the log's alarms to the operators' list.
+  void TakeAlarms();
   /// Tells the upstream table what peers say of leaving upstreams.
   void FollowHints(TimePoint now);
 
@@ -42,13 +50,21 @@
   membership::MembershipAgent membership;
   budget::EscrowAgent escrow;
   request::ClaimAgent claims;
-  LogLink log;
+  upstream::PlacementOwners placement_owners;
+  log::Replica replica;
+  log::LogAgent log;
   upstream::UpstreamTable upstreams;
+  upstream::PlacementAgent placement;
+  BurnService burn;
   std::unique_ptr<routing::Router> router;
   request::Admission admission;
   request::RetryBudget retries;
   RequestPipeline pipeline;
   NodeMetrics metrics;
+  /// Records that the appender has not taken yet.
+  std::vector<pb::Record> backlog;
+  /// Moment of the last batch or bounds that the log answered directly.
+  TimePoint last_read;
   /// Next cache event expected from each upstream.
   std::map<std::string, uint64_t> cache_cursors;
   uint64_t catalogue_generation = 0;
