Refuse edits in the bench while the log cannot be reached

Change: an edit is taken only while the daemon, or a peer for it, reaches the log. The checks are the same.

--- a/bench/catalogue_operators.cc
+++ b/bench/catalogue_operators.cc
@@ -90,6 +90,9 @@
 
 bool CatalogueOperators::Send(size_t daemon, AuthoredEdit& authored) {
   FleetSlot& slot = this->fleet.Slots()[daemon];
+  // Without the log edits are refused; the operator tries again later.
+  if (!slot.daemon->membership.IsLogReachable()) return false;
+
   pb::Record record;
   *record.mutable_catalogue_edit() = authored.edit;
   if (!slot.daemon->log.AddRecords(this->queue.Now(), {record})) return false;
