--- a/bench/routing_faults.cc
+++ b/bench/routing_faults.cc
@@ -28,6 +28,7 @@
   add(FaultKind::kDies, 8, 20, runners);
   add(FaultKind::kSlow, 8, 20, runners);
   add(FaultKind::kZoneCut, 5, 15, zones);
+  add(FaultKind::kErrors, 2, 4, runners);
   add(FaultKind::kLeaves, 45, 45, runners);
   add(FaultKind::kLeaves, 45, 45, runners);
   return faults;
--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -71,6 +71,8 @@
     bool listed_leaving = false;
     bool drained_by_operator = false;
     bool gone = false;
+    /// Breaks every request.
+    bool failing = false;
     /// First time that any daemon was told.
     std::optional<TimePoint> told_at;
   };
@@ -100,6 +102,7 @@
   void StartLeaving(const Fault& fault);
   void FinishLeaving(size_t upstream, TimePoint limit);
   void SetZoneCut(size_t zone, bool cut);
+  void SetErrors(bool failing);
 
   void StartAttempt(size_t arrival,
                     std::vector<routing::UpstreamIndex> excluded);
--- a/bench/routing_fleet_faults.cc
+++ b/bench/routing_fleet_faults.cc
@@ -47,6 +47,10 @@
           this->SetZoneCut(fault.target, false);
         });
         break;
+      case FaultKind::kErrors:
+        this->queue.At(fault.from, [this] { this->SetErrors(true); });
+        this->queue.At(fault.until, [this] { this->SetErrors(false); });
+        break;
       case FaultKind::kLeaves:
         this->queue.At(fault.from,
                        [this, fault] { this->StartLeaving(fault); });
@@ -138,6 +142,13 @@
   }
 }
 
+void FleetRun::SetErrors(bool failing) {
+  for (size_t i = 0; i < this->upstreams.size(); ++i) {
+    Upstream& one = this->upstreams[i];
+    if (!one.service && i % 4 != 0) one.failing = failing;
+  }
+}
+
 void FleetRun::Gossip(size_t d) {
   if (this->IsOmniscient()) return;
   const Daemon& sender = this->daemons[d];
--- a/fuchsiadrum/upstream/upstream_state.h
+++ b/fuchsiadrum/upstream/upstream_state.h
@@ -59,7 +59,8 @@
   uint8_t leaving = 0;
   /// Removed from the choice for a time because of its failures.
   bool ejected = false;
-  /// Result of the last poll; true before the first one.
+  /// False from a failed poll until polls have succeeded for a while; true
+  /// before the first one.
   bool reachable = true;
   /// Observed models (never the ordered ones), version and role.
   std::vector<std::string> models;
--- a/fuchsiadrum/upstream/upstream_table.cc
+++ b/fuchsiadrum/upstream/upstream_table.cc
@@ -68,7 +68,7 @@
   const auto index = this->Find(name);
   if (!index) return this->Unknown("report", name);
   UpstreamState& state = this->states[*index];
-  state.reachable = report.reachable;
+  this->FollowReachability(now, *index, report.reachable);
   if (!report.reachable) return true;
 
   // Routing trusts only what the upstream says that it serves.
@@ -243,6 +243,20 @@
   return index;
 }
 
+void UpstreamTable::FollowReachability(TimePoint now, UpstreamIndex index,
+                                       bool answered) {
+  UpstreamState& state = this->states[index];
+  Extra& extra = this->extras[index];
+  if (!answered) {
+    state.reachable = false;
+    extra.answers_since.reset();
+    return;
+  }
+  if (state.reachable) return;
+  if (!extra.answers_since) extra.answers_since = now;
+  state.reachable = now - *extra.answers_since >= this->options.reconnect_hold;
+}
+
 void UpstreamTable::SetSourceBit(UpstreamIndex index, LeavingSource source,
                                  bool leaving) {
   uint8_t& bits = this->states[index].leaving;
--- a/fuchsiadrum/upstream/upstream_table.h
+++ b/fuchsiadrum/upstream/upstream_table.h
@@ -22,6 +22,10 @@
   /// Age of a load report's content when it arrives. Reports carry no time of
   /// their own.
   Duration report_lag = std::chrono::seconds(2);
+  /// Polls must succeed for this long before an unreachable upstream counts as
+  /// reachable again. The first reports may describe a time before it began to
+  /// leave; a heartbeat of each peer arrives within this time.
+  Duration reconnect_hold = std::chrono::milliseconds(500);
   /// An upstream's "not leaving" is believed only this long after it said that
   /// it leaves: reports that were made before are still on the way.
   Duration own_answer_hold = std::chrono::seconds(6);
@@ -107,6 +111,8 @@
   /// Facts that are not needed for a choice.
   struct Extra {
     TimePoint own_answer_at;
+    /// First poll that succeeded after one that failed.
+    std::optional<TimePoint> answers_since;
     TimePoint hint_at;
     uint32_t hint_hops = 0;
     FlightHistory history;
@@ -115,6 +121,7 @@
 
   ZoneIndex InternZone(const std::string& zone);
   UpstreamIndex TakeSlot(const std::string& name);
+  void FollowReachability(TimePoint now, UpstreamIndex index, bool answered);
   void SetSourceBit(UpstreamIndex index, LeavingSource source, bool leaving);
   void NoteInFlight(TimePoint now, UpstreamIndex index);
   int InFlightAt(UpstreamIndex index, TimePoint at) const;
--- a/tests/upstream/upstream_table_test.cc
+++ b/tests/upstream/upstream_table_test.cc
@@ -103,6 +103,22 @@
   EXPECT_EQ(this->table.At(this->index).in_flight, 8);
 }
 
+// Guards against new work right after a cut has healed, when the first reports
+// still describe the time before the upstream began to leave.
+TEST_F(UpstreamTableTest, OnReport_AfterFailedPoll_WaitsBeforeReachable) {
+  const auto poll = [this](int ms, bool answered) {
+    LoadReport report = Serving("m");
+    report.reachable = answered;
+    this->table.OnReport(kStart + std::chrono::milliseconds(ms), "r1", report);
+    return this->table.At(this->index).reachable;
+  };
+  EXPECT_TRUE(poll(0, true));
+  EXPECT_FALSE(poll(500, false));
+  EXPECT_FALSE(poll(1000, true));
+  EXPECT_FALSE(poll(1400, true));
+  EXPECT_TRUE(poll(1500, true));
+}
+
 // Guards against feedback of a removed upstream reaching its successor.
 TEST_F(UpstreamTableTest, Remove_SlotReused_HasAnotherEpoch) {
   const uint32_t epoch = this->table.At(this->index).epoch;
