--- a/bench/micro_budget.cc
+++ b/bench/micro_budget.cc
@@ -94,32 +94,32 @@
 /// Bytes of heap for each account and for each grant, and nanoseconds of one
 /// folded settlement.
 nlohmann::json MeasureState() {
-  constexpr int kAccounts = 1000;
-  constexpr int kGrantsEach = 9;
+  constexpr int64_t kAccounts = 1000;
+  constexpr int64_t kGrants = 9 * kAccounts;
   budget::Ledger ledger;
   uint64_t offset = 0;
   const auto used = [] { return static_cast<double>(mallinfo2().uordblks); };
 
   const double before = used();
-  for (int i = 0; i < kAccounts; ++i) {
+  for (int64_t i = 0; i < kAccounts; ++i) {
     ledger.Apply({offset++, 0}, {"operator", 1},
                  TopUpOf("organisation-" + std::to_string(i)));
   }
   const double with_accounts = used();
   std::vector<LogPosition> grants;
-  grants.reserve(kAccounts * kGrantsEach);
+  grants.reserve(kGrants);
   const double with_list = used();
-  for (int i = 0; i < kAccounts * kGrantsEach; ++i) {
+  for (int64_t i = 0; i < kGrants; ++i) {
     grants.push_back({offset, 0});
     ledger.Apply({offset++, 0}, {"vm-0", 1},
                  GrantOf("organisation-" + std::to_string(i % kAccounts)));
   }
   const double with_grants = used();
 
-  constexpr int kRounds = 50;
+  constexpr int64_t kRounds = 50;
   pb::Record record;
   const auto start = std::chrono::steady_clock::now();
-  for (int round = 1; round <= kRounds; ++round) {
+  for (int64_t round = 1; round <= kRounds; ++round) {
     record.mutable_settle()->set_spent(round * 100);
     for (const LogPosition grant : grants) {
       *record.mutable_settle()->mutable_grant() = grant.ToProto();
--- a/fuchsiadrum/budget/grant_keeper.cc
+++ b/fuchsiadrum/budget/grant_keeper.cc
@@ -155,8 +155,8 @@
   const Tokens left = account->available + account->open;
   const Tokens want = budget.sizer.Want(left, daemons);
   if (account->available.count > left.count / daemons) return;
-  if (budget.Unused() > Scaled(want, kSurplus))
-    this->ReturnSurplus(budget, out);
+  if (budget.Unused() <= Scaled(want, kSurplus)) return;
+  this->ReturnSurplus(budget, out);
 }
 
 void GrantKeeper::OnRecord(TimePoint now, LogPosition at,
