--- a/bench/micro_request.cc
+++ b/bench/micro_request.cc
@@ -155,6 +155,7 @@
   const auto waiting = static_cast<uint64_t>(organisations);
   request::Admission admission({.max_queued = waiting + 1});
   std::vector<std::string> names;
+  names.reserve(waiting);
   for (int i = 0; i < organisations; ++i) {
     names.push_back("organisation-" + std::to_string(i));
   }
--- a/bench/requests_upstream.h
+++ b/bench/requests_upstream.h
@@ -50,7 +50,8 @@
 class FakeUpstream {
  public:
   /// Runs an action on the daemon that holds the connection, or never.
-  using Post = std::function<void(std::function<void(AttemptListener&)>)>;
+  using Post =
+      std::function<void(const std::function<void(AttemptListener&)>&)>;
 
   FakeUpstream(std::string name, EventQueue& queue, RunRecord& record, Rng rng)
       : name(std::move(name)), queue(queue), record(record), rng(rng) {}
--- a/bench/requests_world.cc
+++ b/bench/requests_world.cc
@@ -269,7 +269,8 @@
              this->upstreams[upstream].Name());
   this->queue.After(kUpstreamDelay, [=, this] {
     this->upstreams[upstream].Receive(
-        dispatch, [this, i, life](std::function<void(AttemptListener&)> act) {
+        dispatch,
+        [this, i, life](const std::function<void(AttemptListener&)>& act) {
           this->Post(i, life, [act](BenchDaemon& daemon, TimePoint now) {
             daemon.SetNow(now);
             act(daemon);
