Let only a daemon that hears a majority reset a silent shard

Change: for silence alone a reset needs that the proposer hears more than half of all homes and witnesses, or two hours; known deaths still count at once. Conclusion: policy only; the safety argument does not use it.

--- a/bench/requests_bench.cc
+++ b/bench/requests_bench.cc
@@ -227,14 +227,16 @@
   if (this->totals.violations > static_cast<int>(record.violations.size())) {
     return;
   }
+  const World::Scene& scene = world.FirstViolation();
   std::cerr << "requests: seed " << seed << " breaks "
-            << record.violations.front().rule << "\n";
+            << record.violations.front().rule << " at step " << scene.step
+            << ", peer " << scene.peer << "\n";
   for (size_t i = 0; i < std::min<size_t>(5, record.violations.size()); ++i) {
     std::cerr << "  " << record.violations[i].rule << ": "
               << record.violations[i].text << "\n";
   }
   std::cerr << "last events:\n";
-  for (const std::string& line : world.LastEvents()) {
+  for (const std::string& line : scene.events) {
     std::cerr << "  " << line << "\n";
   }
   std::cerr << "repeat: build/fuchsiadrum-bench requests --runs 1 --seed "
--- a/bench/requests_record.cc
+++ b/bench/requests_record.cc
@@ -23,6 +23,9 @@
 }
 
 void RunRecord::Violate(const std::string& rule, const std::string& text) {
+  if (this->violations.empty() && this->on_first_violation) {
+    this->on_first_violation();
+  }
   this->violations.push_back({rule, text});
 }
 
--- a/bench/requests_record.h
+++ b/bench/requests_record.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -73,6 +73,8 @@
   const std::map<uint64_t, CallSpec>& Calls() const { return this->calls; }
 
   std::vector<Violation> violations;
+  /// Called at the first violation, to keep the events that led to it.
+  std::function<void()> on_first_violation;
   int double_runs = 0;
   int double_bills = 0;
   int false_not_run = 0;
--- a/bench/requests_world.cc
+++ b/bench/requests_world.cc
@@ -25,6 +25,9 @@
                          .loss = this->options.loss,
                          .duplicate = this->options.duplicate});
 
+  this->record.on_first_violation = [this] {
+    this->scene = {this->steps, this->acting, this->events};
+  };
   for (size_t i = 0; i < kDaemons; ++i) {
     const std::string name = "vm" + std::to_string(i + 1);
     this->fleet.push_back(
@@ -54,6 +57,7 @@
 void World::Note(const std::string& text) {
   const std::string line =
       std::to_string(this->queue.Now().us / 1000) + " ms: " + text;
+  ++this->steps;
   this->events.push_back(line);
   if (this->events.size() > kLastEvents) this->events.pop_front();
   if (this->options.trace != nullptr) *this->options.trace << line << "\n";
@@ -166,6 +170,7 @@
                  std::function<void(BenchDaemon&, TimePoint)> action) {
   Slot& slot = this->slots[i];
   if (!slot.up || slot.info.ref.incarnation != incarnation) return;
+  this->acting = slot.info.ref.vm;
   if (slot.paused) {
     slot.inbox.push_back(std::move(action));
     return;
--- a/bench/requests_world.h
+++ b/bench/requests_world.h
@@ -96,7 +96,13 @@
     this->on_reply = std::move(callback);
   }
   void Note(const std::string& text) override;
-  const std::deque<std::string>& LastEvents() const { return this->events; }
+  /// Step, acting peer and last events at the first violation.
+  struct Scene {
+    uint64_t step = 0;
+    std::string peer;
+    std::deque<std::string> events;
+  };
+  const Scene& FirstViolation() const { return this->scene; }
   std::string ZoneName(size_t index) const;
 
   bool log_up = true;
@@ -134,6 +140,9 @@
   std::map<std::string, size_t> index;
   OnCallerReply on_reply;
   std::deque<std::string> events;
+  uint64_t steps = 0;
+  std::string acting;
+  Scene scene;
   /// Terms whose end was counted; several daemons may propose it.
   std::set<std::pair<uint32_t, LogPosition>> ended;
 };
--- a/fuchsiadrum/request/claim_types.h
+++ b/fuchsiadrum/request/claim_types.h
@@ -90,6 +90,9 @@
   /// partition should end before. Known deaths (a newer incarnation of the VM)
   /// do not wait.
   Duration reset_after = std::chrono::seconds(60);
+  /// The same for a daemon that hears at most half of the homes and witnesses:
+  /// it is probably the one that is cut off.
+  Duration minority_reset_after = std::chrono::hours(2);
   /// A longer gap between two ticks means that this daemon was paused; its view
   /// of the peers is out of date for `assign_after`.
   Duration paused_after = std::chrono::seconds(1);
--- a/fuchsiadrum/request/shard_policy.cc
+++ b/fuchsiadrum/request/shard_policy.cc
@@ -1,5 +1,6 @@
 #include "fuchsiadrum/request/shard_policy.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "fuchsiadrum/core/hash.h"
@@ -207,7 +208,7 @@
   const Duration silent = this->SilentFor(now, state.home);
   if (silent < this->options.take_over_after) return;
   if (!witness.IsComplete(shard)) {
-    if (silent >= this->options.reset_after) this->Reset(now, shard, out);
+    if (this->MayReset(now, silent)) this->Reset(now, shard, out);
     return;
   }
 
@@ -227,14 +228,36 @@
 
 void ShardPolicy::TickAsOther(TimePoint now, uint32_t shard, Outbox& out) {
   const Shard& state = this->table.At(shard);
-  if (this->SilentFor(now, state.home) < this->options.reset_after ||
-      this->SilentFor(now, state.witness) < this->options.reset_after) {
-    return;
-  }
+  const Duration silent = std::min(this->SilentFor(now, state.home),
+                                   this->SilentFor(now, state.witness));
+  if (silent < this->options.reset_after) return;
   if (this->PreferredHome(shard).ref != this->peers.Self().ref) return;
+  if (!this->MayReset(now, silent)) return;
   this->Reset(now, shard, out);
 }
 
+bool ShardPolicy::MayReset(TimePoint now, Duration silent) const {
+  if (silent < this->options.reset_after) return false;
+  // A newer incarnation proves the death of the older one.
+  if (silent == Duration::max()) return true;
+  if (silent >= this->options.minority_reset_after) return true;
+
+  std::set<VmRef> holders;
+  for (uint32_t shard = 0; shard < this->table.Size(); ++shard) {
+    if (!this->table.At(shard).HasHome()) continue;
+    holders.insert(this->table.At(shard).home);
+    holders.insert(this->table.At(shard).witness);
+  }
+  size_t heard = 0;
+  for (const VmRef& holder : holders) {
+    const bool self = holder == this->peers.Self().ref;
+    if (self || this->SilentFor(now, holder) < this->options.replace_after) {
+      ++heard;
+    }
+  }
+  return heard * 2 > holders.size();
+}
+
 void ShardPolicy::Reset(TimePoint now, uint32_t shard, Outbox& out) {
   const Shard& state = this->table.At(shard);
   const VmInfo& self = this->peers.Self();
--- a/fuchsiadrum/request/shard_policy.h
+++ b/fuchsiadrum/request/shard_policy.h
@@ -46,6 +46,7 @@
   void TickAsWitness(TimePoint now, uint32_t shard, ClaimWitness& witness,
                      Outbox& out);
   void TickAsOther(TimePoint now, uint32_t shard, Outbox& out);
+  bool MayReset(TimePoint now, Duration silent) const;
   void TryAssign(TimePoint now, uint32_t shard, Outbox& out);
   void Reset(TimePoint now, uint32_t shard, Outbox& out);
   void ReplaceWitness(TimePoint now, uint32_t shard, const VmRef& next,
--- a/tests/request/claim_agent_test.cc
+++ b/tests/request/claim_agent_test.cc
@@ -138,6 +138,19 @@
   EXPECT_TRUE(this->fleet.proposed.back().has_shard_reset());
 }
 
+// Guards against a cut-off daemon that resets the shards of all others.
+TEST_F(ClaimAgentTest, Reset_DaemonThatHearsNobody_IsNotProposed) {
+  this->fleet.At("d").peers.silent = {{"a", std::chrono::minutes(5)},
+                                      {"b", std::chrono::minutes(5)},
+                                      {"c", std::chrono::minutes(5)}};
+  this->fleet.At("d").peers.alive.clear();
+  for (int i = 0; i < 8; ++i) {
+    this->fleet.now = this->fleet.now + std::chrono::milliseconds(500);
+    this->fleet.Tick("d");
+  }
+  EXPECT_TRUE(this->fleet.proposed.empty());
+}
+
 // Guards against calls of a lost term that run again, and against fresh keys
 // of the fleet that wait for an operator.
 TEST_F(ClaimAgentTest, Reset_OldKeyIsUnknown_IssuedKeyRuns) {
--- a/tests/request/claim_fleet.h
+++ b/tests/request/claim_fleet.h
@@ -22,13 +22,17 @@
   const std::vector<VmInfo>& AlivePeers() const override { return this->alive; }
   std::optional<Duration> SilentFor(TimePoint /*now*/,
                                     const VmRef& peer) const override {
-    return this->dead.contains(peer.vm) ? Duration::max() : Duration::zero();
+    if (this->dead.contains(peer.vm)) return Duration::max();
+    const auto found = this->silent.find(peer.vm);
+    return found == this->silent.end() ? Duration::zero() : found->second;
   }
   bool IsLogReachable() const override { return true; }
 
   VmInfo self;
   std::vector<VmInfo> alive;
+  /// Peers with a newer incarnation, and peers that are silent.
   std::set<std::string> dead;
+  std::map<std::string, Duration> silent;
 };
 
 /// A few agents with one log; the test delivers messages and records by hand.
