--- a/daemon/control.cc
+++ b/daemon/control.cc
@@ -121,12 +121,15 @@
 
 void Control::OnUpstream(const FromUpstream& item) {
   NodeActions actions;
-  const auto* event = std::get_if<node::AttemptEvent>(&item);
-  if (event == nullptr) {
-    this->core.OnUpstreamReport(Now(), std::get<node::UpstreamReport>(item),
-                                actions);
+  if (const auto* report = std::get_if<node::UpstreamReport>(&item)) {
+    this->core.OnUpstreamReport(Now(), *report, actions);
+    return this->Perform(actions);
+  }
+  if (const auto* placed = std::get_if<PlacementAnswered>(&item)) {
+    this->core.OnOrderAnswer(Now(), placed->upstream, placed->answer, actions);
     return this->Perform(actions);
   }
+  const auto* event = std::get_if<node::AttemptEvent>(&item);
   this->core.OnAttempt(Now(), *event, actions);
   this->Perform(actions);
   if (event->kind == node::AttemptEventKind::kCompleted) this->Complete(*event);
@@ -194,6 +197,9 @@
   for (node::RequestAction& action : actions.requests) {
     this->Perform(std::move(action));
   }
+  for (upstream::PlacementOrder& order : actions.orders) {
+    this->to_upstream.Send(std::move(order));
+  }
   this->UpdatePressure();
 }
 
--- a/daemon/decision_core.h
+++ b/daemon/decision_core.h
@@ -39,6 +39,9 @@
   virtual void OnUpstreamReport(TimePoint now,
                                 const node::UpstreamReport& report,
                                 node::NodeActions& out) = 0;
+  virtual void OnOrderAnswer(TimePoint /*now*/, const std::string& /*upstream*/,
+                             upstream::OrderAnswer /*answer*/,
+                             node::NodeActions& /*out*/) {}
   virtual node::Node::AdminAnswer OnAdmin(TimePoint now,
                                           const std::string& method,
                                           const std::string& target,
--- a/daemon/load_report.cc
+++ b/daemon/load_report.cc
@@ -38,6 +38,8 @@
   }
   const auto version = body.find("version");
   if (version != body.end() && version->is_string()) out.version = *version;
+  const auto role = body.find("role");
+  if (role != body.end() && role->is_string()) out.role = *role;
   const auto leaving = body.find("leaving");
   out.leaving = leaving != body.end() && *leaving == true;
   const auto sequence = body.find("cache_sequence");
@@ -69,4 +71,13 @@
   return out;
 }
 
+std::string PlacementOrderJson(const upstream::PlacementOrder& order) {
+  const json body = {{"fencing", order.fencing},
+                     {"models", order.models},
+                     {"adapters", order.adapters},
+                     {"version", order.version},
+                     {"role", order.role}};
+  return body.dump();
+}
+
 }  // namespace fuchsiadrum::daemon
--- a/daemon/load_report.h
+++ b/daemon/load_report.h
@@ -10,4 +10,7 @@
 /// not reachable; single wrong values are left out.
 node::UpstreamReport ParseLoadReport(const std::string& json);
 
+/// Body of a placement order to an engine.
+std::string PlacementOrderJson(const upstream::PlacementOrder& order);
+
 }  // namespace fuchsiadrum::daemon
--- a/daemon/messages.h
+++ b/daemon/messages.h
@@ -55,8 +55,15 @@
 struct PollOrder {
   std::vector<node::UpstreamAddress> upstreams;
 };
-using ToUpstream = std::variant<DispatchOrder, CancelOrder, PollOrder>;
-using FromUpstream = std::variant<node::AttemptEvent, node::UpstreamReport>;
+/// Upstream: an engine answered a placement order.
+struct PlacementAnswered {
+  std::string upstream;
+  upstream::OrderAnswer answer = upstream::OrderAnswer::kNoAnswer;
+};
+using ToUpstream = std::variant<DispatchOrder, CancelOrder, PollOrder,
+                                upstream::PlacementOrder>;
+using FromUpstream =
+    std::variant<node::AttemptEvent, node::UpstreamReport, PlacementAnswered>;
 
 /// Control: messages for other daemons.
 using ToPeers = std::vector<Envelope>;
--- a/daemon/node_core.h
+++ b/daemon/node_core.h
@@ -56,6 +56,11 @@
                         node::NodeActions& out) override {
     this->node.OnUpstreamReport(now, report, out);
   }
+  void OnOrderAnswer(TimePoint now, const std::string& upstream,
+                     upstream::OrderAnswer answer,
+                     node::NodeActions& out) override {
+    this->node.OnOrderAnswer(now, upstream, answer, out);
+  }
   node::Node::AdminAnswer OnAdmin(TimePoint now, const std::string& method,
                                   const std::string& target,
                                   const std::string& body,
--- a/daemon/upstream_client.cc
+++ b/daemon/upstream_client.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr size_t kMaxLoadBytes = 1U << 20U;
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
 
 }  // namespace
 
@@ -41,6 +43,9 @@
     this->Dispatch(std::move(*dispatch));
   } else if (const auto* cancel = std::get_if<CancelOrder>(&order)) {
     this->Cancel(*cancel);
+  } else if (const auto* place =
+                 std::get_if<upstream::PlacementOrder>(&order)) {
+    this->Order(*place);
   } else {
     for (const auto& upstream : std::get<PollOrder>(order).upstreams) {
       this->Poll(upstream);
@@ -110,6 +115,28 @@
   }
 }
 
+void UpstreamClient::Order(const upstream::PlacementOrder& order) {
+  if (this->placements.contains(order.upstream)) return;
+  const std::string name = order.upstream;
+  const auto call = std::make_shared<HttpCall>(
+      this->poll_pool.New(), this->poll_limits,
+      [this, name](const HttpAnswer& answer) {
+        this->placements.erase(name);
+        PlacementAnswered answered{.upstream = name};
+        if (answer.whole && answer.head.status == kConflict) {
+          answered.answer = upstream::OrderAnswer::kOldFencing;
+        } else if (answer.whole && answer.head.status == kOk) {
+          answered.answer = upstream::OrderAnswer::kAccepted;
+        }
+        this->Send(std::move(answered));
+      });
+  this->placements[name] = call;
+  call->StartNew(order.address,
+                 RequestText("POST", "/v1/orders", order.address,
+                             {{"Content-Type", "application/json"}},
+                             PlacementOrderJson(order)));
+}
+
 void UpstreamClient::OnLoad(const node::UpstreamAddress& upstream,
                             const HttpAnswer& answer) {
   node::UpstreamReport report;
--- a/daemon/upstream_client.h
+++ b/daemon/upstream_client.h
@@ -28,6 +28,8 @@
   void Cancel(const CancelOrder& order);
   void OnEvent(node::AttemptEvent event);
   void Poll(const node::UpstreamAddress& upstream);
+  /// Sends a placement order on a connection of its own.
+  void Order(const upstream::PlacementOrder& order);
   void OnLoad(const node::UpstreamAddress& upstream, const HttpAnswer& answer);
   void Send(FromUpstream item);
 
@@ -40,6 +42,7 @@
   ConnectionPool poll_pool;
   std::map<AttemptKey, std::shared_ptr<UpstreamAttempt>> attempts;
   std::map<std::string, std::shared_ptr<HttpCall>> polls;
+  std::map<std::string, std::shared_ptr<HttpCall>> placements;
 };
 
 }  // namespace fuchsiadrum::daemon
--- a/fuchsiadrum/node/node.cc
+++ b/fuchsiadrum/node/node.cc
@@ -173,6 +173,7 @@
                           .tokens_per_second = report.tokens_per_second,
                           .models = report.models,
                           .version = report.version,
+                          .role = report.role,
                           .leaving = report.leaving});
   if (report.reachable) {
     // Reports repeat events; the router wants each one once.
--- a/fuchsiadrum/node/node.h
+++ b/fuchsiadrum/node/node.h
@@ -64,6 +64,7 @@
   double tokens_per_second = 0;
   std::vector<std::string> models;
   std::string version;
+  std::string role;
   bool leaving = false;
   /// Cache events since the last report: hashes of cached prefixes and the
   /// sequence of the first one.
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -187,7 +187,11 @@
   if (order.contains("models")) {
     this->options.models = order["models"].get<std::vector<std::string>>();
   }
+  for (const auto& adapter : order.value("adapters", nlohmann::json::array())) {
+    this->options.models.push_back(adapter.get<std::string>());
+  }
   this->version = order.value("version", this->version);
+  this->role = order.value("role", this->role);
   co_await out.SendJson(200, this->Load());
 }
 
@@ -223,6 +227,7 @@
       {"tokens_per_second", this->options.tokens_per_second},
       {"models", this->options.models},
       {"version", this->version},
+      {"role", this->role},
       {"leaving", this->leaving},
       {"cache_sequence", this->next_event - this->cache_events.size()},
       {"cached_prefixes", cached}};
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -71,6 +71,7 @@
 
   EngineOptions options;
   std::string version = "1";
+  std::string role;
   uint64_t fencing = 0;
   uint32_t running = 0;
   uint32_t queued = 0;
