--- a/fuchsiadrum/request/claim_entry.cc
+++ b/fuchsiadrum/request/claim_entry.cc
@@ -96,12 +96,7 @@
   const auto found = this->waiting.find(reply.request_id());
   if (found == this->waiting.end() ||
       found->second.attempt != reply.attempt()) {
-    // A claim for an ask that was given up would block its key.
-    const auto late = this->abandoned.find(reply.request_id());
-    if (reply.answer() == pb::CLAIM_RUN && late != this->abandoned.end() &&
-        late->second.attempt == reply.attempt()) {
-      this->Post(now, this->DoneOf(late->second), out);
-    }
+    this->ReleaseLate(now, reply, out);
     return;
   }
 
@@ -147,6 +142,16 @@
   this->waiting.erase(reply.request_id());
 }
 
+void ClaimEntry::ReleaseLate(TimePoint now, const pb::ClaimReply& reply,
+                             Outbox& out) {
+  // A claim for an ask that was given up would block its key.
+  const auto late = this->abandoned.find(reply.request_id());
+  if (reply.answer() == pb::CLAIM_RUN && late != this->abandoned.end() &&
+      late->second.attempt == reply.attempt()) {
+    this->Post(now, this->DoneOf(late->second), out);
+  }
+}
+
 pb::ClaimDone ClaimEntry::DoneOf(const Asked& asked) const {
   pb::ClaimDone done;
   done.mutable_key()->set_organisation(asked.call.organisation);
--- a/fuchsiadrum/request/claim_entry.h
+++ b/fuchsiadrum/request/claim_entry.h
@@ -69,6 +69,7 @@
   void Decide(const Call& call, ClaimOutcome outcome, const char* text);
   void RunUnclaimed(const Asked& asked);
   void GiveUp(TimePoint now, const Asked& asked, Outbox& out);
+  void ReleaseLate(TimePoint now, const pb::ClaimReply& reply, Outbox& out);
   void Expire(TimePoint now, Outbox& out);
   void SendAsk(TimePoint now, Asked& asked, Outbox& out);
   void SendDone(TimePoint now, Unacknowledged& entry, Outbox& out);
