--- a/bench/micro_bench.cc
+++ b/bench/micro_bench.cc
@@ -1,6 +1,7 @@
 #include "bench/micro_bench.h"
 
 #include "bench/micro_budget.h"
+#include "bench/micro_membership.h"
 #include "bench/micro_request.h"
 #include "bench/micro_routing.h"
 #include "bench/micro_state.h"
@@ -18,6 +19,7 @@
             {"violations", 0},
             {"budget", MeasureBudget()},
             {"request", MeasureRequest()},
+            {"membership", MeasureMembership()},
             {"routing", MeasureRouting()},
             {"state", MeasureState()}};
   }
