--- a/bench/budget_run_checks.cc
+++ b/bench/budget_run_checks.cc
@@ -128,9 +128,9 @@
   const KillBound& kill = this->world->kills.front();
   for (const auto& [name, account] : this->world->reference.Accounts()) {
     for (const auto& [id, grant] : account.grants) {
-      const bool open = !grant.sealed && !grant.written_off;
-      if (grant.holder != kill.daemon || !open || !grant.IsWitnessed())
-        continue;
+      const bool open =
+          !grant.sealed && !grant.written_off && grant.IsWitnessed();
+      if (grant.holder != kill.daemon || !open) continue;
       this->unsealed_at = this->world->queue.Now();
     }
   }
