Remember at the home that a key may have run before

Change: the intent keeps may_have_run from a second claim on; its release keeps the record and is not confirmed. Keys are issued to known callers only.

--- a/bench/fleet/fleet.cc
+++ b/bench/fleet/fleet.cc
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-Fleet::Fleet(FleetOptions options, uint64_t seed)
+Fleet::Fleet(const FleetOptions& options, uint64_t seed)
     : options(options),
       rng(seed),
       network(queue, rng.Fork("network"),
@@ -357,8 +357,9 @@
       this->Drive(index,
                   [&](node::Node& node, TimePoint now, node::NodeActions& out) {
                     node.OnLogBounds(now, first, end, out);
-                    if (!batches.empty())
+                    if (!batches.empty()) {
                       node.OnLogBatches(now, from, batches, out);
+                    }
                   });
     });
   });
@@ -403,7 +404,8 @@
               });
 }
 
-void Fleet::Send(size_t index, node::RequestStart request, OnReply reply) {
+void Fleet::Send(size_t index, node::RequestStart request,
+                 const OnReply& reply) {
   Daemon& daemon = this->daemons[index];
   const uint64_t incarnation = daemon.incarnation;
   this->Deliver(index, incarnation, [=, this]() mutable {
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -43,7 +43,7 @@
  public:
   using OnReply = std::function<void(const CallerReply&)>;
 
-  Fleet(FleetOptions options, uint64_t seed);
+  Fleet(const FleetOptions& options, uint64_t seed);
 
   EventQueue& Queue() { return this->queue; }
   FakeNetwork& Network() { return this->network; }
@@ -62,7 +62,7 @@
 
   /// Sends a caller's request to a daemon; `reply` is not called if the daemon
   /// dies or the answer is lost.
-  void Send(size_t daemon, node::RequestStart request, OnReply reply);
+  void Send(size_t daemon, node::RequestStart request, const OnReply& reply);
   /// A request on the admin port.
   node::Node::AdminAnswer Admin(size_t daemon, const std::string& method,
                                 const std::string& target,
--- a/bench/matrix_bench.cc
+++ b/bench/matrix_bench.cc
@@ -90,8 +90,9 @@
 
   void PrintTable(const std::vector<Cell>& cells) const {
     std::cout << "| fault |";
-    for (const std::string& step : FleetSteps())
+    for (const std::string& step : FleetSteps()) {
       std::cout << " " << step << " |";
+    }
     std::cout << "\n| --- |";
     for (size_t i = 0; i < FleetSteps().size(); ++i) std::cout << " --- |";
     for (size_t i = 0; i < kFaultCount * FleetSteps().size(); ++i) {
--- a/fuchsiadrum/node/admin_api.cc
+++ b/fuchsiadrum/node/admin_api.cc
@@ -440,7 +440,12 @@
   return Ok({{"next_offset", this->parts.replica.FoldedOffset()}});
 }
 
-Answer AdminApi::PostKey(const Call& /*call*/) {
+Answer AdminApi::PostKey(const Call& call) {
+  // The front door passes the caller's key on; operators need none.
+  if (call.body.contains("bearer") &&
+      !this->parts.catalogue.OrganisationOfKey(Text(call.body, "bearer"))) {
+    return Fail(401, "the caller key is not known");
+  }
   const auto key = this->parts.claims.IssueKey();
   if (!key) return Fail(503, "no shard has a home yet");
   return Ok({{"key", *key}});
--- a/fuchsiadrum/request/claim_home.cc
+++ b/fuchsiadrum/request/claim_home.cc
@@ -149,6 +149,7 @@
   intent.set_request_id(ask.request_id());
   // An idempotent call of a lost term may have been billed before.
   intent.set_unbilled(lost_term && ask.idempotent());
+  intent.set_may_have_run(lost_term);
   intent.set_phase(pb::INTENT_RUNNING);
   KeyRecord* record = this->NewRecord(now, home, intent, out);
   if (record == nullptr) {
@@ -215,6 +216,9 @@
     out.messages.push_back(ReplyTo(from, ask, pb::CLAIM_UNKNOWN));
     return;
   }
+  // The earlier request has been told to run; a release of this one does not
+  // prove that the key never ran.
+  intent.set_may_have_run(true);
   this->Claim(now, home, record, from, ask, out);
 }
 
@@ -257,6 +261,13 @@
     return;
   }
 
+  if (record->intent.may_have_run()) {
+    home.keys.SetPhase(*record, pb::INTENT_UNKNOWN, now);
+    home.stream.Send(now, *record, out);
+    home.stream.ReplyAt(record->sequence, AckTo(from, done, false), out);
+    return;
+  }
+
   record->intent.set_phase(pb::INTENT_RELEASED);
   home.stream.Send(now, *record, out);
   const uint64_t sequence = record->sequence;
