--- a/bench/fleet/fleet_run.cc
+++ b/bench/fleet/fleet_run.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace fuchsiadrum::bench {
 namespace {
@@ -21,10 +22,16 @@
 constexpr Tokens kBudget(400000);
 constexpr size_t kTraceLength = 40;
 
-/// Steps that only the loss of a daemon brings about.
-bool NeedsDeadDaemon(const std::string& step) {
-  return step == "append:Seal" || step == "append:ShardTakeOver" ||
-         step == "append:ShardReplaceWitness";
+/// The fault that brings a step about; nullopt: the load does.
+std::optional<Fault> CauseOf(const std::string& step) {
+  if (step == "append:Seal" || step == "append:ShardTakeOver" ||
+      step == "append:ShardReplaceWitness") {
+    return Fault::kKill;
+  }
+  if (step == "append:Close" || step == "append:ShardHandOver") {
+    return Fault::kPlannedStop;
+  }
+  return std::nullopt;
 }
 
 /// One run over a fleet; see RunFleet.
@@ -99,10 +106,10 @@
     });
     if (this->options.step.empty()) {
       this->Trigger(this->rng.Below(this->fleet.Size()));
-    } else if (NeedsDeadDaemon(this->options.step)) {
-      const size_t dead = this->rng.Below(this->fleet.Size());
-      this->injected.emplace_back(Fault::kKill, dead);
-      this->faults.Inject(Fault::kKill, dead);
+    } else if (const auto cause = CauseOf(this->options.step)) {
+      const size_t daemon = this->rng.Below(this->fleet.Size());
+      this->injected.emplace_back(*cause, daemon);
+      this->faults.Inject(*cause, daemon);
       this->wait_for = 1;
     }
   }
@@ -247,6 +254,7 @@
                                                   "append:Seal",
                                                   "append:Return",
                                                   "append:Close",
+                                                  "append:ShardHandOver",
                                                   "append:CatalogueEdit",
                                                   "append:ShardTakeOver",
                                                   "append:ShardReplaceWitness"};
--- a/ctl/admin_client.cc
+++ b/ctl/admin_client.cc
@@ -72,7 +72,7 @@
         });
     context.run();
     if (error) throw beast::system_error(error);
-    return AdminResponse{.status = parser.get().result_int(),
+    return AdminResponse{.status = static_cast<int>(parser.get().result_int()),
                          .body = std::move(parser.get().body())};
   } catch (const std::exception& error) {
     this->last_reason = {.step = method + " " + target,
--- a/daemon/admin_connection.cc
+++ b/daemon/admin_connection.cc
@@ -76,7 +76,7 @@
                  .reply = {}};
   const bool asked = this->server.Pass(
       *this, std::move(call), [this](node::Node::AdminAnswer answer) {
-        this->Answer(answer.status, answer.content_type.c_str(),
+        this->Answer(answer.status, answer.content_type,
                      std::move(answer.json));
       });
   if (!asked) this->AnswerOverloaded();
