--- a/ctl/admin_client.cc
+++ b/ctl/admin_client.cc
@@ -1,9 +1,12 @@
 #include "ctl/admin_client.h"
 
-// Boost 1.74's Asio uses std::exchange without including its header.
+// Boost 1.74's Asio uses std::exchange without including <utility>.
+// clang-format off
+#include <utility>
+
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
-#include <utility>
+// clang-format on
 
 namespace fuchsiadrum::ctl {
 namespace {
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -63,7 +63,9 @@
     co_return;
   }
 
-  while (this->silent) co_await out.Sleep(kQueueStep);
+  while (this->silent) {
+    co_await out.Sleep(kQueueStep);
+  }
   if (this->leaving) out.Set("X-Leaving", "true");
   // The check takes every co_await for the same statement.
   // NOLINTNEXTLINE(bugprone-branch-clone)
@@ -96,7 +98,9 @@
 
   // Wait for a slot of the batch.
   ++this->queued;
-  while (this->running >= this->options.batch) co_await out.Sleep(kQueueStep);
+  while (this->running >= this->options.batch) {
+    co_await out.Sleep(kQueueStep);
+  }
   --this->queued;
   ++this->running;
 
@@ -139,7 +143,9 @@
   for (int64_t i = first; i < limit; ++i) {
     co_await out.Sleep(std::chrono::microseconds(
         static_cast<int64_t>(1e6 * this->TokenSeconds())));
-    while (this->silent) co_await out.Sleep(kQueueStep);
+    while (this->silent) {
+      co_await out.Sleep(kQueueStep);
+    }
     if (this->cut_after_tokens >= 0 && i >= this->cut_after_tokens) {
       out.Abort();
       co_return;
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -21,7 +21,9 @@
     co_await out.SendJson(200, this->Record());
     co_return;
   }
-  while (this->silent) co_await out.Sleep(kSilentStep);
+  while (this->silent) {
+    co_await out.Sleep(kSilentStep);
+  }
   if (this->leaving) out.Set("X-Leaving", "true");
   if (target == "/v1/load") {
     co_await out.SendJson(200, this->Load());
