--- a/setup.sh
+++ b/setup.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages and builds everything into build/.
 set -euo pipefail
 cd "$(dirname "$0")"
-packages="build-essential cmake ninja-build ccache pkg-config clang-format clang-tidy curl
+packages="build-essential cmake ninja-build ccache pkg-config clang-format clang-tidy curl python3
   libboost-dev libboost-log-dev libboost-thread-dev libnng-dev libcli11-dev libprotobuf-dev
   protobuf-compiler nlohmann-json3-dev librapidcheck-dev libgtest-dev libbenchmark-dev
   libxxhash-dev libssl-dev"
