Make one piece of code cancel an attempt

Cause: the read-through found the cancelling of an attempt written twice and one Retry-After constant in two files. Change: RequestPipeline::CancelAttempt and PipelineOptions hold them once; a doc comment on the ledger tests' daemons. Behaviour is unchanged.

--- a/fuchsiadrum/node/request_attempts.cc
+++ b/fuchsiadrum/node/request_attempts.cc
@@ -9,8 +9,6 @@
 namespace fuchsiadrum::node {
 namespace {
 
-constexpr Duration kUnavailableRetryAfter = std::chrono::seconds(2);
-
 int ToSeconds(Duration duration) {
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(duration);
   return static_cast<int>(seconds.count());
@@ -122,7 +120,7 @@
       .reason = event.kind == AttemptEventKind::kSilent
                     ? "the upstream went silent"
                     : "the upstream broke off",
-      .retry_after = kUnavailableRetryAfter};
+      .retry_after = this->options.unavailable_retry_after};
   if (request.may_have_run) {
     this->EndUncertain(now, request, answer, out);
   } else {
@@ -167,6 +165,16 @@
   // A keyed request runs to its end, so that a retry finds its answer.
   if (!request.start.idempotency_key.empty()) return;
 
+  this->CancelAttempt(now, request);
+  // The caller got a part of the answer; the upstream worked for it.
+  const Tokens used =
+      std::min(request.reserved, request.start.prompt_bound + event.streamed);
+  this->Settle(now, request, used);
+  this->ReportDone(now, request, {.ran = true, .outcome_known = true}, out);
+  this->Finish(now, request, used);
+}
+
+void RequestPipeline::CancelAttempt(TimePoint now, ActiveRequest& request) {
   RequestAction cancel;
   cancel.kind = RequestActionKind::kCancel;
   cancel.handle = request.start.handle;
@@ -175,12 +183,6 @@
   this->parts.router.OnFailed(now, *request.dispatch,
                               routing::FailureKind::kCancelled);
   request.dispatch.reset();
-  // The caller got a part of the answer; the upstream worked for it.
-  const Tokens used =
-      std::min(request.reserved, request.start.prompt_bound + event.streamed);
-  this->Settle(now, request, used);
-  this->ReportDone(now, request, {.ran = true, .outcome_known = true}, out);
-  this->Finish(now, request, used);
 }
 
 void RequestPipeline::Reply(TimePoint now, ActiveRequest& request,
@@ -272,7 +274,7 @@
   const Answer answer{.status = 504,
                       .step = "deadline",
                       .reason = "the deadline passed",
-                      .retry_after = kUnavailableRetryAfter};
+                      .retry_after = this->options.unavailable_retry_after};
   if (request.stage != Stage::kRunning) {
     if (request.may_have_run) {
       this->EndUncertain(now, request, answer, out);
@@ -290,14 +292,7 @@
     this->Reply(now, request, told);
     return;
   }
-  RequestAction cancel;
-  cancel.kind = RequestActionKind::kCancel;
-  cancel.handle = request.start.handle;
-  cancel.attempt = request.attempt;
-  this->actions.push_back(std::move(cancel));
-  this->parts.router.OnFailed(now, *request.dispatch,
-                              routing::FailureKind::kCancelled);
-  request.dispatch.reset();
+  this->CancelAttempt(now, request);
   this->EndUncertain(now, request, answer, out);
 }
 
--- a/fuchsiadrum/node/request_pipeline.cc
+++ b/fuchsiadrum/node/request_pipeline.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration kInProgressRetryAfter = std::chrono::seconds(1);
-constexpr Duration kUnavailableRetryAfter = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -104,7 +103,7 @@
       // This attempt did not run, but an earlier one with the same key may
       // have, and its home cannot be asked.
       answer.outcome = Outcome::kUnknown;
-      answer.retry_after = kUnavailableRetryAfter;
+      answer.retry_after = this->options.unavailable_retry_after;
       break;
     case ClaimOutcome::kKeyReused:
       answer.status = 422;
@@ -203,7 +202,7 @@
   const std::string reason = this->parts.router.LastReason().text;
   const Answer answer{.step = "choose",
                       .reason = reason,
-                      .retry_after = kUnavailableRetryAfter};
+                      .retry_after = this->options.unavailable_retry_after};
   if (request.may_have_run) {
     this->EndUncertain(now, request, answer, out);
   } else {
--- a/fuchsiadrum/node/request_pipeline.h
+++ b/fuchsiadrum/node/request_pipeline.h
@@ -47,6 +47,8 @@
   Duration upstream_wait = std::chrono::seconds(5);
   /// Longest wait for the home to confirm that a key did not run.
   Duration release_wait = std::chrono::milliseconds(500);
+  /// Retry-After while no upstream or no home can be had.
+  Duration unavailable_retry_after = std::chrono::seconds(2);
 };
 
 /// Carries each caller's request through the parts of one daemon.
@@ -137,6 +139,8 @@
                        const AttemptEvent& event, Outbox& out);
   void OnCallerGone(TimePoint now, ActiveRequest& request,
                     const AttemptEvent& event, Outbox& out);
+  /// Orders the front door to close the stream of the present attempt.
+  void CancelAttempt(TimePoint now, ActiveRequest& request);
   bool TryAgain(TimePoint now, ActiveRequest& request,
                 const AttemptEvent& event);
   void Settle(TimePoint now, ActiveRequest& request, Tokens used);
--- a/tests/budget/test_records.h
+++ b/tests/budget/test_records.h
@@ -6,6 +6,7 @@
 
 namespace fuchsiadrum::budget {
 
+/// Daemons of the ledger tests.
 inline const VmRef kHolder{"holder", 1};
 inline const VmRef kFine{"fine", 1};
 inline const VmRef kCoarse{"coarse", 1};
