--- /dev/null
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -0,0 +1,216 @@
+#include "fuchsiadrum/budget/grant_holder.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "fuchsiadrum/core/assert.h"
+
+namespace fuchsiadrum::budget {
+namespace {
+
+double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+}  // namespace
+
+GrantHolder::GrantHolder(const GrantHolderOptions& holder_options,
+                         const GrantTable& grant_table)
+    : options(holder_options), table(grant_table), rng(holder_options.seed) {}
+
+void GrantHolder::SetLimit(const std::string& organisation,
+                           std::optional<Tokens> limit) {
+  Pool& pool = this->pools[organisation];
+  const std::optional<Tokens> before = pool.limit;
+  pool.limit = limit;
+  if (!limit || !before || *limit >= *before) return;
+
+  // The recorded totals were within the old limit only. What is not in use is
+  // given back, and asked for again under the new one.
+  if (this->table.SumsOf(organisation).granted > *limit) {
+    pool.usable = std::min(pool.usable, this->InUse(pool));
+  }
+}
+
+ReserveResult GrantHolder::Reserve(TimePoint now,
+                                   const std::string& organisation,
+                                   Tokens amount) {
+  Pool& pool = this->pools[organisation];
+  if (!pool.limit) {
+    pool.reserved += amount;
+    return ReserveResult::kReserved;
+  }
+  if (this->closed) return ReserveResult::kHeldElsewhere;
+
+  if (this->InUse(pool) + amount <= pool.usable) {
+    this->NoteDemand(now, pool, amount);
+    pool.reserved += amount;
+    return ReserveResult::kReserved;
+  }
+
+  // Others' spend as recorded, the own one as it is.
+  const GrantTable::Sums sums = this->table.SumsOf(organisation);
+  const RecordedGrant own = this->table.Of(organisation, this->options.holder);
+  const Tokens others_spent = sums.spent - own.spent;
+  if (others_spent + this->InUse(pool) + amount > *pool.limit) {
+    return ReserveResult::kExhausted;
+  }
+
+  pool.wanted = std::max(pool.wanted, amount);
+  const Tokens free = *pool.limit - (sums.granted - own.granted);
+  if (this->InUse(pool) + amount > free) return ReserveResult::kHeldElsewhere;
+  return ReserveResult::kNotYet;
+}
+
+void GrantHolder::Settle(const std::string& organisation, Tokens amount,
+                         Tokens spent) {
+  Pool& pool = this->pools[organisation];
+  FD_ASSERT(pool.reserved >= amount, "settled more than was reserved");
+  FD_ASSERT(!pool.limit || spent <= amount, "spent more than was reserved");
+  pool.reserved -= amount;
+  pool.spent += spent;
+}
+
+std::vector<GrantUpdate> GrantHolder::PlanWrite(TimePoint now) {
+  if (!this->in_flight.empty()) return {};
+
+  for (auto& [name, pool] : this->pools) {
+    if (!pool.limit) continue;
+    const std::optional<Tokens> total = this->NextTotal(now, name, pool);
+    if (!total) continue;
+
+    // A lower total binds at once, a higher one when it was read back.
+    pool.asked = *total;
+    pool.usable = std::min(pool.usable, *total);
+    pool.pending = true;
+    pool.recorded_at = now;
+    pool.recorded_spent = pool.spent;
+    this->in_flight.push_back(
+        {.organisation = name,
+         .grant = {.granted = *total, .spent = pool.spent}});
+  }
+  return this->in_flight;
+}
+
+void GrantHolder::OnWritten() { this->in_flight.clear(); }
+
+void GrantHolder::OnRefused() {
+  for (const GrantUpdate& update : this->in_flight) {
+    Pool& pool = this->pools[update.organisation];
+    const RecordedGrant recorded =
+        this->table.Of(update.organisation, this->options.holder);
+    pool.asked = recorded.granted;
+    pool.usable = std::min(pool.usable, pool.asked);
+    pool.pending = false;
+  }
+  this->in_flight.clear();
+}
+
+void GrantHolder::OnOwnRecord(TimePoint now, const std::string& organisation,
+                              bool consistent) {
+  const auto found = this->pools.find(organisation);
+  if (found == this->pools.end() || !consistent) return;
+  this->Judge(now, organisation, found->second);
+}
+
+void GrantHolder::OnConsistent(TimePoint now) {
+  for (auto& [name, pool] : this->pools) this->Judge(now, name, pool);
+}
+
+void GrantHolder::Judge(TimePoint now, const std::string& name, Pool& pool) {
+  if (!pool.pending || !pool.limit) return;
+  const RecordedGrant own = this->table.Of(name, this->options.holder);
+  if (own.granted != pool.asked) return;
+
+  pool.pending = false;
+  if (pool.asked <= pool.usable) return;
+  if (this->table.SumsOf(name).granted <= *pool.limit) {
+    pool.usable = pool.asked;
+    pool.wanted = Tokens(0);
+    return;
+  }
+  const auto pause = static_cast<int64_t>(
+      this->rng.Unit() *
+      static_cast<double>(this->options.collision_pause.count()));
+  pool.pause_until = now + Duration(pause);
+}
+
+bool GrantHolder::IsWanting() const {
+  return std::ranges::any_of(this->pools, [](const auto& entry) {
+    return entry.second.wanted.count > 0;
+  });
+}
+
+Tokens GrantHolder::Available(const std::string& organisation) const {
+  const auto found = this->pools.find(organisation);
+  if (found == this->pools.end()) return Tokens(0);
+  return found->second.usable - this->InUse(found->second);
+}
+
+Tokens GrantHolder::Target(const Pool& pool,
+                           const GrantTable::Sums& sums) const {
+  const double horizon = Seconds(this->options.horizon);
+  const double by_demand = pool.demand * horizon;
+  const auto free =
+      static_cast<double>(std::max<int64_t>(0, pool.limit->count - sums.granted.count));
+  const double by_rest =
+      free * this->options.pooled_share / std::max(1, sums.holders);
+  return Tokens(static_cast<int64_t>(std::min(by_demand, by_rest)));
+}
+
+std::optional<Tokens> GrantHolder::NextTotal(TimePoint now,
+                                             const std::string& name,
+                                             Pool& pool) {
+  this->NoteDemand(now, pool, Tokens(0));
+  const GrantTable::Sums sums = this->table.SumsOf(name);
+  const RecordedGrant own = this->table.Of(name, this->options.holder);
+  const Tokens in_use = this->InUse(pool);
+  if (this->closed) {
+    if (pool.asked == in_use) return std::nullopt;
+    return in_use;
+  }
+
+  // A grant beyond the budget is taken back before another one is asked for.
+  if (!pool.pending && pool.asked > pool.usable) return pool.usable;
+
+  const Tokens target = this->Target(pool, sums);
+  const Tokens left = pool.usable - in_use;
+  const auto low = static_cast<int64_t>(
+      this->options.low_water * static_cast<double>(target.count));
+  if (left < pool.wanted || left.count < low) {
+    if (pool.pending || now < pool.pause_until) return std::nullopt;
+    const Tokens free = *pool.limit - (sums.granted - own.granted);
+    const Tokens total =
+        std::min(in_use + std::max(target, pool.wanted), free);
+    if (total > pool.asked && total >= in_use + pool.wanted) return total;
+    // Not enough is free: whoever waits asks again when it is.
+    pool.wanted = Tokens(0);
+    return std::nullopt;
+  }
+
+  const auto high = static_cast<int64_t>(
+      this->options.high_water * static_cast<double>(target.count));
+  if (!pool.pending && left.count > high && left > pool.wanted) {
+    const Tokens total = in_use + std::max(target, pool.wanted);
+    if (total < pool.asked) return total;
+  }
+  if (!pool.pending && this->IsSpendStale(now, pool, sums)) return pool.asked;
+  return std::nullopt;
+}
+
+bool GrantHolder::IsSpendStale(TimePoint now, const Pool& pool,
+                               const GrantTable::Sums& sums) const {
+  if (pool.spent == pool.recorded_spent) return false;
+  if (now - pool.recorded_at < this->options.refresh_interval) return false;
+  const auto rest = static_cast<double>(pool.limit->count - sums.granted.count);
+  return rest <
+         this->options.refresh_below * static_cast<double>(pool.limit->count);
+}
+
+void GrantHolder::NoteDemand(TimePoint now, Pool& pool, Tokens amount) const {
+  const double memory = Seconds(this->options.demand_memory);
+  const double elapsed = Seconds(now - pool.demand_at);
+  pool.demand *= std::exp(-elapsed / memory);
+  pool.demand += static_cast<double>(amount.count) / memory;
+  pool.demand_at = now;
+}
+
+}  // namespace fuchsiadrum::budget
--- /dev/null
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fuchsiadrum/budget/grant_table.h"
+#include "fuchsiadrum/core/rng.h"
+#include "fuchsiadrum/core/types.h"
+
+namespace fuchsiadrum::budget {
+
+/// Options of a holder.
+struct GrantHolderOptions {
+  /// Name and incarnation of the gateway.
+  std::string holder;
+  uint64_t seed = 1;
+  /// Demand that a full pool covers: it bounds what a crash strands, and how
+  /// long a gateway serves without the store. Outages of the store of 4 to 9 s
+  /// are ordinary.
+  Duration horizon = std::chrono::seconds(5);
+  /// Part of the tokens not granted to anyone that all pools together may
+  /// hold. Keeps the end of a budget within everyone's reach.
+  double pooled_share = 0.3;
+  /// Time constant of the measured demand.
+  Duration demand_memory = std::chrono::seconds(4);
+  /// A pool is filled up when it falls below this part of its target.
+  double low_water = 0.5;
+  /// A pool above its target by this factor gives the rest back.
+  double high_water = 2.0;
+  /// Pause after a grant that went beyond the budget: another holder asked at
+  /// the same time. Drawn up to this, so that the two do not meet again.
+  Duration collision_pause = std::chrono::milliseconds(200);
+  /// Part of the budget left ungranted below which the recorded spend is kept
+  /// fresh, and the interval at which it is.
+  double refresh_below = 0.15;
+  Duration refresh_interval = std::chrono::seconds(1);
+};
+
+/// A grant to be written to the stream.
+struct GrantUpdate {
+  std::string organisation;
+  RecordedGrant grant;
+};
+
+/// Result of a reservation.
+enum class ReserveResult {
+  kReserved,
+  /// The pool is empty; a grant is being asked for.
+  kNotYet,
+  /// All tokens are granted, some of them to other holders that have not spent
+  /// them as far as is known.
+  kHeldElsewhere,
+  /// The rest of the budget does not cover the amount.
+  kExhausted,
+};
+
+/// One gateway's share of the prepaid budgets.
+///
+/// Safety: the holder spends only below a total that it has read back from the
+/// stream at a position where the recorded totals of all holders did not exceed
+/// the budget, and it records a lower total only after it has stopped using the
+/// difference. So at each position of the stream the usable totals are at most
+/// the recorded ones, and those were within the budget whenever one rose. No
+/// clock and no belief about other gateways is in the argument; a grant of a
+/// dead holder stays counted.
+class GrantHolder {
+ public:
+  GrantHolder(const GrantHolderOptions& holder_options,
+              const GrantTable& grant_table);
+
+  /// The organisation's budget; empty: not limited.
+  void SetLimit(const std::string& organisation, std::optional<Tokens> limit);
+
+  /// Takes the amount from the pool.
+  ReserveResult Reserve(TimePoint now, const std::string& organisation,
+                        Tokens amount);
+  /// Ends a reservation of `amount`, of which `spent` were used.
+  void Settle(const std::string& organisation, Tokens amount, Tokens spent);
+
+  /// What to write now; empty: nothing, or a write is under way. The same
+  /// updates must be written until an outcome is known.
+  std::vector<GrantUpdate> PlanWrite(TimePoint now);
+  /// The last planned write is in the stream.
+  void OnWritten();
+  /// The last planned write is known not to be in the stream and never will be.
+  void OnRefused();
+  /// The table has just taken over the own record of this organisation.
+  void OnOwnRecord(TimePoint now, const std::string& organisation,
+                   bool consistent);
+  /// The table has become consistent after a restart of its reading.
+  void OnConsistent(TimePoint now);
+  /// Gives all unused tokens back; no reservation succeeds from now on.
+  void Close() { this->closed = true; }
+
+  /// True if a reservation waits for a grant.
+  bool IsWanting() const;
+  /// Tokens that can be reserved at once.
+  Tokens Available(const std::string& organisation) const;
+
+ private:
+  struct Pool {
+    std::optional<Tokens> limit;
+    /// Total that may be spent, total last recorded or asked for.
+    Tokens usable;
+    Tokens asked;
+    Tokens spent;
+    Tokens reserved;
+    /// Largest amount that found the pool empty since the last grant.
+    Tokens wanted;
+    /// Tokens per second.
+    double demand = 0;
+    TimePoint demand_at;
+    TimePoint pause_until;
+    TimePoint recorded_at;
+    Tokens recorded_spent;
+    /// The asked total is not yet read back.
+    bool pending = false;
+  };
+
+  Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
+  Tokens Target(const Pool& pool, const GrantTable::Sums& sums) const;
+  std::optional<Tokens> NextTotal(TimePoint now, const std::string& name,
+                                  Pool& pool);
+  bool IsSpendStale(TimePoint now, const Pool& pool,
+                    const GrantTable::Sums& sums) const;
+  void NoteDemand(TimePoint now, Pool& pool, Tokens amount) const;
+  void Judge(TimePoint now, const std::string& name, Pool& pool);
+
+  GrantHolderOptions options;
+  const GrantTable& table;
+  Rng rng;
+  std::map<std::string, Pool> pools;
+  std::vector<GrantUpdate> in_flight;
+  bool closed = false;
+};
+
+}  // namespace fuchsiadrum::budget
--- /dev/null
+++ b/fuchsiadrum/budget/grant_table.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "fuchsiadrum/core/types.h"
+
+namespace fuchsiadrum::budget {
+
+/// What one holder has recorded for one organisation: totals since its start.
+struct RecordedGrant {
+  Tokens granted;
+  /// Settled spend when the record was written; a lower bound.
+  Tokens spent;
+};
+
+/// The newest recorded grant of every holder. It is only ever replaced record
+/// by record, so readers that start at different offsets agree.
+class GrantTable {
+ public:
+  /// Sums over all holders of one organisation.
+  struct Sums {
+    Tokens granted;
+    Tokens spent;
+    /// Holders with tokens that are granted and not known as spent.
+    int holders = 0;
+  };
+
+  void Set(const std::string& organisation, const std::string& holder,
+           const RecordedGrant& grant);
+  void Erase(const std::string& organisation, const std::string& holder);
+
+  Sums SumsOf(const std::string& organisation) const;
+  /// Zero without a record.
+  RecordedGrant Of(const std::string& organisation,
+                   const std::string& holder) const;
+
+ private:
+  struct Account {
+    std::map<std::string, RecordedGrant> grants;
+    Sums sums;
+  };
+
+  static void Add(Sums& sums, const RecordedGrant& grant, int sign);
+
+  std::map<std::string, Account> accounts;
+};
+
+}  // namespace fuchsiadrum::budget
--- /dev/null
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -0,0 +1,57 @@
+#include "fuchsiadrum/serving/attempt_policy.h"
+
+#include <array>
+
+namespace fuchsiadrum::serving {
+
+std::string_view AttemptOutcomeName(AttemptOutcome outcome) {
+  static constexpr std::array<std::string_view, 8> kNames = {
+      "complete", "not-sent",      "rejected",    "failed",
+      "broken",   "broken-midway", "caller-gone", "timed-out"};
+  return kNames[static_cast<size_t>(outcome)];
+}
+
+bool MayRepeat(const Route& route, const AttemptState& state) {
+  if (state.time_left < kLeastTimeForAttempt) return false;
+  switch (state.outcome) {
+    case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kRejected:
+      return state.misses < kMostMisses;
+    case AttemptOutcome::kFailed:
+      return route.kind == RequestKind::kSafe &&
+             state.runs < route.max_attempts;
+    case AttemptOutcome::kBroken:
+    case AttemptOutcome::kBrokenMidway:
+      return route.IsIdempotent() && state.runs < route.max_attempts;
+    case AttemptOutcome::kComplete:
+    case AttemptOutcome::kCallerGone:
+    case AttemptOutcome::kTimedOut:
+      return false;
+  }
+  return false;
+}
+
+NextStep StepAfter(const Route& route, const AttemptState& state,
+                   bool repeat) {
+  if (repeat && MayRepeat(route, state)) return NextStep::kRetry;
+  switch (state.outcome) {
+    case AttemptOutcome::kComplete:
+      return NextStep::kDone;
+    case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kRejected:
+      // A refusal promises that no attempt ran the request.
+      return state.runs == 0 ? NextStep::kRefuse : NextStep::kGiveUp;
+    case AttemptOutcome::kFailed:
+      return NextStep::kRelay;
+    case AttemptOutcome::kBroken:
+      return NextStep::kGiveUp;
+    case AttemptOutcome::kTimedOut:
+      return state.runs == 0 ? NextStep::kRefuse : NextStep::kTimeOut;
+    case AttemptOutcome::kBrokenMidway:
+    case AttemptOutcome::kCallerGone:
+      return NextStep::kAbort;
+  }
+  return NextStep::kAbort;
+}
+
+}  // namespace fuchsiadrum::serving
--- /dev/null
+++ b/fuchsiadrum/serving/event_splitter.cc
@@ -0,0 +1,68 @@
+#include "fuchsiadrum/serving/event_splitter.h"
+
+#include <charconv>
+
+namespace fuchsiadrum::serving {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+/// Length of the first whole event with its blank line; 0: none is whole.
+size_t FirstEventSize(std::string_view text) {
+  for (size_t at = text.find('\n'); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    size_t next = at + 1;
+    if (next < text.size() && text[next] == '\r') ++next;
+    if (next < text.size() && text[next] == '\n') return next + 1;
+  }
+  return 0;
+}
+
+std::optional<uint64_t> EventId(std::string_view event) {
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      while (line.starts_with(' ')) line.remove_prefix(1);
+      uint64_t id = 0;
+      const auto result =
+          std::from_chars(line.data(), line.data() + line.size(), id);
+      if (result.ec == std::errc()) return id;
+      return std::nullopt;
+    }
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+int EventSplitter::Feed(std::string_view bytes, std::string& out) {
+  this->rest.append(bytes);
+  std::string_view left = this->rest;
+  int events = 0;
+  for (size_t size = FirstEventSize(left); size > 0;
+       size = FirstEventSize(left)) {
+    const std::string_view event = left.substr(0, size);
+    if (this->IsNew(event)) {
+      out.append(event);
+      ++events;
+    }
+    left.remove_prefix(size);
+  }
+  this->rest.erase(0, this->rest.size() - left.size());
+  return events;
+}
+
+bool EventSplitter::IsNew(std::string_view event) {
+  const std::optional<uint64_t> id = EventId(event);
+  if (!id) return true;
+  if (this->last && *id <= *this->last) return false;
+  if (this->last && *id != *this->last + 1) this->gap = true;
+  this->last = id;
+  return true;
+}
+
+}  // namespace fuchsiadrum::serving
--- /dev/null
+++ b/fuchsiadrum/serving/fleet_upstream.cc
@@ -0,0 +1,104 @@
+#include "fuchsiadrum/serving/fleet_upstream.h"
+
+#include <algorithm>
+
+namespace fuchsiadrum::serving {
+namespace {
+
+/// Bounds of one observation of slowness: a single stalled request must not
+/// take an upstream out of use.
+constexpr double kLeastSlowness = 0.3;
+constexpr double kMostSlowness = 6.0;
+
+}  // namespace
+
+int64_t PromptCache::CachedTokens(std::span<const PromptPart> parts) const {
+  int64_t tokens = 0;
+  for (const PromptPart& part : parts) {
+    if (!this->entries.contains(part.id)) break;
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
+void PromptCache::Use(std::span<const PromptPart> parts) {
+  // The first part ends up as the most recent one: a part is of use only while
+  // all parts before it are cached.
+  for (size_t i = parts.size(); i-- > 0;) {
+    const PromptPart& part = parts[i];
+    const auto found = this->entries.find(part.id);
+    if (found != this->entries.end()) {
+      this->recent.splice(this->recent.begin(), this->recent, found->second);
+      continue;
+    }
+    this->recent.push_front({.id = part.id, .tokens = part.tokens});
+    this->entries[part.id] = this->recent.begin();
+    this->used += part.tokens;
+  }
+
+  while (this->used > this->capacity && this->recent.size() > 1) {
+    const Entry& oldest = this->recent.back();
+    this->used -= oldest.tokens;
+    this->entries.erase(oldest.id);
+    this->recent.pop_back();
+  }
+}
+
+void PromptCache::Clear() {
+  this->recent.clear();
+  this->entries.clear();
+  this->used = 0;
+}
+
+FleetUpstream::FleetUpstream(UpstreamEntry upstream_entry,
+                             const UpstreamOptions& opts)
+    : entry(std::move(upstream_entry)),
+      cache(opts.default_memory_tokens),
+      options(opts) {}
+
+int FleetUpstream::Running(TimePoint now) const {
+  if (now - this->report_at > this->options.report_lifetime) {
+    return this->in_flight;
+  }
+  const int since = this->in_flight - this->in_flight_at_report;
+  return std::max(this->in_flight, this->report.running + since);
+}
+
+int FleetUpstream::Waiting(TimePoint now) const {
+  if (now - this->report_at > this->options.report_lifetime) return 0;
+  return this->report.waiting;
+}
+
+void FleetUpstream::OnReport(TimePoint now, const LoadReport& load) {
+  this->report = load;
+  this->report_at = now;
+  this->in_flight_at_report = this->in_flight;
+}
+
+void FleetUpstream::OnSuccess(TimePoint /*now*/, double slowness_ratio) {
+  const double weight = this->options.outcome_weight;
+  this->failure_ratio *= 1 - weight;
+  this->failures = 0;
+  this->ejections = 0;
+  if (slowness_ratio <= 0) return;
+  const double bounded =
+      std::clamp(slowness_ratio, kLeastSlowness, kMostSlowness);
+  this->slowness += weight * (bounded - this->slowness);
+}
+
+void FleetUpstream::OnFailure(TimePoint now) {
+  const double weight = this->options.outcome_weight;
+  this->failure_ratio += weight * (1 - this->failure_ratio);
+  ++this->failures;
+  if (this->failures < this->options.failures_to_eject) return;
+
+  const Duration time = std::min(
+      this->options.longest_ejection,
+      this->options.first_ejection * (int64_t{1} << std::min(this->ejections, 10)));
+  ++this->ejections;
+  this->ejected_until = now + time;
+  // One more failure after the pause ejects it again.
+  this->failures = this->options.failures_to_eject - 1;
+}
+
+}  // namespace fuchsiadrum::serving
--- /dev/null
+++ b/fuchsiadrum/serving/placement.cc
@@ -0,0 +1,112 @@
+#include "fuchsiadrum/serving/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "fuchsiadrum/core/hash.h"
+
+namespace fuchsiadrum::serving {
+
+namespace detail {
+
+uint64_t Preference(uint64_t part, std::string_view upstream) {
+  return Hash64(upstream, part);
+}
+
+}  // namespace detail
+
+namespace {
+
+/// The part that decides the preference: the longest chain of parts that other
+/// requests share. The last part belongs to one request or session.
+uint64_t SharedPart(std::span<const PromptPart> parts) {
+  if (parts.empty()) return 0;
+  return parts.size() == 1 ? parts[0].id : parts[parts.size() - 2].id;
+}
+
+bool IsExcluded(const PlacementRequest& request, const std::string& id) {
+  return std::ranges::find(request.excluded, id) != request.excluded.end();
+}
+
+}  // namespace
+
+std::optional<PlacementChoice> Placement::Choose(
+    TimePoint now, std::span<const FleetUpstreamPtr> candidates,
+    const PlacementRequest& request) {
+  std::vector<const FleetUpstreamPtr*> usable;
+  for (const FleetUpstreamPtr& candidate : candidates) {
+    if (IsExcluded(request, candidate->entry.id)) continue;
+    if (!candidate->IsEjected(now)) usable.push_back(&candidate);
+  }
+  // More than half ejected has another cause than the upstreams: use them all.
+  if (usable.size() * 2 < candidates.size()) {
+    usable.clear();
+    for (const FleetUpstreamPtr& candidate : candidates) {
+      if (!IsExcluded(request, candidate->entry.id)) {
+        usable.push_back(&candidate);
+      }
+    }
+  }
+  if (usable.empty()) {
+    this->reason = {.step = "place", .text = "no upstream of the service"};
+    return std::nullopt;
+  }
+
+  // Rank by preference, so that the same prompt meets the same cache.
+  const uint64_t shared = SharedPart(request.parts);
+  if (request.has_prompt) {
+    std::ranges::sort(usable, std::greater<>(), [&](const auto* candidate) {
+      return detail::Preference(shared, (*candidate)->entry.id);
+    });
+  }
+
+  std::optional<PlacementChoice> best;
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (size_t rank = 0; rank < usable.size(); ++rank) {
+    const FleetUpstreamPtr& candidate = *usable[rank];
+    const int64_t uncached =
+        request.prompt_tokens - candidate->cache.CachedTokens(request.parts);
+    const double expected =
+        this->ExpectedMs(now, *candidate, request, uncached);
+
+    double cost = expected;
+    if (request.has_prompt && rank >= this->options.preferred) {
+      cost += this->options.displacement * this->options.ms_per_token *
+              static_cast<double>(uncached);
+    }
+    if (candidate->entry.availability_zone != this->options.availability_zone) {
+      cost += this->options.other_zone_ms;
+    }
+    cost += this->options.failure_ms * candidate->FailureRatio();
+    cost *= 1 + this->options.noise * this->rng.Unit();
+    if (cost >= best_cost) continue;
+
+    best_cost = cost;
+    best = PlacementChoice{.upstream = candidate,
+                           .expected_ms = expected,
+                           .uncached_tokens = uncached};
+  }
+  best->candidates = usable.size();
+  return best;
+}
+
+double Placement::ExpectedMs(TimePoint now, const FleetUpstream& upstream,
+                             const PlacementRequest& request,
+                             int64_t uncached) const {
+  const int running = upstream.Running(now);
+  const int waiting = upstream.Waiting(now);
+  if (!request.has_prompt) {
+    const int slots = std::max(1, upstream.entry.slots);
+    const double rounds = static_cast<double>(running + waiting) / slots;
+    return upstream.Slowness() * this->options.service_ms * (1 + rounds);
+  }
+
+  const auto tokens = static_cast<double>(uncached + upstream.pending_tokens);
+  const double work = this->options.fixed_ms +
+                      this->options.ms_per_token * tokens +
+                      this->options.ms_per_running * running +
+                      this->options.ms_per_waiting * waiting;
+  return upstream.Slowness() * work;
+}
+
+}  // namespace fuchsiadrum::serving
--- /dev/null
+++ b/fuchsiadrum/serving/retry_allowance.cc
@@ -0,0 +1,33 @@
+#include "fuchsiadrum/serving/retry_allowance.h"
+
+namespace fuchsiadrum::serving {
+
+void RetryAllowance::OnRequest(TimePoint now, const std::string& service) {
+  Window& window = this->windows[service];
+  this->Expire(now, window);
+  window.requests.push_back(now);
+}
+
+bool RetryAllowance::Take(TimePoint now, const std::string& service) {
+  Window& window = this->windows[service];
+  this->Expire(now, window);
+  const double allowed =
+      this->options.margin *
+      (this->options.ratio * static_cast<double>(window.requests.size()) +
+       this->options.slack * this->options.slack_share);
+  if (static_cast<double>(window.repeats.size()) + 1 > allowed) return false;
+  window.repeats.push_back(now);
+  return true;
+}
+
+void RetryAllowance::Expire(TimePoint now, Window& window) const {
+  const TimePoint oldest = now - this->options.window;
+  while (!window.requests.empty() && window.requests.front() < oldest) {
+    window.requests.pop_front();
+  }
+  while (!window.repeats.empty() && window.repeats.front() < oldest) {
+    window.repeats.pop_front();
+  }
+}
+
+}  // namespace fuchsiadrum::serving
--- /dev/null
+++ b/fuchsiadrum/store/keyed_view.cc
@@ -0,0 +1,73 @@
+#include "fuchsiadrum/store/keyed_view.h"
+
+#include <algorithm>
+
+namespace fuchsiadrum::store {
+
+KeyedView::NextRead KeyedView::Next() const {
+  return {.tail = this->reading_tail,
+          .from = this->tail_from,
+          .after_key = this->after_key};
+}
+
+void KeyedView::OnNewest(const NewestPage& page) {
+  if (this->first_page) {
+    this->tail_from = page.end_offset;
+    this->first_page = false;
+  }
+  this->pages_end = page.end_offset;
+  for (const KeyedRecord& record : page.records) {
+    this->seen[record.key] = record.offset;
+    this->Apply(record);
+    this->after_key = record.key;
+  }
+  if (page.more && !page.records.empty()) return;
+
+  this->DropUnseen();
+  this->reading_tail = true;
+  this->consistent = this->tail_from >= this->pages_end;
+}
+
+void KeyedView::OnTail(const TailPage& page) {
+  for (const KeyedRecord& record : page.records) this->Apply(record);
+  this->tail_from = std::max(this->tail_from, page.next_offset);
+  if (this->tail_from >= this->pages_end) this->consistent = true;
+}
+
+void KeyedView::OnExpired() {
+  this->reading_tail = false;
+  this->consistent = false;
+  this->first_page = true;
+  this->after_key.clear();
+  this->seen.clear();
+}
+
+void KeyedView::Apply(const KeyedRecord& record) {
+  const auto known = this->offsets.find(record.key);
+  if (known != this->offsets.end() && known->second >= record.offset) return;
+
+  if (record.value) {
+    this->offsets[record.key] = record.offset;
+  } else if (known != this->offsets.end()) {
+    this->offsets.erase(known);
+  }
+  this->change(record);
+}
+
+void KeyedView::DropUnseen() {
+  // A key that no page named was deleted in the part of the history that was
+  // missed.
+  std::vector<std::string> dropped;
+  for (const auto& [key, offset] : this->offsets) {
+    if (!this->seen.contains(key) && offset < this->tail_from) {
+      dropped.push_back(key);
+    }
+  }
+  for (const std::string& key : dropped) {
+    this->offsets.erase(key);
+    this->change({.key = key, .value = std::nullopt});
+  }
+  this->seen.clear();
+}
+
+}  // namespace fuchsiadrum::store
--- /dev/null
+++ b/gateway/asio.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/// Asio and the aliases of the gateway.
+#include "daemon/asio.h"
+
+namespace fuchsiadrum::gateway {
+
+namespace asio = daemon::asio;
+using daemon::ErrorCode;
+using daemon::Tcp;
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/budget_keeper.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "fuchsiadrum/budget/grant_holder.h"
+#include "fuchsiadrum/serving/serving_config.h"
+#include "gateway/stream_follower.h"
+#include "schema/fleet.pb.h"
+
+namespace fuchsiadrum::gateway {
+
+/// Options of the keeper.
+struct BudgetKeeperOptions {
+  std::string vm;
+  std::string availability_zone;
+  std::string peer_address;
+  uint64_t incarnation = 0;
+  std::string store_address;
+  Duration store_timeout = std::chrono::milliseconds(600);
+  /// How often the fleet's stream is read. Others' grants are known this late.
+  Duration read_interval = std::chrono::milliseconds(500);
+  /// Shortest time between two writes, unless a request waits for a grant.
+  Duration write_interval = std::chrono::milliseconds(250);
+};
+
+/// Carries the decisions of a budget::GrantHolder to and from the fleet's
+/// stream in the store, and keeps this gateway listed there.
+class BudgetKeeper {
+ public:
+  BudgetKeeper(const BudgetKeeperOptions& opts, asio::io_context& context,
+               Watchdog& watchdog, EventLog& log);
+
+  /// Runs reader and writer for good.
+  void Start();
+  /// Takes over the budgets of a configuration.
+  void OnConfig(const serving::ServingConfig& config);
+
+  /// Reserves tokens, waiting for a grant up to `patience` if others hold
+  /// enough that may come back.
+  asio::awaitable<budget::ReserveResult> Reserve(std::string organisation,
+                                                 Tokens amount,
+                                                 Duration patience);
+  void Settle(const std::string& organisation, Tokens amount, Tokens spent);
+  /// Gives unused tokens back.
+  void Close();
+  /// True once nothing is left to be written.
+  bool IsFlushed() const { return this->flushed; }
+
+  Tokens Available(const std::string& organisation) const {
+    return this->holder.Available(organisation);
+  }
+  bool IsLost() const { return this->follower.IsLost(); }
+  uint64_t Calls() const {
+    return this->follower.Calls() + this->writer_client.Calls();
+  }
+  /// Other gateways: addresses by VM name.
+  const std::map<std::string, std::string>& Peers() const {
+    return this->peers;
+  }
+
+ private:
+  void OnRecord(const store::KeyedRecord& record);
+  void OnRead();
+  asio::awaitable<void> WriteLoop();
+  asio::awaitable<void> Append(std::vector<store::KeyedRecord> records);
+  void LogRefusal(const StoreReply& reply);
+  store::KeyedRecord MemberRecord() const;
+  store::KeyedRecord GrantRecord(const budget::GrantUpdate& update) const;
+
+  BudgetKeeperOptions options;
+  std::string name;
+  asio::io_context& context;
+  EventLog& event_log;
+  budget::GrantTable table;
+  budget::GrantHolder holder;
+  StreamFollower follower;
+  StoreClient writer_client;
+  platform::Writer writer;
+  SignalGate granted;
+  SignalGate wanted;
+  std::map<std::string, std::string> peers;
+  /// Organisation and holder of each grant's key, for its deletion.
+  std::map<std::string, std::pair<std::string, std::string>> grant_keys;
+  bool was_consistent = false;
+  bool flushed = false;
+};
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/caller_connection.cc
@@ -0,0 +1,229 @@
+#include "gateway/caller_connection.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+
+#include "gateway/clock.h"
+#include "gateway/gateway_core.h"
+#include "gateway/request_task.h"
+#include "platform/request_codec.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Time in which the caller has to take a refusal before the connection closes.
+constexpr Duration kLingerTime = std::chrono::milliseconds(500);
+
+/// Framing that two readers could take differently: a request hidden in the
+/// body of another one must not be found.
+bool HasAmbiguousFraming(const http::request_header<>& head) {
+  const size_t lengths = head.count(http::field::content_length);
+  const size_t codings = head.count(http::field::transfer_encoding);
+  if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1)) return true;
+  if (codings == 1 &&
+      !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")) {
+    return true;
+  }
+  return head.count(http::field::host) != 1;
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(Tcp::socket accepted,
+                                   GatewayCore& gateway_core)
+    : socket(std::move(accepted)), core(gateway_core) {
+  ErrorCode ignored;
+  this->socket.set_option(Tcp::no_delay(true), ignored);
+  this->core.Callers().insert(this);
+}
+
+CallerConnection::~CallerConnection() { this->core.Callers().erase(this); }
+
+asio::awaitable<void> CallerConnection::Run() {
+  const auto self = this->shared_from_this();
+  while (this->socket.is_open()) {
+    this->idle = true;
+    if (this->buffer.size() == 0 && !co_await this->WaitForBytes()) break;
+    this->idle = false;
+    std::optional<serving::CallerRequest> request =
+        co_await this->ReadRequest();
+    if (!request) break;
+
+    this->NeverExpire();
+    this->close_after = request->close_after;
+    this->served_one = true;
+    RequestTask task(this->core, *this, std::move(*request));
+    const bool whole = co_await task.Run();
+    this->Disarm();
+    if (!whole || this->MustClose()) break;
+  }
+  ErrorCode ignored;
+  if (this->socket.is_open()) {
+    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+  this->socket.close(ignored);
+}
+
+asio::awaitable<bool> CallerConnection::WaitForBytes() {
+  const serving::CallerLimits limits = this->core.Limits();
+  this->ExpireAt(Now() + (this->served_one ? limits.idle_timeout
+                                           : limits.header_timeout));
+  ErrorCode error;
+  co_await this->socket.async_wait(
+      Tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+  co_return !error && this->socket.is_open();
+}
+
+asio::awaitable<std::optional<serving::CallerRequest>>
+CallerConnection::ReadRequest() {
+  const serving::CallerLimits limits = this->core.Limits();
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
+  parser.body_limit(limits.body_bytes);
+
+  this->ExpireAt(Now() + limits.header_timeout);
+  ErrorCode error;
+  co_await http::async_read_header(
+      this->socket, this->buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error == http::error::header_limit) {
+    co_await this->Refuse(431, "header too large", "");
+    co_return std::nullopt;
+  }
+  if (error == http::error::body_limit) {
+    co_await this->Refuse(413, "body too large", "");
+    co_return std::nullopt;
+  }
+  if (error) {
+    const bool malformed =
+        error.category() == http::make_error_code(http::error::bad_method)
+                                .category() &&
+        error != http::error::end_of_stream &&
+        error != http::error::partial_message;
+    if (malformed) co_await this->Refuse(400, "malformed head", "");
+    co_return std::nullopt;
+  }
+  if (HasAmbiguousFraming(parser.get())) {
+    co_await this->Refuse(400, "ambiguous framing", "");
+    co_return std::nullopt;
+  }
+
+  if (boost::beast::iequals(parser.get()[http::field::expect],
+                            "100-continue") &&
+      !co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n")) {
+    co_return std::nullopt;
+  }
+  this->ExpireAt(Now() + limits.idle_timeout);
+  co_await http::async_read(this->socket, this->buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error == http::error::body_limit) {
+    co_await this->Refuse(413, "body too large", "");
+    co_return std::nullopt;
+  }
+  if (error) co_return std::nullopt;
+
+  std::string reason;
+  std::optional<serving::CallerRequest> request =
+      platform::DecodeRequest(parser.get(), reason);
+  if (!request) {
+    co_await this->Refuse(400, reason, "");
+    co_return std::nullopt;
+  }
+  request->body = std::move(parser.get().body());
+  co_return request;
+}
+
+asio::awaitable<void> CallerConnection::Refuse(int status, std::string reason,
+                                               const std::string& request_id) {
+  this->LogBadInput(status, reason);
+  this->ExpireAt(Now() + kLingerTime);
+  const std::string text =
+      platform::EncodeOwnAnswer(status, request_id, std::nullopt, true);
+  co_await this->Write(text);
+  ErrorCode ignored;
+  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+void CallerConnection::LogBadInput(int status, const std::string& reason) {
+  this->core.Log().Write("bad-input", {{"status", static_cast<int64_t>(status)},
+                                       {"reason", reason}});
+}
+
+asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
+  ErrorCode error;
+  co_await asio::async_write(
+      this->socket, asio::buffer(bytes.data(), bytes.size()),
+      asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+void CallerConnection::Abort() {
+  ErrorCode ignored;
+  this->socket.close(ignored);
+}
+
+bool CallerConnection::MustClose() const {
+  return this->close_after || this->core.IsStopping();
+}
+
+void CallerConnection::CloseIdle() {
+  // Bytes that have arrived are a request: it is read and answered.
+  ErrorCode error;
+  if (this->idle && this->socket.is_open() &&
+      this->socket.available(error) == 0) {
+    this->Abort();
+  }
+}
+
+void CallerConnection::Arm(TimePoint deadline,
+                           std::function<void(bool caller_gone)> handler) {
+  this->interrupt = std::move(handler);
+  this->ExpireAt(deadline);
+  if (this->buffer.size() == 0) this->WatchForEnd();
+}
+
+void CallerConnection::Disarm() {
+  this->interrupt = nullptr;
+  this->NeverExpire();
+  // Ends the wait for the caller's end; the next request starts its own.
+  ErrorCode ignored;
+  if (this->watching && this->socket.is_open()) this->socket.cancel(ignored);
+}
+
+void CallerConnection::WatchForEnd() {
+  if (this->watching) return;
+  this->watching = true;
+  this->socket.async_wait(
+      Tcp::socket::wait_read,
+      [self = this->shared_from_this()](ErrorCode error) {
+        self->watching = false;
+        if (error || !self->interrupt) return;
+        char byte = 0;
+        const ssize_t got = recv(self->socket.native_handle(), &byte, 1,
+                                 MSG_PEEK | MSG_DONTWAIT);
+        // Bytes are the next request, which waits for its turn.
+        const bool gone =
+            got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        if (gone) self->Interrupt(true);
+      });
+}
+
+void CallerConnection::Interrupt(bool caller_gone) {
+  if (!this->interrupt) return;
+  const auto handler = std::move(this->interrupt);
+  this->interrupt = nullptr;
+  handler(caller_gone);
+}
+
+void CallerConnection::OnExpired() {
+  if (this->interrupt) {
+    this->Interrupt(false);
+  } else {
+    this->Abort();
+  }
+}
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/gateway.cc
@@ -0,0 +1,145 @@
+#include "gateway/gateway.h"
+
+#include <csignal>
+#include <memory>
+#include <vector>
+
+#include "gateway/caller_connection.h"
+#include "gateway/clock.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+/// Resolution of time limits. Each tick costs a wake-up of the processor.
+constexpr Duration kTick = std::chrono::milliseconds(25);
+/// Time after SIGTERM in which the balancer still sends new callers: it asks
+/// once a second and takes a VM out after two misses.
+constexpr Duration kBalancerDelay = std::chrono::milliseconds(2800);
+/// Interval at which a stopping gateway looks whether all is done.
+constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+/// Part of the grace time that open requests may use.
+constexpr double kGracePart = 0.94;
+/// Longest wait for the last write to the store.
+constexpr Duration kFlushTime = std::chrono::milliseconds(600);
+
+asio::awaitable<void> Sleep(Duration time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor,
+                           std::chrono::microseconds(time));
+  ErrorCode ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+Gateway::Gateway(const pb::GatewaySettings& gateway_settings)
+    : settings(gateway_settings),
+      core(gateway_settings, this->context),
+      acceptor(this->context),
+      readiness(this->context, this->core.Timeouts(),
+                [this](std::string_view) {
+                  return PageServer::Page{this->core.IsReady() ? 200 : 503, ""};
+                }),
+      metrics(this->context, this->core.Timeouts(), [this](std::string_view) {
+        return PageServer::Page{200, this->core.MetricsText()};
+      }) {}
+
+std::string Gateway::Open() {
+  std::string reason =
+      OpenAcceptor(this->acceptor, this->settings.listen().callers());
+  if (reason.empty()) {
+    reason = this->readiness.Open(this->settings.listen().readiness());
+  }
+  if (reason.empty()) {
+    reason = this->metrics.Open(this->settings.listen().metrics());
+  }
+  return reason;
+}
+
+void Gateway::Run() {
+  this->core.Log().Write(
+      "start", {{"zone", this->settings.vm().availability_zone()},
+                {"callers", this->settings.listen().callers()},
+                {"store", this->settings.store().address()}});
+  this->core.Start();
+  asio::co_spawn(this->context, this->AcceptLoop(), asio::detached);
+  asio::co_spawn(this->context, this->TickLoop(), asio::detached);
+  asio::co_spawn(this->context, this->WaitForSignals(), asio::detached);
+  this->context.run();
+  this->core.Log().Write("stop", {});
+  this->core.Log().Flush();
+}
+
+asio::awaitable<void> Gateway::AcceptLoop() {
+  while (true) {
+    ErrorCode error;
+    Tcp::socket socket = co_await this->acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted ||
+        error == asio::error::bad_descriptor) {
+      co_return;
+    }
+    if (error) {
+      // Out of descriptors: wait until connections have ended.
+      co_await Sleep(kTick);
+      continue;
+    }
+    auto caller =
+        std::make_shared<CallerConnection>(std::move(socket), this->core);
+    this->core.Timeouts().Watch(*caller);
+    asio::co_spawn(
+        this->context,
+        [caller]() -> asio::awaitable<void> { co_await caller->Run(); },
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> Gateway::TickLoop() {
+  while (true) {
+    co_await Sleep(kTick);
+    this->core.OnTick(Now());
+  }
+}
+
+asio::awaitable<void> Gateway::WaitForSignals() {
+  asio::signal_set signals(this->context, SIGTERM, SIGINT, SIGHUP);
+  while (true) {
+    ErrorCode error;
+    const int signal = co_await signals.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    if (signal != SIGHUP) break;
+    // The addresses are fixed for the life of the process; all else comes from
+    // the store.
+    this->core.Log().Write("reload", {{"changed", false}});
+  }
+  asio::co_spawn(this->context, this->Stop(), asio::detached);
+}
+
+asio::awaitable<void> Gateway::Stop() {
+  const TimePoint begin = Now();
+  const auto grace = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(this->settings.stop().grace_s() *
+                                    kGracePart));
+  this->core.BeginStop();
+  this->core.Budgets().Close();
+
+  // Callers that the balancer still sends are served.
+  while (Now() - begin < kBalancerDelay) co_await Sleep(kStopPoll);
+  ErrorCode ignored;
+  this->acceptor.close(ignored);
+
+  while (!this->core.Callers().empty() && Now() - begin < grace) {
+    std::vector<CallerConnection*> callers(this->core.Callers().begin(),
+                                           this->core.Callers().end());
+    for (CallerConnection* caller : callers) caller->CloseIdle();
+    co_await Sleep(kStopPoll);
+  }
+  const TimePoint flush_begin = Now();
+  while (!this->core.Budgets().IsFlushed() &&
+         Now() - flush_begin < kFlushTime) {
+    co_await Sleep(kTick);
+  }
+  this->context.stop();
+}
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/gateway_core.cc
@@ -0,0 +1,179 @@
+#include "gateway/gateway_core.h"
+
+#include <algorithm>
+
+#include "gateway/clock.h"
+#include "platform/config_codec.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+/// How long the store holds a read of the configuration; a silent connection is
+/// found after this time and the store's timeout.
+constexpr Duration kConfigHold = std::chrono::milliseconds(1000);
+/// Pause between reads of the upstreams' entries. Each reads all heartbeats
+/// since; leaving upstreams must be known within the drain time.
+constexpr Duration kUpstreamInterval = std::chrono::milliseconds(350);
+/// Age of the last read of the configuration above which a change may be
+/// unknown: a held read, its timeout and some slack.
+constexpr Duration kConfigFresh = std::chrono::milliseconds(1800);
+constexpr Duration kPoolSweep = std::chrono::milliseconds(500);
+
+Duration StoreTimeout(const pb::GatewaySettings& settings) {
+  return std::chrono::milliseconds(settings.store().timeout_ms());
+}
+
+serving::RetryAllowanceOptions RetryOptions(
+    const pb::GatewaySettings& settings) {
+  return {.ratio = settings.bounds().retry_ratio(),
+          .slack = settings.bounds().retry_slack(),
+          .window = std::chrono::duration_cast<Duration>(
+              std::chrono::duration<double>(
+                  settings.bounds().retry_window_s()))};
+}
+
+BudgetKeeperOptions BudgetOptions(const pb::GatewaySettings& settings) {
+  return {.vm = settings.vm().name(),
+          .availability_zone = settings.vm().availability_zone(),
+          .peer_address = settings.listen().peers(),
+          .incarnation = daemon::StartIncarnation(),
+          .store_address = settings.store().address(),
+          .store_timeout = StoreTimeout(settings)};
+}
+
+}  // namespace
+
+GatewayCore::GatewayCore(const pb::GatewaySettings& gateway_settings,
+                         asio::io_context& io_context)
+    : settings(gateway_settings),
+      context(io_context),
+      log({.vm = gateway_settings.vm().name()}),
+      rng(daemon::StartIncarnation()),
+      directory(serving::UpstreamDirectoryOptions()),
+      placement(
+          {.seed = daemon::StartIncarnation(),
+           .availability_zone = gateway_settings.vm().availability_zone()}),
+      retries(RetryOptions(gateway_settings)),
+      pool(UpstreamPoolOptions(), io_context, this->watchdog),
+      config_follower(
+          {.stream = platform::Stream::kOperators,
+           .hold = kConfigHold,
+           .timeout = StoreTimeout(gateway_settings)},
+          {.on_change = [this](const auto& r) { this->OnConfigRecord(r); },
+           .on_read = [] {},
+           .on_regained = [] {}},
+          io_context, this->watchdog, this->log,
+          gateway_settings.store().address()),
+      upstream_follower(
+          {.stream = platform::Stream::kUpstreams,
+           .interval = kUpstreamInterval,
+           .timeout = StoreTimeout(gateway_settings)},
+          {.on_change = [this](const auto& r) { this->OnUpstreamRecord(r); },
+           .on_read = [] {},
+           .on_regained =
+               [this] { this->directory.OnStoreBack(Now()); }},
+          io_context, this->watchdog, this->log,
+          gateway_settings.store().address()),
+      budgets(BudgetOptions(gateway_settings), io_context, this->watchdog,
+              this->log) {}
+
+void GatewayCore::Start() {
+  asio::co_spawn(this->context, this->config_follower.Run(), asio::detached);
+  asio::co_spawn(this->context, this->upstream_follower.Run(), asio::detached);
+  this->budgets.Start();
+}
+
+void GatewayCore::OnTick(TimePoint now) {
+  this->watchdog.Check(now);
+  if (now - this->pool_swept >= kPoolSweep) {
+    this->pool_swept = now;
+    this->pool.OnTick(now);
+    this->directory.OnTick(now);
+  }
+  this->log.Flush();
+}
+
+void GatewayCore::BeginStop() {
+  this->stopping = true;
+  this->log.Write("stop-begin",
+                  {{"callers", static_cast<int64_t>(this->callers.size())}});
+}
+
+bool GatewayCore::IsReady() const {
+  return !this->stopping && this->config.Get() != nullptr &&
+         this->upstream_follower.LastRead().us != 0;
+}
+
+bool GatewayCore::IsConfigStale(TimePoint now) const {
+  return now - this->config_follower.LastRead() > kConfigFresh;
+}
+
+serving::CallerLimits GatewayCore::Limits() const {
+  return this->config.Get() ? this->config.Get()->limits
+                            : serving::CallerLimits();
+}
+
+void GatewayCore::OnConfigRecord(const store::KeyedRecord& record) {
+  if (record.key != platform::ConfigKey() || !record.value) return;
+  std::string reason;
+  const serving::ServingConfigPtr offered =
+      platform::DecodeConfig(*record.value, reason);
+  if (!offered) {
+    this->log.Write("config-unusable",
+                    {{"offset", static_cast<int64_t>(record.offset)},
+                     {"reason", reason}});
+    return;
+  }
+  const bool taken = this->config.Offer(offered);
+  this->log.Write("config", {{"version", static_cast<int64_t>(offered->version)},
+                             {"offset", static_cast<int64_t>(record.offset)},
+                             {"in_force", taken}});
+  if (taken) this->budgets.OnConfig(*offered);
+}
+
+void GatewayCore::OnUpstreamRecord(const store::KeyedRecord& record) {
+  const TimePoint now = Now();
+  if (!record.value) {
+    this->log.Write("upstream-entry-gone", {{"upstream", record.key}});
+    this->directory.Remove(now, record.key);
+    return;
+  }
+  std::string reason;
+  const auto entry =
+      platform::DecodeUpstreamEntry(record.key, *record.value, reason);
+  if (!entry) {
+    this->log.Write("upstream-entry-unusable",
+                    {{"upstream", record.key}, {"reason", reason}});
+    this->directory.Remove(now, record.key);
+    return;
+  }
+  const bool changed = this->directory.Put(*entry);
+  if (changed) {
+    this->log.Write("upstream-entry",
+                    {{"upstream", entry->id},
+                     {"service", entry->service},
+                     {"draining", entry->draining},
+                     {"offset", static_cast<int64_t>(record.offset)}});
+  }
+}
+
+std::string GatewayCore::MetricsText() const {
+  std::string text = this->metrics.Text();
+  const auto add = [&text](std::string_view name, double value) {
+    text += GatewayMetrics::Line(name, value);
+  };
+  add("config_version",
+      this->config.Get() ? static_cast<double>(this->config.Get()->version)
+                         : 0);
+  add("callers", static_cast<double>(this->callers.size()));
+  add("upstreams", static_cast<double>(this->directory.Size()));
+  add("upstream_connections_total", static_cast<double>(this->pool.Opened()));
+  add("store_calls_total",
+      static_cast<double>(this->config_follower.Calls() +
+                          this->upstream_follower.Calls() +
+                          this->budgets.Calls()));
+  add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
+  return text;
+}
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/gateway_core.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "fuchsiadrum/serving/placement.h"
+#include "fuchsiadrum/serving/retry_allowance.h"
+#include "fuchsiadrum/serving/serving_config.h"
+#include "fuchsiadrum/serving/upstream_directory.h"
+#include "gateway/budget_keeper.h"
+#include "gateway/event_log.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/stream_follower.h"
+#include "gateway/upstream_pool.h"
+#include "schema/gateway.pb.h"
+
+namespace fuchsiadrum::gateway {
+
+class CallerConnection;
+
+/// What all requests of a gateway share: beliefs, decisions and connections.
+/// Everything runs in one thread.
+class GatewayCore {
+ public:
+  GatewayCore(const pb::GatewaySettings& gateway_settings,
+              asio::io_context& io_context);
+
+  /// Begins to follow the store.
+  void Start();
+  /// Call every few milliseconds.
+  void OnTick(TimePoint now);
+  /// From now on callers are told to go elsewhere.
+  void BeginStop();
+
+  bool IsStopping() const { return this->stopping; }
+  /// True once new callers can be served.
+  bool IsReady() const;
+  /// The configuration may have changed unseen: a key or route that it does not
+  /// name may be new.
+  bool IsConfigStale(TimePoint now) const;
+  serving::CallerLimits Limits() const;
+
+  const serving::ServingConfigPtr& Config() const { return this->config.Get(); }
+  serving::UpstreamDirectory& Upstreams() { return this->directory; }
+  serving::Placement& Placer() { return this->placement; }
+  serving::RetryAllowance& Retries() { return this->retries; }
+  BudgetKeeper& Budgets() { return this->budgets; }
+  UpstreamPool& Pool() { return this->pool; }
+  EventLog& Log() { return this->log; }
+  GatewayMetrics& Metrics() { return this->metrics; }
+  Rng& Random() { return this->rng; }
+  std::set<CallerConnection*>& Callers() { return this->callers; }
+  Watchdog& Timeouts() { return this->watchdog; }
+  /// The metrics page.
+  std::string MetricsText() const;
+  /// Gateways of the fleet as far as known, this one included.
+  size_t FleetSize() const { return this->budgets.Peers().size() + 1; }
+
+ private:
+  void OnConfigRecord(const store::KeyedRecord& record);
+  void OnUpstreamRecord(const store::KeyedRecord& record);
+
+  pb::GatewaySettings settings;
+  asio::io_context& context;
+  Watchdog watchdog;
+  EventLog log;
+  Rng rng;
+  GatewayMetrics metrics;
+  serving::ConfigInForce config;
+  serving::UpstreamDirectory directory;
+  serving::Placement placement;
+  serving::RetryAllowance retries;
+  UpstreamPool pool;
+  StreamFollower config_follower;
+  StreamFollower upstream_follower;
+  BudgetKeeper budgets;
+  std::set<CallerConnection*> callers;
+  TimePoint pool_swept;
+  bool stopping = false;
+};
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/gateway_metrics.cc
@@ -0,0 +1,63 @@
+#include "gateway/gateway_metrics.h"
+
+#include <array>
+#include <cstdio>
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+constexpr std::string_view kPrefix = "fuchsiadrum_gateway_";
+
+std::string Number(double value) {
+  std::array<char, 40> text{};
+  std::snprintf(text.data(), text.size(), "%.10g", value);
+  return text.data();
+}
+
+}  // namespace
+
+void GatewayMetrics::CountRequest(const std::string& route,
+                                  std::string_view outcome, int status) {
+  ++this->requests[{route, std::string(outcome), status}];
+}
+
+void GatewayMetrics::AddFirstByte(const std::string& route, Duration time) {
+  this->first_bytes[route].Add(time);
+}
+
+void GatewayMetrics::CountAttempt(const std::string& service,
+                                  std::string_view outcome) {
+  ++this->attempts[{service, std::string(outcome)}];
+}
+
+std::string GatewayMetrics::Line(std::string_view name, double value) {
+  return std::string(kPrefix) + std::string(name) + " " + Number(value) + "\n";
+}
+
+std::string GatewayMetrics::Text() const {
+  std::string text;
+  for (const auto& [key, count] : this->requests) {
+    const auto& [route, outcome, status] = key;
+    text += Line("requests_total{route=\"" + route + "\",outcome=\"" + outcome +
+                     "\",status=\"" + std::to_string(status) + "\"}",
+                 static_cast<double>(count));
+  }
+  for (const auto& [key, count] : this->attempts) {
+    text += Line("attempts_total{service=\"" + key.first + "\",outcome=\"" +
+                     key.second + "\"}",
+                 static_cast<double>(count));
+  }
+  constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+  for (const auto& [route, histogram] : this->first_bytes) {
+    for (const double quantile : kQuantiles) {
+      text += Line("first_byte_ms{route=\"" + route + "\",quantile=\"" +
+                       Number(quantile) + "\"}",
+                   histogram.QuantileMs(quantile));
+    }
+    text += Line("first_byte_ms_count{route=\"" + route + "\"}",
+                 static_cast<double>(histogram.Count()));
+  }
+  return text;
+}
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/page_server.cc
@@ -0,0 +1,106 @@
+#include "gateway/page_server.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <memory>
+
+#include "gateway/clock.h"
+#include "settings/endpoint.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Idle time after which a connection to a page is closed.
+constexpr Duration kPageIdle = std::chrono::seconds(15);
+
+class PageConnection : public Timed {
+ public:
+  explicit PageConnection(Tcp::socket accepted) : socket(std::move(accepted)) {}
+
+  asio::awaitable<void> Run(const PageServer::Handler& handler) {
+    boost::beast::flat_buffer buffer;
+    ErrorCode error;
+    while (!error) {
+      this->ExpireAt(Now() + kPageIdle);
+      http::request<http::empty_body> request;
+      co_await http::async_read(
+          this->socket, buffer, request,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) break;
+
+      const auto target = request.target();
+      PageServer::Page page =
+          handler(std::string_view(target.data(), target.size()));
+      http::response<http::string_body> response(
+          static_cast<http::status>(page.status), request.version());
+      response.set(http::field::content_type, "text/plain; version=0.0.4");
+      response.keep_alive(request.keep_alive());
+      response.body() = std::move(page.body);
+      response.prepare_payload();
+      co_await http::async_write(
+          this->socket, response,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (!request.keep_alive()) break;
+    }
+  }
+
+ protected:
+  void OnExpired() override {
+    ErrorCode ignored;
+    this->socket.close(ignored);
+  }
+
+ private:
+  Tcp::socket socket;
+};
+
+}  // namespace
+
+std::string OpenAcceptor(Tcp::acceptor& acceptor, const std::string& address) {
+  const auto endpoint = settings::Endpoint::Parse(address);
+  if (!endpoint) return "\"" + address + "\" is no address";
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(endpoint->ip, error);
+  if (error) return error.message();
+
+  const Tcp::endpoint local(ip, endpoint->port);
+  acceptor.open(local.protocol(), error);
+  if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(local, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  return error ? address + ": " + error.message() : "";
+}
+
+std::string PageServer::Open(const std::string& address) {
+  const std::string reason = OpenAcceptor(this->acceptor, address);
+  if (reason.empty()) {
+    asio::co_spawn(this->context, this->AcceptLoop(), asio::detached);
+  }
+  return reason;
+}
+
+asio::awaitable<void> PageServer::AcceptLoop() {
+  while (true) {
+    ErrorCode error;
+    Tcp::socket socket = co_await this->acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;
+
+    auto connection = std::make_shared<PageConnection>(std::move(socket));
+    this->watchdog.Watch(*connection);
+    asio::co_spawn(
+        this->context,
+        [connection, this]() -> asio::awaitable<void> {
+          co_await connection->Run(this->handler);
+        },
+        asio::detached);
+  }
+}
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/page_server.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "gateway/asio.h"
+#include "gateway/watchdog.h"
+
+namespace fuchsiadrum::gateway {
+
+/// Small HTTP server for pages that are made on demand: readiness and metrics.
+class PageServer {
+ public:
+  struct Page {
+    int status = 200;
+    std::string body;
+  };
+  using Handler = std::function<Page(std::string_view path)>;
+
+  PageServer(asio::io_context& io_context, Watchdog& timeouts,
+             Handler page_handler)
+      : context(io_context),
+        watchdog(timeouts),
+        handler(std::move(page_handler)),
+        acceptor(io_context) {}
+
+  /// Opens "IP:port" and serves it; otherwise the reason.
+  std::string Open(const std::string& address);
+
+ private:
+  asio::awaitable<void> AcceptLoop();
+
+  asio::io_context& context;
+  Watchdog& watchdog;
+  Handler handler;
+  Tcp::acceptor acceptor;
+};
+
+/// Opens an acceptor at "IP:port"; otherwise the reason.
+std::string OpenAcceptor(Tcp::acceptor& acceptor, const std::string& address);
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/request_task.cc
@@ -0,0 +1,541 @@
+#include "gateway/request_task.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "gateway/clock.h"
+#include "platform/request_codec.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+using serving::AttemptOutcome;
+using serving::NextStep;
+
+/// Time for a connection to an upstream. Round trips take a few milliseconds;
+/// a lost opening packet is sent again after a second.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/// Answers of an upstream to other requests that are skipped before its
+/// connection is given up.
+constexpr int kMostForeignAnswers = 2;
+/// Answers without a stream are read whole up to this size, so that a cut one
+/// can be repeated before the caller sees any of it.
+constexpr size_t kMostWholeAnswer = 1048576;
+/// Time that a request waits for tokens which other gateways may give back.
+constexpr Duration kGrantPatience = std::chrono::milliseconds(300);
+/// When to come back, by cause: what is awaited takes about this long.
+constexpr Duration kRetryAfterGrant = std::chrono::milliseconds(700);
+constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
+constexpr Duration kRetryAfterFull = std::chrono::milliseconds(250);
+constexpr Duration kRetryAfterNoConfig = std::chrono::milliseconds(300);
+/// A route without a time limit of the caller ends at the route's timeout; the
+/// caller's own limit is passed by this much, so that its upstream's answer at
+/// the limit still arrives.
+constexpr Duration kDeadlineSlack = std::chrono::milliseconds(40);
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+std::string ChunkOf(std::string_view bytes) {
+  std::array<char, 24> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string out = size.data();
+  out.append(bytes).append("\r\n");
+  return out;
+}
+
+}  // namespace
+
+RequestTask::RequestTask(GatewayCore& gateway_core,
+                         CallerConnection& caller_connection,
+                         serving::CallerRequest caller_request)
+    : core(gateway_core),
+      caller(caller_connection),
+      shared_request(std::make_shared<const serving::CallerRequest>(
+          std::move(caller_request))),
+      request(*shared_request),
+      config(gateway_core.Config()),
+      arrived(Now()),
+      deadline(arrived),
+      last_event(request.last_event) {}
+
+asio::awaitable<bool> RequestTask::Run() {
+  std::optional<OwnAnswer> refusal = this->Admit();
+  if (refusal) co_return co_await this->Answer(*refusal);
+
+  this->caller.Arm(this->deadline,
+                   [this](bool gone) { this->OnInterrupt(gone); });
+  refusal = co_await this->ReserveTokens();
+  if (refusal) co_return co_await this->Answer(*refusal);
+
+  this->core.Retries().OnRequest(this->arrived, this->service);
+  const bool whole = co_await this->Serve();
+  this->SettleTokens();
+  co_return whole;
+}
+
+std::optional<RequestTask::OwnAnswer> RequestTask::Admit() {
+  if (!this->config) {
+    return OwnAnswer{503, "no configuration yet", kRetryAfterNoConfig};
+  }
+  // What an old configuration does not name may be new.
+  const bool stale = this->core.IsConfigStale(this->arrived);
+  this->route = this->config->Match(this->request.host, this->request.path);
+  if (this->route == nullptr) {
+    if (stale) return OwnAnswer{503, "route unknown", kRetryAfterNoConfig};
+    return OwnAnswer{404, "no route", std::nullopt};
+  }
+  if (!this->config->organisations.empty() && !this->route->anonymous) {
+    this->organisation = this->config->OwnerOf(this->request.key);
+    if (this->organisation == nullptr) {
+      if (stale) return OwnAnswer{503, "key unknown", kRetryAfterNoConfig};
+      return OwnAnswer{401, "unknown key", std::nullopt};
+    }
+  }
+
+  this->service = serving::ChooseService(*this->route, this->core.Random());
+  const serving::Service* known = this->config->FindService(this->service);
+  if (known != nullptr) this->engine = known->engine;
+  this->deadline = this->arrived + this->route->timeout;
+  if (this->request.patience) {
+    this->deadline =
+        std::min(this->deadline,
+                 this->arrived + *this->request.patience + kDeadlineSlack);
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<std::optional<RequestTask::OwnAnswer>>
+RequestTask::ReserveTokens() {
+  if (this->organisation == nullptr || !this->request.prompt_tokens) {
+    co_return std::nullopt;
+  }
+  const Tokens amount =
+      *this->request.prompt_tokens + *this->request.max_output_tokens;
+  const budget::ReserveResult result = co_await this->core.Budgets().Reserve(
+      this->organisation->name, amount, kGrantPatience);
+  if (result != budget::ReserveResult::kReserved) {
+    co_return BudgetRefusal(result);
+  }
+  this->reserved = amount;
+  this->has_reserved = true;
+  co_return std::nullopt;
+}
+
+RequestTask::OwnAnswer RequestTask::BudgetRefusal(
+    budget::ReserveResult result) {
+  if (result == budget::ReserveResult::kExhausted) {
+    return {402, "budget used up", std::nullopt};
+  }
+  if (result == budget::ReserveResult::kHeldElsewhere) {
+    return {503, "tokens held by other gateways", kRetryAfterGrant};
+  }
+  return {503, "no grant in time", kRetryAfterGrant};
+}
+
+void RequestTask::SettleTokens() {
+  if (!this->has_reserved) return;
+  Tokens spent(0);
+  if (this->runs > 0) {
+    // Events that the upstream made and the caller did not get are counted as
+    // one: the last may have been on its way.
+    const int per_event = this->engine ? this->engine->tokens_per_event : 1;
+    const Tokens output(static_cast<int64_t>(per_event) *
+                        (this->events_passed + 1));
+    spent = *this->request.prompt_tokens +
+            std::min(output, *this->request.max_output_tokens);
+  }
+  this->core.Budgets().Settle(this->organisation->name, this->reserved, spent);
+}
+
+// Coroutines below pass no braced temporaries to calls: GCC 12 destroys such
+// temporaries twice.
+
+asio::awaitable<bool> RequestTask::Serve() {
+  while (true) {
+    const std::optional<serving::PlacementChoice> choice = this->Choose();
+    if (!choice && this->head_sent) co_return this->AbortAnswer("no upstream");
+    if (!choice) {
+      const OwnAnswer refusal = this->NoUpstream();
+      co_return co_await this->Answer(refusal);
+    }
+
+    const AttemptOutcome outcome = co_await this->Attempt(*choice);
+    this->NoteOutcome(*choice, outcome);
+    const NextStep step = this->Decide(outcome);
+    const std::string_view reason = serving::AttemptOutcomeName(outcome);
+    if (step == NextStep::kRetry) continue;
+    if (step == NextStep::kAbort) co_return this->AbortAnswer(reason);
+    if (step == NextStep::kDone && this->head_sent) {
+      this->LogEnd(this->answer.status, "complete", "");
+      co_return true;
+    }
+    if (step == NextStep::kDone || step == NextStep::kRelay) {
+      co_return co_await this->Relay();
+    }
+    const OwnAnswer own = FinalAnswer(step, reason);
+    co_return co_await this->Answer(own);
+  }
+}
+
+std::optional<serving::PlacementChoice> RequestTask::Choose() {
+  const TimePoint now = Now();
+  const std::vector<serving::FleetUpstreamPtr> candidates =
+      this->core.Upstreams().Candidates(now, this->service);
+  return this->core.Placer().Choose(
+      now, candidates,
+      {.parts = this->request.parts,
+       .prompt_tokens = this->request.prompt_tokens.value_or(Tokens(0)).count,
+       .has_prompt = this->request.prompt_tokens.has_value(),
+       .excluded = this->tried});
+}
+
+NextStep RequestTask::Decide(AttemptOutcome outcome) {
+  const serving::AttemptState state = {.outcome = outcome,
+                                       .runs = this->runs,
+                                       .misses = this->misses,
+                                       .time_left = this->TimeLeft()};
+  const bool repeat = serving::MayRepeat(*this->route, state) &&
+                      this->core.Retries().Take(Now(), this->service);
+  return serving::StepAfter(*this->route, state, repeat);
+}
+
+RequestTask::OwnAnswer RequestTask::NoUpstream() const {
+  if (this->runs > 0) return {502, "no other upstream", std::nullopt};
+  return {503, "no upstream", kRetryAfterNoUpstream};
+}
+
+RequestTask::OwnAnswer RequestTask::FinalAnswer(NextStep step,
+                                                std::string_view reason) {
+  if (step == NextStep::kRefuse) {
+    return {503, std::string(reason), kRetryAfterFull};
+  }
+  if (step == NextStep::kTimeOut) {
+    return {504, std::string(reason), std::nullopt};
+  }
+  return {502, std::string(reason), std::nullopt};
+}
+
+bool RequestTask::AbortAnswer(std::string_view reason) {
+  this->caller.Abort();
+  this->LogEnd(0, this->caller_gone ? "caller-gone" : "aborted", reason);
+  return false;
+}
+
+asio::awaitable<AttemptOutcome> RequestTask::Attempt(
+    const serving::PlacementChoice& choice) {
+  serving::FleetUpstream& upstream = *choice.upstream;
+  this->tried.push_back(upstream.entry.id);
+  if (!this->tried_text.empty()) this->tried_text += ',';
+  this->tried_text += upstream.entry.id;
+
+  this->was_sent = false;
+  ++upstream.in_flight;
+  upstream.pending_tokens += choice.uncached_tokens;
+  this->prompt_pending = true;
+  std::shared_ptr<HttpConnection> connection = co_await this->Open(upstream);
+  AttemptOutcome outcome = AttemptOutcome::kNotSent;
+  if (connection) {
+    this->current = connection;
+    upstream.cache.Use(this->request.parts);
+    outcome = co_await this->Exchange(choice, *connection);
+    this->current.reset();
+    if (outcome == AttemptOutcome::kComplete ||
+        outcome == AttemptOutcome::kFailed ||
+        outcome == AttemptOutcome::kRejected) {
+      this->core.Pool().GiveBack(upstream.entry.id, connection,
+                                 this->answer.keep_alive);
+    } else {
+      connection->Close();
+    }
+  } else if (this->caller_gone) {
+    outcome = AttemptOutcome::kCallerGone;
+  } else if (this->timed_out) {
+    outcome = AttemptOutcome::kTimedOut;
+  }
+
+  --upstream.in_flight;
+  if (this->prompt_pending) upstream.pending_tokens -= choice.uncached_tokens;
+  this->prompt_pending = false;
+  co_return outcome;
+}
+
+asio::awaitable<std::shared_ptr<HttpConnection>> RequestTask::Open(
+    const serving::FleetUpstream& upstream) {
+  auto connection = this->core.Pool().TakeIdle(upstream.entry.id,
+                                               this->route->IsIdempotent());
+  if (connection) co_return connection;
+
+  connection = this->core.Pool().MakeNew();
+  this->current = connection;
+  connection->ExpireAt(Now() + kConnectTimeout);
+  const bool open = co_await connection->Connect(upstream.entry.address);
+  connection->NeverExpire();
+  this->current.reset();
+  if (!open || this->caller_gone || this->timed_out) {
+    connection->Close();
+    co_return nullptr;
+  }
+  co_return connection;
+}
+
+asio::awaitable<AttemptOutcome> RequestTask::Exchange(
+    const serving::PlacementChoice& choice, HttpConnection& connection) {
+  this->Send(*choice.upstream, connection);
+  const platform::HttpAnswerHead* head =
+      co_await this->ReadMatchingHead(connection);
+  if (head == nullptr) co_return this->Broken();
+  if (this->answer.load) choice.upstream->OnReport(Now(), *this->answer.load);
+
+  constexpr int kMisdirected = 421;
+  if (this->answer.not_executed || this->answer.status == kMisdirected) {
+    static_cast<void>(co_await this->ReadWhole(connection));
+    if (this->answer.status == kMisdirected) {
+      this->core.Upstreams().Forget(choice.upstream->entry.id);
+    }
+    co_return AttemptOutcome::kRejected;
+  }
+  const bool good = IsSuccess(this->answer.status) &&
+                    this->answer.has_signature && !this->answer.is_encoded;
+  if (good && this->route->kind == serving::RequestKind::kStreaming) {
+    co_return co_await this->PassEvents(choice, connection);
+  }
+  const AttemptOutcome outcome = co_await this->ReadWhole(connection);
+  if (outcome != AttemptOutcome::kComplete) co_return outcome;
+  if (good) {
+    this->NoteFirstByte(choice);
+    co_return AttemptOutcome::kComplete;
+  }
+  // Only a failure that is signed is the upstream's own.
+  if (IsSuccess(this->answer.status) || !this->answer.has_signature) {
+    connection.Close();
+    co_return this->Broken();
+  }
+  co_return AttemptOutcome::kFailed;
+}
+
+void RequestTask::Send(const serving::FleetUpstream& upstream,
+                       HttpConnection& connection) {
+  serving::UpstreamCall call;
+  call.upstream_id = upstream.entry.id;
+  call.time_left = this->TimeLeft();
+  call.priority = this->route->priority;
+  call.last_event = this->last_event;
+  if (this->organisation != nullptr) {
+    call.organisation = this->organisation->name;
+    if (this->organisation->priority) {
+      call.priority = *this->organisation->priority;
+    }
+  }
+
+  this->sent_at = Now();
+  this->was_sent = true;
+  this->answer = {};
+  this->answer_body.clear();
+  connection.StartSend(platform::EncodeUpstreamRequest(this->request, call),
+                       std::shared_ptr<const std::string>(
+                           this->shared_request, &this->request.body));
+}
+
+asio::awaitable<const platform::HttpAnswerHead*> RequestTask::ReadMatchingHead(
+    HttpConnection& connection) {
+  for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
+    const platform::HttpAnswerHead* head = co_await connection.ReadHead();
+    if (head == nullptr) co_return nullptr;
+    this->answer = platform::DecodeAnswer(*head);
+    if (this->answer.request_id == this->request.id ||
+        this->answer.not_executed) {
+      co_return head;
+    }
+    // A late answer to an earlier request of the connection.
+    this->LogForeignAnswer();
+    if (co_await this->ReadWhole(connection) != AttemptOutcome::kComplete) {
+      co_return nullptr;
+    }
+    this->answer_body.clear();
+  }
+  co_return nullptr;
+}
+
+asio::awaitable<AttemptOutcome> RequestTask::ReadWhole(
+    HttpConnection& connection) {
+  BodyPart part = BodyPart::kMore;
+  while (part == BodyPart::kMore) {
+    part = co_await connection.ReadBody(this->answer_body);
+    if (this->answer_body.size() > kMostWholeAnswer) part = BodyPart::kBroken;
+  }
+  if (part == BodyPart::kBroken) co_return this->Broken();
+  co_return AttemptOutcome::kComplete;
+}
+
+asio::awaitable<AttemptOutcome> RequestTask::PassEvents(
+    const serving::PlacementChoice& choice, HttpConnection& connection) {
+  serving::EventSplitter splitter(this->last_event);
+  std::string bytes;
+  std::string events;
+  BodyPart part = BodyPart::kMore;
+  while (part == BodyPart::kMore) {
+    bytes.clear();
+    events.clear();
+    part = co_await connection.ReadBody(bytes);
+    const int count = splitter.Feed(bytes, events);
+    if (splitter.HasGap() && this->head_sent) {
+      co_return AttemptOutcome::kBrokenMidway;
+    }
+    if (part == BodyPart::kEnd) events.append(splitter.Rest());
+    if (part == BodyPart::kBroken && events.empty()) break;
+    if (events.empty() && part == BodyPart::kMore) continue;
+
+    if (this->events_passed == 0) this->NoteFirstByte(choice);
+    this->events_passed += count;
+    this->last_event = splitter.LastEvent();
+    if (!co_await this->PassOn(events, part == BodyPart::kEnd)) {
+      co_return this->timed_out ? AttemptOutcome::kTimedOut
+                                : AttemptOutcome::kCallerGone;
+    }
+  }
+  if (part == BodyPart::kEnd) co_return AttemptOutcome::kComplete;
+  co_return this->Broken();
+}
+
+asio::awaitable<bool> RequestTask::PassOn(std::string_view events, bool last) {
+  std::string out;
+  if (!this->head_sent) {
+    out = platform::EncodeAnswerHead(this->answer);
+    if (this->caller.MustClose()) out += "Connection: close\r\n";
+    out += "Transfer-Encoding: chunked\r\n\r\n";
+    this->head_sent = true;
+  }
+  if (!events.empty()) out += ChunkOf(events);
+  if (last) out += "0\r\n\r\n";
+  co_return co_await this->caller.Write(out);
+}
+
+asio::awaitable<bool> RequestTask::Relay() {
+  // Nothing stops an answer that is ready.
+  this->caller.Disarm();
+  std::string out = platform::EncodeAnswerHead(this->answer);
+  if (this->caller.MustClose()) out += "Connection: close\r\n";
+  out += "Content-Length: " + std::to_string(this->answer_body.size()) +
+         "\r\n\r\n" + this->answer_body;
+  const bool written = co_await this->caller.Write(out);
+  this->LogEnd(this->answer.status, written ? "complete" : "caller-gone", "");
+  co_return written;
+}
+
+asio::awaitable<bool> RequestTask::Answer(OwnAnswer own) {
+  this->caller.Disarm();
+  this->SettleTokens();
+  this->has_reserved = false;
+  if (this->caller_gone) {
+    this->LogEnd(0, "caller-gone", own.reason);
+    co_return false;
+  }
+  const std::string text =
+      platform::EncodeOwnAnswer(own.status, this->request.id, own.retry_after,
+                                this->caller.MustClose());
+  const bool written = co_await this->caller.Write(text);
+  this->LogEnd(own.status, "own-answer", own.reason);
+  co_return written;
+}
+
+void RequestTask::OnInterrupt(bool gone) {
+  (gone ? this->caller_gone : this->timed_out) = true;
+  if (this->current) this->current->Close();
+  // Part of the answer has gone out: only the connection's end can tell the
+  // caller that there is no more, and it ends a write that the caller blocks.
+  if (gone || this->head_sent) this->caller.Abort();
+}
+
+AttemptOutcome RequestTask::Broken() const {
+  if (this->caller_gone) return AttemptOutcome::kCallerGone;
+  if (this->timed_out) {
+    return this->head_sent ? AttemptOutcome::kBrokenMidway
+                           : AttemptOutcome::kTimedOut;
+  }
+  return this->head_sent ? AttemptOutcome::kBrokenMidway
+                         : AttemptOutcome::kBroken;
+}
+
+void RequestTask::NoteOutcome(const serving::PlacementChoice& choice,
+                              AttemptOutcome outcome) {
+  this->core.Metrics().CountAttempt(this->service,
+                                    serving::AttemptOutcomeName(outcome));
+  serving::FleetUpstream& upstream = *choice.upstream;
+  switch (outcome) {
+    case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kRejected:
+      ++this->misses;
+      upstream.OnFailure(Now());
+      break;
+    case AttemptOutcome::kBroken:
+    case AttemptOutcome::kBrokenMidway:
+      ++this->runs;
+      upstream.OnFailure(Now());
+      break;
+    case AttemptOutcome::kComplete:
+    case AttemptOutcome::kFailed:
+    case AttemptOutcome::kCallerGone:
+    case AttemptOutcome::kTimedOut:
+      ++(this->was_sent ? this->runs : this->misses);
+      break;
+  }
+}
+
+void RequestTask::NoteFirstByte(const serving::PlacementChoice& choice) {
+  const TimePoint now = Now();
+  serving::FleetUpstream& upstream = *choice.upstream;
+  if (this->prompt_pending) {
+    upstream.pending_tokens -= choice.uncached_tokens;
+    this->prompt_pending = false;
+  }
+  const double ratio =
+      choice.expected_ms > 0
+          ? ToMs(now - this->sent_at) * upstream.Slowness() / choice.expected_ms
+          : 0;
+  upstream.OnSuccess(now, ratio);
+  this->core.Metrics().AddFirstByte(this->route->name, now - this->arrived);
+  this->first_byte_ms = ToMs(now - this->arrived);
+}
+
+Duration RequestTask::TimeLeft() const {
+  const TimePoint now = Now();
+  TimePoint end = this->deadline;
+  if (this->request.patience) {
+    end = std::min(end, this->arrived + *this->request.patience);
+  }
+  return end > now ? end - now : Duration::zero();
+}
+
+void RequestTask::LogForeignAnswer() {
+  this->core.Log().Write("foreign-answer",
+                         {{"id", this->request.id},
+                          {"answered", this->answer.request_id},
+                          {"upstream", this->tried.back()}});
+}
+
+void RequestTask::LogEnd(int status, std::string_view outcome,
+                         std::string_view reason) {
+  const TimePoint now = Now();
+  const std::string none;
+  const std::string& route_name = this->route ? this->route->name : none;
+  this->core.Metrics().CountRequest(route_name, outcome, status);
+  this->core.Log().Write(
+      "request",
+      {{"id", this->request.id},
+       {"route", route_name},
+       {"organisation",
+        this->organisation ? this->organisation->name : none},
+       {"config", static_cast<int64_t>(
+                      this->config ? this->config->version : 0)},
+       {"status", static_cast<int64_t>(status)},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"upstreams", this->tried_text},
+       {"tokens", this->reserved.count},
+       {"events", static_cast<int64_t>(this->events_passed)},
+       {"first_ms", this->first_byte_ms},
+       {"ms", ToMs(now - this->arrived)}});
+}
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/request_task.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fuchsiadrum/serving/attempt_policy.h"
+#include "fuchsiadrum/serving/caller_request.h"
+#include "fuchsiadrum/serving/event_splitter.h"
+#include "fuchsiadrum/serving/placement.h"
+#include "gateway/caller_connection.h"
+#include "gateway/gateway_core.h"
+
+namespace fuchsiadrum::gateway {
+
+/// Serves one request of a caller: admits it, reserves its tokens, places it,
+/// and passes the answer on. The decisions are the library's.
+class RequestTask {
+ public:
+  RequestTask(GatewayCore& gateway_core, CallerConnection& caller_connection,
+              serving::CallerRequest caller_request);
+
+  /// True if the caller got an answer with an end.
+  asio::awaitable<bool> Run();
+
+ private:
+  /// An answer of the gateway itself.
+  struct OwnAnswer {
+    int status = 0;
+    std::string reason;
+    std::optional<Duration> retry_after;
+  };
+
+  std::optional<OwnAnswer> Admit();
+  asio::awaitable<std::optional<OwnAnswer>> ReserveTokens();
+  static OwnAnswer BudgetRefusal(budget::ReserveResult result);
+  void SettleTokens();
+  asio::awaitable<bool> Serve();
+  std::optional<serving::PlacementChoice> Choose();
+  serving::NextStep Decide(serving::AttemptOutcome outcome);
+  OwnAnswer NoUpstream() const;
+  static OwnAnswer FinalAnswer(serving::NextStep step, std::string_view reason);
+  bool AbortAnswer(std::string_view reason);
+  void Send(const serving::FleetUpstream& upstream, HttpConnection& connection);
+  asio::awaitable<serving::AttemptOutcome> Attempt(
+      const serving::PlacementChoice& choice);
+  asio::awaitable<std::shared_ptr<HttpConnection>> Open(
+      const serving::FleetUpstream& upstream);
+  asio::awaitable<serving::AttemptOutcome> Exchange(
+      const serving::PlacementChoice& choice, HttpConnection& connection);
+  asio::awaitable<const platform::HttpAnswerHead*> ReadMatchingHead(
+      HttpConnection& connection);
+  asio::awaitable<serving::AttemptOutcome> ReadWhole(
+      HttpConnection& connection);
+  asio::awaitable<serving::AttemptOutcome> PassEvents(
+      const serving::PlacementChoice& choice, HttpConnection& connection);
+  asio::awaitable<bool> PassOn(std::string_view events, bool last);
+  asio::awaitable<bool> Relay();
+  asio::awaitable<bool> Answer(OwnAnswer own);
+  void OnInterrupt(bool caller_gone);
+  serving::AttemptOutcome Broken() const;
+  void NoteOutcome(const serving::PlacementChoice& choice,
+                   serving::AttemptOutcome outcome);
+  void NoteFirstByte(const serving::PlacementChoice& choice);
+  Duration TimeLeft() const;
+  void LogForeignAnswer();
+  void LogEnd(int status, std::string_view outcome, std::string_view reason);
+
+  GatewayCore& core;
+  CallerConnection& caller;
+  /// Shared with the connection that sends its body.
+  std::shared_ptr<const serving::CallerRequest> shared_request;
+  const serving::CallerRequest& request;
+  serving::ServingConfigPtr config;
+  const serving::Route* route = nullptr;
+  const serving::Organisation* organisation = nullptr;
+  std::string service;
+  std::optional<serving::EngineTraits> engine;
+  TimePoint arrived;
+  TimePoint deadline;
+
+  Tokens reserved;
+  bool has_reserved = false;
+
+  std::shared_ptr<HttpConnection> current;
+  bool caller_gone = false;
+  bool timed_out = false;
+
+  /// Attempts that may have run the request, and those that did not.
+  int runs = 0;
+  int misses = 0;
+  std::vector<std::string> tried;
+  std::string tried_text;
+  TimePoint sent_at;
+  bool prompt_pending = false;
+  /// Bytes of the present attempt may have left.
+  bool was_sent = false;
+
+  serving::UpstreamAnswer answer;
+  std::string answer_body;
+  /// The head of the answer has gone to the caller.
+  bool head_sent = false;
+  std::optional<uint64_t> last_event;
+  int events_passed = 0;
+  double first_byte_ms = 0;
+};
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/stream_follower.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "fuchsiadrum/store/keyed_view.h"
+#include "gateway/event_log.h"
+#include "gateway/signal_gate.h"
+#include "gateway/store_client.h"
+#include "platform/store_codec.h"
+
+namespace fuchsiadrum::gateway {
+
+/// Options of a follower.
+struct StreamFollowerOptions {
+  platform::Stream stream = platform::Stream::kOperators;
+  /// How long the store may hold a read until there is a record; zero: the read
+  /// returns at once.
+  Duration hold = Duration::zero();
+  /// Pause between two reads of the tail.
+  Duration interval = Duration::zero();
+  /// Time after which a read counts as failed, besides `hold`.
+  Duration timeout = std::chrono::milliseconds(600);
+  /// Pause after a failed read; it doubles up to `longest_pause`.
+  Duration first_pause = std::chrono::milliseconds(60);
+  Duration longest_pause = std::chrono::milliseconds(500);
+};
+
+/// Keeps one stream of the store read: connects, reads the newest records and
+/// then the tail, and tells when the store is lost and regained.
+class StreamFollower {
+ public:
+  struct Handlers {
+    /// A key got a value, or lost it.
+    store::KeyedView::OnChange on_change;
+    /// A read has succeeded and all its records were handed over.
+    std::function<void()> on_read;
+    /// The store answers again after it did not.
+    std::function<void()> on_regained;
+  };
+
+  StreamFollower(const StreamFollowerOptions& opts, Handlers callbacks,
+                 asio::io_context& context, Watchdog& watchdog, EventLog& log,
+                 const std::string& address);
+
+  /// Runs for good.
+  asio::awaitable<void> Run();
+  /// Reads again without a pause.
+  void Poke() {
+    this->poked = true;
+    this->gate.Notify();
+  }
+
+  bool IsConsistent() const { return this->view.IsConsistent(); }
+  /// Time of the last successful read; us 0: none yet.
+  TimePoint LastRead() const { return this->last_read; }
+  bool IsLost() const { return this->failures > 0; }
+  uint64_t Calls() const { return this->client.Calls(); }
+
+ private:
+  asio::awaitable<bool> ReadOnce();
+  bool Accept(const store::KeyedView::NextRead& next, const StoreReply& reply);
+  void NoteResult(bool good);
+
+  StreamFollowerOptions options;
+  Handlers handlers;
+  EventLog& event_log;
+  StoreClient client;
+  store::KeyedView view;
+  SignalGate gate;
+  TimePoint last_read;
+  bool poked = false;
+  int failures = 0;
+  int last_status = 0;
+};
+
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/upstream_pool.cc
@@ -0,0 +1,69 @@
+#include "gateway/upstream_pool.h"
+
+#include <algorithm>
+
+#include "gateway/clock.h"
+
+namespace fuchsiadrum::gateway {
+
+std::shared_ptr<HttpConnection> UpstreamPool::TakeIdle(
+    const std::string& upstream, bool repeatable) {
+  const auto found = this->idle.find(upstream);
+  if (found == this->idle.end()) return nullptr;
+
+  const TimePoint now = Now();
+  std::vector<Idle>& list = found->second;
+  while (!list.empty()) {
+    const Idle candidate = list.back();
+    const bool too_old =
+        !repeatable &&
+        now - candidate.since > this->options.longest_idle_unrepeatable;
+    if (too_old && now < candidate.until) return nullptr;
+    list.pop_back();
+    if (now < candidate.until && candidate.connection->IsReusable()) {
+      return candidate.connection;
+    }
+    candidate.connection->Close();
+  }
+  return nullptr;
+}
+
+std::shared_ptr<HttpConnection> UpstreamPool::MakeNew() {
+  auto connection = std::make_shared<HttpConnection>(this->context);
+  this->watchdog.Watch(*connection);
+  ++this->opened;
+  return connection;
+}
+
+void UpstreamPool::GiveBack(const std::string& upstream,
+                            std::shared_ptr<HttpConnection> connection,
+                            std::optional<Duration> keep_alive) {
+  connection->NeverExpire();
+  if (!connection->IsReusable()) {
+    connection->Close();
+    return;
+  }
+  Duration longest = this->options.longest_idle;
+  if (keep_alive) {
+    const auto part = std::chrono::duration_cast<Duration>(
+        *keep_alive * this->options.keep_alive_part);
+    longest = std::min(longest, part);
+  }
+  const TimePoint now = Now();
+  this->idle[upstream].push_back({.connection = std::move(connection),
+                                  .since = now,
+                                  .until = now + longest});
+}
+
+void UpstreamPool::OnTick(TimePoint now) {
+  for (auto it = this->idle.begin(); it != this->idle.end();) {
+    std::erase_if(it->second, [now](const Idle& entry) {
+      if (now < entry.until) return false;
+      entry.connection->Close();
+      return true;
+    });
+    it = it->second.empty() ? this->idle.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace fuchsiadrum::gateway
--- a/settings/value_parser.cc
+++ b/settings/value_parser.cc
@@ -29,6 +29,8 @@
       return "bool";
     case FieldDescriptor::CPPTYPE_STRING:
       return "text";
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+      return "number";
     default:
       return "integer";
   }
@@ -52,6 +54,8 @@
       return std::nullopt;
     case FieldDescriptor::CPPTYPE_BOOL:
       return this->StoreBool(text, section);
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+      return this->StoreNumber(text, section);
     default:
       return this->StoreInteger(text, section);
   }
@@ -66,12 +70,8 @@
     return "\"" + text + "\" is not a whole number";
   }
 
-  const auto number = static_cast<double>(value);
-  const bool bounded = this->limits.max() > 0;
-  if (bounded && (number < this->limits.min() || number > this->limits.max())) {
-    return text + " is outside " + this->Range() +
-           (this->limits.unit().empty() ? "" : " " + this->limits.unit());
-  }
+  const auto fault = this->CheckRange(text, static_cast<double>(value));
+  if (fault) return fault;
 
   const auto* reflection = section.GetReflection();
   switch (this->field.cpp_type()) {
@@ -95,6 +95,30 @@
   }
 }
 
+std::optional<std::string> ValueParser::StoreNumber(const std::string& text,
+                                                    Message& section) const {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || at != end) {
+    return "\"" + text + "\" is not a number";
+  }
+  const auto fault = this->CheckRange(text, value);
+  if (fault) return fault;
+  section.GetReflection()->SetDouble(&section, &this->field, value);
+  return std::nullopt;
+}
+
+std::optional<std::string> ValueParser::CheckRange(const std::string& text,
+                                                   double value) const {
+  if (this->limits.max() <= 0) return std::nullopt;
+  if (value >= this->limits.min() && value <= this->limits.max()) {
+    return std::nullopt;
+  }
+  return text + " is outside " + this->Range() +
+         (this->limits.unit().empty() ? "" : " " + this->limits.unit());
+}
+
 std::optional<std::string> ValueParser::StoreBool(const std::string& text,
                                                   Message& section) const {
   if (text != "true" && text != "false") {
--- a/settings/value_parser.h
+++ b/settings/value_parser.h
@@ -27,6 +27,10 @@
  private:
   std::optional<std::string> StoreInteger(
       const std::string& text, google::protobuf::Message& section) const;
+  std::optional<std::string> StoreNumber(
+      const std::string& text, google::protobuf::Message& section) const;
+  std::optional<std::string> CheckRange(const std::string& text,
+                                        double value) const;
   std::optional<std::string> StoreBool(
       const std::string& text, google::protobuf::Message& section) const;
   void StoreList(const std::string& text,
