--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -85,7 +85,9 @@
     pool.recorded_spent = pool.spent;
     this->in_flight.push_back(
         {.organisation = name,
-         .grant = {.granted = *total, .spent = pool.spent}});
+         .grant = {.granted = *total,
+                   .spent = pool.spent,
+                   .demand = Tokens(static_cast<int64_t>(pool.demand))}});
   }
   return this->in_flight;
 }
@@ -145,14 +147,24 @@
   return found->second.usable - this->InUse(found->second);
 }
 
-Tokens GrantHolder::Target(const Pool& pool,
+Tokens GrantHolder::LimitOf(const std::string& organisation) const {
+  const auto found = this->pools.find(organisation);
+  if (found == this->pools.end()) return Tokens(0);
+  return found->second.limit.value_or(Tokens(0));
+}
+
+Tokens GrantHolder::Target(const Pool& pool, const RecordedGrant& own,
                            const GrantTable::Sums& sums) const {
-  const double horizon = Seconds(this->options.horizon);
-  const double by_demand = pool.demand * horizon;
-  const auto free =
-      static_cast<double>(std::max<int64_t>(0, pool.limit->count - sums.granted.count));
-  const double by_rest =
-      free * this->options.pooled_share / std::max(1, sums.holders);
+  const double by_demand = pool.demand * Seconds(this->options.horizon);
+
+  // The own pool counts as free: it is what the target decides about.
+  const Tokens left = pool.usable - this->InUse(pool);
+  const double free = static_cast<double>(
+      std::max<int64_t>(0, (*pool.limit - sums.granted + left).count));
+  const double others =
+      static_cast<double>((sums.demand - own.demand).count);
+  const double part = pool.demand / std::max(1.0, pool.demand + others);
+  const double by_rest = free * this->options.pooled_share * part;
   return Tokens(static_cast<int64_t>(std::min(by_demand, by_rest)));
 }
 
@@ -171,7 +183,7 @@
   // A grant beyond the budget is taken back before another one is asked for.
   if (!pool.pending && pool.asked > pool.usable) return pool.usable;
 
-  const Tokens target = this->Target(pool, sums);
+  const Tokens target = this->Target(pool, own, sums);
   const Tokens left = pool.usable - in_use;
   const auto low = static_cast<int64_t>(
       this->options.low_water * static_cast<double>(target.count));
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -20,16 +20,17 @@
   /// Demand that a full pool covers: it bounds what a crash strands, and how
   /// long a gateway serves without the store. Outages of the store of 4 to 9 s
   /// are ordinary.
-  Duration horizon = std::chrono::seconds(5);
+  Duration horizon = std::chrono::seconds(10);
   /// Part of the tokens not granted to anyone that all pools together may
-  /// hold. Keeps the end of a budget within everyone's reach.
-  double pooled_share = 0.3;
+  /// take, each by its part of the demand. Keeps the end of a budget within
+  /// everyone's reach.
+  double pooled_share = 0.85;
   /// Time constant of the measured demand.
   Duration demand_memory = std::chrono::seconds(4);
   /// A pool is filled up when it falls below this part of its target.
-  double low_water = 0.5;
+  double low_water = 0.8;
   /// A pool above its target by this factor gives the rest back.
-  double high_water = 2.0;
+  double high_water = 1.5;
   /// Pause after a grant that went beyond the budget: another holder asked at
   /// the same time. Drawn up to this, so that the two do not meet again.
   Duration collision_pause = std::chrono::milliseconds(200);
@@ -99,6 +100,8 @@
   bool IsWanting() const;
   /// Tokens that can be reserved at once.
   Tokens Available(const std::string& organisation) const;
+  /// The organisation's budget; zero: unknown or not limited.
+  Tokens LimitOf(const std::string& organisation) const;
 
  private:
   struct Pool {
@@ -121,7 +124,8 @@
   };
 
   Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
-  Tokens Target(const Pool& pool, const GrantTable::Sums& sums) const;
+  Tokens Target(const Pool& pool, const RecordedGrant& own,
+                const GrantTable::Sums& sums) const;
   std::optional<Tokens> NextTotal(TimePoint now, const std::string& name,
                                   Pool& pool);
   bool IsSpendStale(TimePoint now, const Pool& pool,
--- a/fuchsiadrum/budget/grant_table.cc
+++ b/fuchsiadrum/budget/grant_table.cc
@@ -39,7 +39,7 @@
 void GrantTable::Add(Sums& sums, const RecordedGrant& grant, int sign) {
   sums.granted += Tokens(sign * grant.granted.count);
   sums.spent += Tokens(sign * grant.spent.count);
-  if (grant.granted > grant.spent) sums.holders += sign;
+  sums.demand += Tokens(sign * grant.demand.count);
 }
 
 }  // namespace fuchsiadrum::budget
--- a/fuchsiadrum/budget/grant_table.h
+++ b/fuchsiadrum/budget/grant_table.h
@@ -13,6 +13,8 @@
   Tokens granted;
   /// Settled spend when the record was written; a lower bound.
   Tokens spent;
+  /// Tokens per second that the holder's callers asked for.
+  Tokens demand;
 };
 
 /// The newest recorded grant of every holder. It is only ever replaced record
@@ -23,8 +25,7 @@
   struct Sums {
     Tokens granted;
     Tokens spent;
-    /// Holders with tokens that are granted and not known as spent.
-    int holders = 0;
+    Tokens demand;
   };
 
   void Set(const std::string& organisation, const std::string& holder,
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -69,7 +69,8 @@
     const budget::ReserveResult result =
         this->holder.Reserve(now, organisation, amount);
     if (result == budget::ReserveResult::kReserved ||
-        result == budget::ReserveResult::kExhausted || now >= end) {
+        result == budget::ReserveResult::kExhausted || now >= end ||
+        this->follower.IsLost()) {
       co_return result;
     }
     this->wanted.Notify();
@@ -114,10 +115,12 @@
   this->grant_keys[record.key] = {grant.organisation(), grant.holder()};
   this->table.Set(grant.organisation(), grant.holder(),
                   {.granted = Tokens(grant.granted_tokens()),
-                   .spent = Tokens(grant.spent_tokens())});
+                   .spent = Tokens(grant.spent_tokens()),
+                   .demand = Tokens(grant.demand_tokens_per_s())});
   if (grant.holder() == this->name) {
     this->holder.OnOwnRecord(Now(), grant.organisation(),
                              this->follower.IsConsistent());
+    this->LogOwnGrant(grant, record.offset);
   }
 }
 
@@ -187,6 +190,20 @@
   }
 }
 
+void BudgetKeeper::LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset) {
+  const budget::GrantTable::Sums sums = this->table.SumsOf(grant.organisation());
+  this->event_log.Write(
+      "grant",
+      {{"organisation", grant.organisation()},
+       {"offset", static_cast<int64_t>(offset)},
+       {"granted", grant.granted_tokens()},
+       {"spent", grant.spent_tokens()},
+       {"available", this->holder.Available(grant.organisation()).count},
+       {"fleet_granted", sums.granted.count},
+       {"fleet_spent", sums.spent.count},
+       {"limit", this->holder.LimitOf(grant.organisation()).count}});
+}
+
 void BudgetKeeper::LogRefusal(const StoreReply& reply) {
   this->event_log.Write(
       "append-refused",
@@ -214,6 +231,7 @@
   grant.set_holder(this->name);
   grant.set_granted_tokens(update.grant.granted.count);
   grant.set_spent_tokens(update.grant.spent.count);
+  grant.set_demand_tokens_per_s(update.grant.demand.count);
   return {.key = std::string(kGrantKey) + update.organisation + "/" + this->name,
           .value = record.SerializeAsString()};
 }
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -65,6 +65,7 @@
   void OnRead();
   asio::awaitable<void> WriteLoop();
   asio::awaitable<void> Append(std::vector<store::KeyedRecord> records);
+  void LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset);
   void LogRefusal(const StoreReply& reply);
   store::KeyedRecord MemberRecord() const;
   store::KeyedRecord GrantRecord(const budget::GrantUpdate& update) const;
