--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -34,6 +34,10 @@
 NextStep StepAfter(const Route& route, const AttemptState& state,
                    bool repeat) {
   if (repeat && MayRepeat(route, state)) return NextStep::kRetry;
+  // No other answer can follow in the middle of one.
+  if (state.delivered && state.outcome != AttemptOutcome::kComplete) {
+    return NextStep::kAbort;
+  }
   switch (state.outcome) {
     case AttemptOutcome::kComplete:
       return NextStep::kDone;
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -40,6 +40,8 @@
   int runs = 0;
   /// Attempts that did not run it.
   int misses = 0;
+  /// Part of an answer has reached the caller.
+  bool delivered = false;
   Duration time_left = Duration::zero();
 };
 
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -194,6 +194,7 @@
   const serving::AttemptState state = {.outcome = outcome,
                                        .runs = this->runs,
                                        .misses = this->misses,
+                                       .delivered = this->head_sent,
                                        .time_left = this->TimeLeft()};
   const bool repeat = serving::MayRepeat(*this->route, state) &&
                       this->core.Retries().Take(Now(), this->service);
--- /dev/null
+++ b/tests/serving/attempt_policy_test.cc
@@ -0,0 +1,101 @@
+#include "fuchsiadrum/serving/attempt_policy.h"
+
+#include <gtest/gtest.h>
+
+namespace fuchsiadrum::serving {
+namespace {
+
+class AttemptPolicyTest : public testing::Test {
+ protected:
+  static Route RouteOf(RequestKind kind, int max_attempts,
+                       bool resumable = false) {
+    Route route;
+    route.kind = kind;
+    route.max_attempts = max_attempts;
+    route.resumable = resumable;
+    return route;
+  }
+  static AttemptState After(AttemptOutcome outcome, int runs, int misses) {
+    return {.outcome = outcome,
+            .runs = runs,
+            .misses = misses,
+            .time_left = std::chrono::seconds(1)};
+  }
+};
+
+// Guards against a booking that runs twice.
+TEST_F(AttemptPolicyTest, UnsafeRequest_BrokenAfterSending_IsNeverRepeated) {
+  const Route route = RouteOf(RequestKind::kUnsafe, 3);
+  const AttemptState state = After(AttemptOutcome::kBroken, 1, 0);
+
+  EXPECT_FALSE(MayRepeat(route, state));
+  EXPECT_EQ(StepAfter(route, state, true), NextStep::kGiveUp);
+}
+
+// Guards against a refusal of a request that has run.
+TEST_F(AttemptPolicyTest, Refusal_AfterARun_PromisesNothing) {
+  const Route route = RouteOf(RequestKind::kSafe, 2);
+
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kRejected, 1, 3), true),
+            NextStep::kGiveUp);
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kRejected, 0, 3), true),
+            NextStep::kRefuse);
+}
+
+TEST_F(AttemptPolicyTest, Rejection_OfUnsafeRequest_GoesToAnotherUpstream) {
+  const Route route = RouteOf(RequestKind::kUnsafe, 1);
+
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kRejected, 0, 1), true),
+            NextStep::kRetry);
+}
+
+TEST_F(AttemptPolicyTest, ResumableStream_BrokenMidway_GoesOnElsewhere) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2, true);
+
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kBrokenMidway, 1, 0), true),
+            NextStep::kRetry);
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kBrokenMidway, 2, 0), true),
+            NextStep::kAbort);
+}
+
+TEST_F(AttemptPolicyTest, PlainStream_BrokenMidway_EndsTheConnection) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2);
+
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kBrokenMidway, 1, 0), true),
+            NextStep::kAbort);
+}
+
+// The site's day trouble-1: the second upstream of a resumed stream refused it,
+// and a 503 was written into the middle of the first one's answer.
+TEST_F(AttemptPolicyTest, ResumedStream_AnyFailure_EndsTheConnection) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2, true);
+  for (const AttemptOutcome outcome :
+       {AttemptOutcome::kNotSent, AttemptOutcome::kRejected,
+        AttemptOutcome::kFailed, AttemptOutcome::kBroken,
+        AttemptOutcome::kTimedOut}) {
+    AttemptState state = After(outcome, 2, kMostMisses);
+    state.delivered = true;
+    EXPECT_EQ(StepAfter(route, state, false), NextStep::kAbort)
+        << AttemptOutcomeName(outcome);
+  }
+}
+
+TEST_F(AttemptPolicyTest, Attempt_WithoutTimeLeft_IsNotRepeated) {
+  const Route route = RouteOf(RequestKind::kSafe, 2);
+  AttemptState state = After(AttemptOutcome::kBroken, 1, 0);
+  state.time_left = kLeastTimeForAttempt / 2;
+
+  EXPECT_FALSE(MayRepeat(route, state));
+}
+
+TEST_F(AttemptPolicyTest, TimeOut_BeforeSending_IsRefusedAsNotRun) {
+  const Route route = RouteOf(RequestKind::kUnsafe, 1);
+
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kTimedOut, 0, 1), false),
+            NextStep::kRefuse);
+  EXPECT_EQ(StepAfter(route, After(AttemptOutcome::kTimedOut, 1, 0), false),
+            NextStep::kTimeOut);
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::serving
