--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -161,8 +161,7 @@
   const Tokens left = pool.usable - this->InUse(pool);
   const double free = static_cast<double>(
       std::max<int64_t>(0, (*pool.limit - sums.granted + left).count));
-  const double others =
-      static_cast<double>((sums.demand - own.demand).count);
+  const double others = static_cast<double>((sums.demand - own.demand).count);
   const double part = pool.demand / std::max(1.0, pool.demand + others);
   const double by_rest = free * this->options.pooled_share * part;
   return Tokens(static_cast<int64_t>(std::min(by_demand, by_rest)));
@@ -185,21 +184,20 @@
 
   const Tokens target = this->Target(pool, own, sums);
   const Tokens left = pool.usable - in_use;
-  const auto low = static_cast<int64_t>(
-      this->options.low_water * static_cast<double>(target.count));
+  const auto low = static_cast<int64_t>(this->options.low_water *
+                                        static_cast<double>(target.count));
   if (left < pool.wanted || left.count < low) {
     if (pool.pending || now < pool.pause_until) return std::nullopt;
     const Tokens free = *pool.limit - (sums.granted - own.granted);
-    const Tokens total =
-        std::min(in_use + std::max(target, pool.wanted), free);
+    const Tokens total = std::min(in_use + std::max(target, pool.wanted), free);
     if (total > pool.asked && total >= in_use + pool.wanted) return total;
     // Not enough is free: whoever waits asks again when it is.
     pool.wanted = Tokens(0);
     return std::nullopt;
   }
 
-  const auto high = static_cast<int64_t>(
-      this->options.high_water * static_cast<double>(target.count));
+  const auto high = static_cast<int64_t>(this->options.high_water *
+                                         static_cast<double>(target.count));
   if (!pool.pending && left.count > high && left > pool.wanted) {
     const Tokens total = in_use + std::max(target, pool.wanted);
     if (total < pool.asked) return total;
--- a/fuchsiadrum/budget/grant_table.cc
+++ b/fuchsiadrum/budget/grant_table.cc
@@ -2,8 +2,8 @@
 
 namespace fuchsiadrum::budget {
 
-void GrantTable::Set(const std::string& organisation,
-                     const std::string& holder, const RecordedGrant& grant) {
+void GrantTable::Set(const std::string& organisation, const std::string& holder,
+                     const RecordedGrant& grant) {
   Account& account = this->accounts[organisation];
   RecordedGrant& entry = account.grants[holder];
   Add(account.sums, entry, -1);
--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -31,8 +31,7 @@
   return false;
 }
 
-NextStep StepAfter(const Route& route, const AttemptState& state,
-                   bool repeat) {
+NextStep StepAfter(const Route& route, const AttemptState& state, bool repeat) {
   if (repeat && MayRepeat(route, state)) return NextStep::kRetry;
   // No other answer can follow in the middle of one.
   if (state.delivered && state.outcome != AttemptOutcome::kComplete) {
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -10,13 +10,13 @@
 /// How one attempt at an upstream ended.
 enum class AttemptOutcome {
   kComplete,
-  kNotSent,         // no byte of the request left
-  kRejected,        // the upstream says that it did not run the request
-  kFailed,          // the upstream ran the request and answered with a failure
-  kBroken,          // sent, and no whole answer came
-  kBrokenMidway,    // part of the stream has reached the caller
+  kNotSent,       // no byte of the request left
+  kRejected,      // the upstream says that it did not run the request
+  kFailed,        // the upstream ran the request and answered with a failure
+  kBroken,        // sent, and no whole answer came
+  kBrokenMidway,  // part of the stream has reached the caller
   kCallerGone,
-  kTimedOut,        // the request's time is over
+  kTimedOut,  // the request's time is over
 };
 
 /// Name of an outcome, for log lines and metrics.
--- a/fuchsiadrum/serving/fleet_upstream.cc
+++ b/fuchsiadrum/serving/fleet_upstream.cc
@@ -92,9 +92,10 @@
   ++this->failures;
   if (this->failures < this->options.failures_to_eject) return;
 
-  const Duration time = std::min(
-      this->options.longest_ejection,
-      this->options.first_ejection * (int64_t{1} << std::min(this->ejections, 10)));
+  const Duration time =
+      std::min(this->options.longest_ejection,
+               this->options.first_ejection *
+                   (int64_t{1} << std::min(this->ejections, 10)));
   ++this->ejections;
   this->ejected_until = now + time;
   // One more failure after the pause ejects it again.
--- a/fuchsiadrum/serving/serving_config.cc
+++ b/fuchsiadrum/serving/serving_config.cc
@@ -6,8 +6,8 @@
 namespace fuchsiadrum::serving {
 
 std::string_view RequestKindName(RequestKind kind) {
-  static constexpr std::array<std::string_view, 3> kNames = {
-      "safe", "unsafe", "streaming"};
+  static constexpr std::array<std::string_view, 3> kNames = {"safe", "unsafe",
+                                                             "streaming"};
   return kNames[static_cast<size_t>(kind)];
 }
 
--- a/fuchsiadrum/serving/upstream_directory.cc
+++ b/fuchsiadrum/serving/upstream_directory.cc
@@ -17,8 +17,8 @@
 
   // An upstream that has begun to leave does not come back in the same life.
   const bool draining = known->entry.draining || entry.draining;
-  const bool changed = draining != known->entry.draining ||
-                       known->missing_since.us != 0;
+  const bool changed =
+      draining != known->entry.draining || known->missing_since.us != 0;
   known->entry = entry;
   known->entry.draining = draining;
   known->missing_since = TimePoint();
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -191,7 +191,8 @@
 }
 
 void BudgetKeeper::LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset) {
-  const budget::GrantTable::Sums sums = this->table.SumsOf(grant.organisation());
+  const budget::GrantTable::Sums sums =
+      this->table.SumsOf(grant.organisation());
   this->event_log.Write(
       "grant",
       {{"organisation", grant.organisation()},
@@ -232,8 +233,9 @@
   grant.set_granted_tokens(update.grant.granted.count);
   grant.set_spent_tokens(update.grant.spent.count);
   grant.set_demand_tokens_per_s(update.grant.demand.count);
-  return {.key = std::string(kGrantKey) + update.organisation + "/" + this->name,
-          .value = record.SerializeAsString()};
+  return {
+      .key = std::string(kGrantKey) + update.organisation + "/" + this->name,
+      .value = record.SerializeAsString()};
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -69,8 +69,8 @@
 
 asio::awaitable<bool> CallerConnection::WaitForBytes() {
   const serving::CallerLimits limits = this->core.Limits();
-  this->ExpireAt(Now() + (this->served_one ? limits.idle_timeout
-                                           : limits.header_timeout));
+  this->ExpireAt(
+      Now() + (this->served_one ? limits.idle_timeout : limits.header_timeout));
   ErrorCode error;
   co_await this->socket.async_wait(
       Tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
@@ -99,8 +99,8 @@
   }
   if (error) {
     const bool malformed =
-        error.category() == http::make_error_code(http::error::bad_method)
-                                .category() &&
+        error.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
         error != http::error::end_of_stream &&
         error != http::error::partial_message;
     if (malformed) co_await this->Refuse(400, "malformed head", "");
@@ -154,9 +154,9 @@
 
 asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
   ErrorCode error;
-  co_await asio::async_write(
-      this->socket, asio::buffer(bytes.data(), bytes.size()),
-      asio::redirect_error(asio::use_awaitable, error));
+  co_await asio::async_write(this->socket,
+                             asio::buffer(bytes.data(), bytes.size()),
+                             asio::redirect_error(asio::use_awaitable, error));
   co_return !error;
 }
 
--- a/gateway/event_log.cc
+++ b/gateway/event_log.cc
@@ -83,8 +83,8 @@
     this->Write("log-dropped", {{"lines", lines}});
   }
   if (this->buffer.empty()) return;
-  const ssize_t written = write(this->options.descriptor, this->buffer.data(),
-                                this->buffer.size());
+  const ssize_t written =
+      write(this->options.descriptor, this->buffer.data(), this->buffer.size());
   // A full pipe keeps the lines for the next call; any other error means that
   // nobody reads the log.
   if (written > 0) {
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -56,10 +56,10 @@
 }
 
 void Gateway::Run() {
-  this->core.Log().Write(
-      "start", {{"zone", this->settings.vm().availability_zone()},
-                {"callers", this->settings.listen().callers()},
-                {"store", this->settings.store().address()}});
+  this->core.Log().Write("start",
+                         {{"zone", this->settings.vm().availability_zone()},
+                          {"callers", this->settings.listen().callers()},
+                          {"store", this->settings.store().address()}});
   this->core.Start();
   asio::co_spawn(this->context, this->AcceptLoop(), asio::detached);
   asio::co_spawn(this->context, this->TickLoop(), asio::detached);
@@ -117,9 +117,9 @@
 
 asio::awaitable<void> Gateway::Stop() {
   const TimePoint begin = Now();
-  const auto grace = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(this->settings.stop().grace_s() *
-                                    kGracePart));
+  const auto grace =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          this->settings.stop().grace_s() * kGracePart));
   this->core.BeginStop();
   this->core.Budgets().Close();
 
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -25,11 +25,11 @@
 
 serving::RetryAllowanceOptions RetryOptions(
     const pb::GatewaySettings& settings) {
-  return {.ratio = settings.bounds().retry_ratio(),
-          .slack = settings.bounds().retry_slack(),
-          .window = std::chrono::duration_cast<Duration>(
-              std::chrono::duration<double>(
-                  settings.bounds().retry_window_s()))};
+  return {
+      .ratio = settings.bounds().retry_ratio(),
+      .slack = settings.bounds().retry_slack(),
+      .window = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(settings.bounds().retry_window_s()))};
 }
 
 BudgetKeeperOptions BudgetOptions(const pb::GatewaySettings& settings) {
@@ -70,8 +70,7 @@
            .timeout = StoreTimeout(gateway_settings)},
           {.on_change = [this](const auto& r) { this->OnUpstreamRecord(r); },
            .on_read = [] {},
-           .on_regained =
-               [this] { this->directory.OnStoreBack(Now()); }},
+           .on_regained = [this] { this->directory.OnStoreBack(Now()); }},
           io_context, this->watchdog, this->log,
           gateway_settings.store().address()),
       budgets(BudgetOptions(gateway_settings), io_context, this->watchdog,
@@ -119,15 +118,16 @@
   const serving::ServingConfigPtr offered =
       platform::DecodeConfig(*record.value, reason);
   if (!offered) {
-    this->log.Write("config-unusable",
-                    {{"offset", static_cast<int64_t>(record.offset)},
-                     {"reason", reason}});
+    this->log.Write(
+        "config-unusable",
+        {{"offset", static_cast<int64_t>(record.offset)}, {"reason", reason}});
     return;
   }
   const bool taken = this->config.Offer(offered);
-  this->log.Write("config", {{"version", static_cast<int64_t>(offered->version)},
-                             {"offset", static_cast<int64_t>(record.offset)},
-                             {"in_force", taken}});
+  this->log.Write("config",
+                  {{"version", static_cast<int64_t>(offered->version)},
+                   {"offset", static_cast<int64_t>(record.offset)},
+                   {"in_force", taken}});
   if (taken) this->budgets.OnConfig(*offered);
 }
 
@@ -162,16 +162,15 @@
   const auto add = [&text](std::string_view name, double value) {
     text += GatewayMetrics::Line(name, value);
   };
-  add("config_version",
-      this->config.Get() ? static_cast<double>(this->config.Get()->version)
-                         : 0);
+  add("config_version", this->config.Get()
+                            ? static_cast<double>(this->config.Get()->version)
+                            : 0);
   add("callers", static_cast<double>(this->callers.size()));
   add("upstreams", static_cast<double>(this->directory.Size()));
   add("upstream_connections_total", static_cast<double>(this->pool.Opened()));
-  add("store_calls_total",
-      static_cast<double>(this->config_follower.Calls() +
-                          this->upstream_follower.Calls() +
-                          this->budgets.Calls()));
+  add("store_calls_total", static_cast<double>(this->config_follower.Calls() +
+                                               this->upstream_follower.Calls() +
+                                               this->budgets.Calls()));
   add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
   return text;
 }
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -29,8 +29,8 @@
 void SetOption(Tcp::socket& socket, int level, int name, auto value) {
   // Options only sharpen the detection of dead peers; a failure leaves the
   // time limits of the caller in place.
-  static_cast<void>(setsockopt(socket.native_handle(), level, name, &value,
-                               sizeof(value)));
+  static_cast<void>(
+      setsockopt(socket.native_handle(), level, name, &value, sizeof(value)));
 }
 
 }  // namespace
@@ -66,12 +66,11 @@
   std::array<asio::const_buffer, 2> parts = {asio::buffer(this->send_head),
                                              asio::const_buffer()};
   if (this->send_body) parts[1] = asio::buffer(*this->send_body);
-  asio::async_write(
-      this->socket, parts,
-      [self = this->shared_from_this()](ErrorCode error, size_t) {
-        // A failed write shows in the read of the answer.
-        if (!error) self->sending = false;
-      });
+  asio::async_write(this->socket, parts,
+                    [self = this->shared_from_this()](ErrorCode error, size_t) {
+                      // A failed write shows in the read of the answer.
+                      if (!error) self->sending = false;
+                    });
 }
 
 asio::awaitable<const platform::HttpAnswerHead*> HttpConnection::ReadHead() {
@@ -109,8 +108,8 @@
   if (!this->parser->is_done() || !this->parser->keep_alive()) return false;
   if (this->buffer.size() > 0) return false;
   char byte = 0;
-  const ssize_t got = recv(this->socket.native_handle(), &byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t got =
+      recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -334,8 +334,8 @@
   this->answer = {};
   this->answer_body.clear();
   connection.StartSend(platform::EncodeUpstreamRequest(this->request, call),
-                       std::shared_ptr<const std::string>(
-                           this->shared_request, &this->request.body));
+                       std::shared_ptr<const std::string>(this->shared_request,
+                                                          &this->request.body));
 }
 
 asio::awaitable<const platform::HttpAnswerHead*> RequestTask::ReadMatchingHead(
@@ -432,9 +432,8 @@
     this->LogEnd(0, "caller-gone", own.reason);
     co_return false;
   }
-  const std::string text =
-      platform::EncodeOwnAnswer(own.status, this->request.id, own.retry_after,
-                                this->caller.MustClose());
+  const std::string text = platform::EncodeOwnAnswer(
+      own.status, this->request.id, own.retry_after, this->caller.MustClose());
   const bool written = co_await this->caller.Write(text);
   this->LogEnd(own.status, "own-answer", own.reason);
   co_return written;
@@ -525,10 +524,9 @@
       "request",
       {{"id", this->request.id},
        {"route", route_name},
-       {"organisation",
-        this->organisation ? this->organisation->name : none},
-       {"config", static_cast<int64_t>(
-                      this->config ? this->config->version : 0)},
+       {"organisation", this->organisation ? this->organisation->name : none},
+       {"config",
+        static_cast<int64_t>(this->config ? this->config->version : 0)},
        {"status", static_cast<int64_t>(status)},
        {"outcome", outcome},
        {"reason", reason},
--- a/gateway/signal_gate.h
+++ b/gateway/signal_gate.h
@@ -13,8 +13,8 @@
 
   /// Returns after the next Notify or after the time.
   asio::awaitable<void> Wait(Duration longest) {
-    const auto timer = this->timers.emplace(
-        this->timers.end(), this->context, std::chrono::microseconds(longest));
+    const auto timer = this->timers.emplace(this->timers.end(), this->context,
+                                            std::chrono::microseconds(longest));
     ErrorCode ignored;
     co_await timer->async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -24,9 +24,9 @@
     const bool good = co_await this->ReadOnce();
     this->NoteResult(good);
     if (!good) {
-      const Duration pause =
-          std::min(this->options.longest_pause,
-                   this->options.first_pause * (1 << std::min(this->failures, 6)));
+      const Duration pause = std::min(
+          this->options.longest_pause,
+          this->options.first_pause * (1 << std::min(this->failures, 6)));
       co_await this->gate.Wait(pause);
     } else if (reading_tail && !this->poked &&
                this->options.interval > Duration::zero()) {
@@ -39,13 +39,13 @@
   const store::KeyedView::NextRead next = this->view.Next();
   const Duration hold = next.tail ? this->options.hold : Duration::zero();
   const std::string& host = this->client.Address();
-  std::string text =
-      next.tail ? platform::EncodeReadTail(host, this->options.stream,
-                                           next.from, hold)
-                : platform::EncodeReadNewest(host, this->options.stream,
-                                             next.after_key);
-  const StoreReply reply = co_await this->client.Call(
-      std::move(text), this->options.timeout + hold);
+  std::string text = next.tail
+                         ? platform::EncodeReadTail(host, this->options.stream,
+                                                    next.from, hold)
+                         : platform::EncodeReadNewest(
+                               host, this->options.stream, next.after_key);
+  const StoreReply reply =
+      co_await this->client.Call(std::move(text), this->options.timeout + hold);
   this->last_status = reply.status;
   co_return this->Accept(next, reply);
 }
@@ -88,9 +88,10 @@
     return;
   }
   if (this->failures == 0) return;
-  this->event_log.Write("store-regained",
-                        {{"stream", stream},
-                         {"failed_reads", static_cast<int64_t>(this->failures)}});
+  this->event_log.Write(
+      "store-regained",
+      {{"stream", stream},
+       {"failed_reads", static_cast<int64_t>(this->failures)}});
   this->failures = 0;
   this->handlers.on_regained();
 }
--- /dev/null
+++ b/tests/platform/config_codec_test.cc
@@ -0,0 +1,93 @@
+#include "platform/config_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace fuchsiadrum::platform {
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,
+ "routes":[
+  {"name":"r1","host":"Choir.example","path_prefix":"/a/","kind":"streaming",
+   "timeout_ms":15000,"target_latency_ms":1000,"priority":1,"service":"s1",
+   "max_attempts":2,"anonymous":false,"affinity":true,"resumable":true,
+   "target_gap_ms":500},
+  {"name":"r2","host":"choir.example","path_prefix":"/a/b/","kind":"unsafe",
+   "timeout_ms":800,"max_attempts":1,
+   "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+ "services":[
+  {"name":"s1","max_connections":370,"engine":{"slots":64,
+   "kv_capacity_tokens":410063,"stride":5}},
+  {"name":"s2","max_connections":110}],
+ "limits":{"max_header_bytes":8192,"idle_timeout_ms":9000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,
+  "prepaid":7152663}]})";
+
+class ConfigCodecTest : public testing::Test {
+ protected:
+  std::string reason;
+};
+
+TEST_F(ConfigCodecTest, Config_IsDecodedIntoItsFields) {
+  const serving::ServingConfigPtr config = DecodeConfig(kConfig, this->reason);
+  ASSERT_TRUE(config) << this->reason;
+
+  EXPECT_EQ(config->version, 7U);
+  EXPECT_EQ(config->Match("choir.example", "/a/x")->name, "r1");
+  EXPECT_EQ(config->Match("choir.example", "/a/b/x")->name, "r2");
+  EXPECT_EQ(config->Match("choir.example", "/c/"), nullptr);
+  EXPECT_EQ(config->OwnerOf("k2")->name, "t1");
+  EXPECT_EQ(config->OwnerOf("k3"), nullptr);
+  EXPECT_EQ(config->organisations[0].prepaid, Tokens(7152663));
+  EXPECT_EQ(config->FindService("s1")->engine->tokens_per_event, 5);
+  EXPECT_FALSE(config->FindService("s2")->engine);
+  EXPECT_EQ(config->limits.header_bytes, 8192U);
+  EXPECT_EQ(config->limits.body_bytes, 4194304U);
+  EXPECT_TRUE(config->routes[0].IsIdempotent());
+  EXPECT_FALSE(config->routes[1].IsIdempotent());
+}
+
+TEST_F(ConfigCodecTest, UnreadableConfig_IsRefusedWithAReason) {
+  for (const char* bad :
+       {"", "{", "[]", "{}", R"({"version":1,"routes":[],"services":{}})",
+        R"({"version":"1","routes":[],"services":[]})",
+        R"({"version":1,"routes":[{"name":"r"}],"services":[]})"}) {
+    EXPECT_FALSE(DecodeConfig(bad, this->reason)) << bad;
+    EXPECT_FALSE(this->reason.empty()) << bad;
+  }
+}
+
+TEST_F(ConfigCodecTest, OlderVersion_DoesNotReplaceANewerOne) {
+  serving::ConfigInForce in_force;
+  auto older = std::make_shared<serving::ServingConfig>();
+  older->version = 6;
+  EXPECT_TRUE(in_force.Offer(DecodeConfig(kConfig, this->reason)));
+  EXPECT_FALSE(in_force.Offer(older));
+  EXPECT_EQ(in_force.Get()->version, 7U);
+}
+
+TEST_F(ConfigCodecTest, UpstreamEntry_IsDecodedIntoItsFields) {
+  const auto entry = DecodeUpstreamEntry(
+      "i-1",
+      R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":64,
+          "state":"draining","born":1700000000123})",
+      this->reason);
+  ASSERT_TRUE(entry) << this->reason;
+
+  EXPECT_EQ(entry->id, "i-1");
+  EXPECT_EQ(entry->started_unix_ms, 1700000000123);
+  EXPECT_TRUE(entry->draining);
+}
+
+// Entries may come from other writers.
+TEST_F(ConfigCodecTest, ForeignEntry_NamesNoUpstream) {
+  for (const char* bad :
+       {"", "\xff\xfe", R"({"service":"s1"})",
+        R"({"service":1,"address":"a","zone":"z","state":"ready"})",
+        R"({"service":"s","address":"a","zone":"z","state":"resting"})"}) {
+    EXPECT_FALSE(DecodeUpstreamEntry("i", bad, this->reason)) << bad;
+    EXPECT_FALSE(this->reason.empty()) << bad;
+  }
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::platform
--- /dev/null
+++ b/tests/platform/request_codec_test.cc
@@ -0,0 +1,124 @@
+#include "platform/request_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace fuchsiadrum::platform {
+namespace {
+
+class RequestCodecTest : public testing::Test {
+ protected:
+  RequestCodecTest() {
+    this->head.method_string("POST");
+    this->head.target("/draft/x?y=1");
+    this->head.set("Host", "Choir.example:80");
+    this->head.set("Attempt-Id", "a1");
+    this->head.set("Deadline-Ms", "1500");
+    this->head.set("Key", "secret");
+    this->head.set("Token-Counts", "1460,80");
+    this->head.set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+  }
+
+  serving::CallerRequest Decoded() {
+    const auto request = DecodeRequest(this->head, this->reason);
+    EXPECT_TRUE(request) << this->reason;
+    return request.value_or(serving::CallerRequest());
+  }
+
+  HttpRequestHead head;
+  std::string reason;
+};
+
+TEST_F(RequestCodecTest, Request_IsDecodedIntoItsFields) {
+  const serving::CallerRequest request = this->Decoded();
+
+  EXPECT_EQ(request.id, "a1");
+  EXPECT_EQ(request.host, "choir.example");
+  EXPECT_EQ(request.path, "/draft/x");
+  EXPECT_EQ(request.target, "/draft/x?y=1");
+  EXPECT_EQ(request.key, "secret");
+  EXPECT_EQ(request.patience, std::chrono::milliseconds(1500));
+  EXPECT_EQ(request.prompt_tokens, Tokens(1460));
+  EXPECT_EQ(request.max_output_tokens, Tokens(80));
+  ASSERT_EQ(request.parts.size(), 2U);
+  EXPECT_EQ(request.parts[1].id, 0x91bd3f06U);
+  EXPECT_EQ(request.parts[1].tokens, 410);
+}
+
+// A key or an order to an upstream must not get past the gateway.
+TEST_F(RequestCodecTest, FieldsOfTheGateway_FromACaller_AreDropped) {
+  for (const char* name : {"Tenant", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup",
+                           "Expect-Runner", "Request-Priority"}) {
+    this->head.set(name, "forged");
+  }
+  const std::string text = EncodeUpstreamRequest(
+      this->Decoded(), {.upstream_id = "u1", .organisation = "choir"});
+
+  EXPECT_EQ(text.find("forged"), std::string::npos);
+  EXPECT_EQ(text.find("secret"), std::string::npos);
+  EXPECT_NE(text.find("Tenant: choir\r\n"), std::string::npos);
+  EXPECT_NE(text.find("Expect-Runner: u1\r\n"), std::string::npos);
+  EXPECT_NE(text.find("Attempt-Id: a1\r\n"), std::string::npos);
+}
+
+TEST_F(RequestCodecTest, FieldsOfOneConnection_AreNotPassedOn) {
+  this->head.set("Connection", "close, X-Hop");
+  this->head.set("X-Hop", "1");
+  this->head.set("X-Kept", "2");
+  const std::string text = EncodeUpstreamRequest(this->Decoded(), {});
+
+  EXPECT_EQ(text.find("X-Hop"), std::string::npos);
+  EXPECT_NE(text.find("X-Kept: 2\r\n"), std::string::npos);
+}
+
+TEST_F(RequestCodecTest, BodyLength_IsThatOfTheBody) {
+  serving::CallerRequest request = this->Decoded();
+  request.body = "12345";
+
+  EXPECT_NE(EncodeUpstreamRequest(request, {}).find("Content-Length: 5\r\n"),
+            std::string::npos);
+}
+
+TEST_F(RequestCodecTest, MalformedFields_AreRefusedWithAReason) {
+  const std::pair<const char*, const char*> kBad[] = {{"Deadline-Ms", "soon"},
+                                                      {"Token-Counts", "12"},
+                                                      {"Token-Counts", "-1,5"},
+                                                      {"Prompt-Prefix", "abc"},
+                                                      {"Attempt-Id", ""}};
+  for (const auto& [name, value] : kBad) {
+    HttpRequestHead bad = this->head;
+    bad.set(name, value);
+    EXPECT_FALSE(DecodeRequest(bad, this->reason)) << name << ": " << value;
+    EXPECT_FALSE(this->reason.empty());
+  }
+}
+
+TEST_F(RequestCodecTest, Answer_IsDecodedIntoItsFields) {
+  HttpAnswerHead answer;
+  answer.result(503);
+  answer.set("Attempt-Id", "a1");
+  answer.set("Not-Executed", "1");
+  answer.set("Runner-Load", "3,2,8");
+  answer.set("Connection", "close");
+  answer.set("Keep-Alive", "timeout=5");
+  const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+
+  EXPECT_EQ(decoded.status, 503);
+  EXPECT_TRUE(decoded.not_executed);
+  EXPECT_TRUE(decoded.close);
+  EXPECT_FALSE(decoded.has_signature);
+  EXPECT_EQ(decoded.keep_alive, std::chrono::seconds(5));
+  ASSERT_TRUE(decoded.load);
+  EXPECT_EQ(decoded.load->waiting, 2);
+}
+
+TEST_F(RequestCodecTest, OwnAnswer_CarriesRetryAfterInSeconds) {
+  const std::string text =
+      EncodeOwnAnswer(503, "a1", std::chrono::milliseconds(250), true);
+
+  EXPECT_NE(text.find("Retry-After: 0.250\r\n"), std::string::npos);
+  EXPECT_NE(text.find("Connection: close\r\n"), std::string::npos);
+  EXPECT_EQ(text.find("Runner-Signature"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::platform
--- /dev/null
+++ b/tests/platform/store_codec_test.cc
@@ -0,0 +1,74 @@
+#include "platform/store_codec.h"
+
+#include <gtest/gtest.h>
+
+#include "fuchsiadrum/core/rng.h"
+
+namespace fuchsiadrum::platform {
+namespace {
+
+class StoreCodecTest : public testing::Test {
+ protected:
+  /// Body of an append with these records.
+  static std::string BodyOf(const std::vector<store::KeyedRecord>& records) {
+    const std::string text =
+        EncodeAppend("h", Stream::kFleet, {.name = "w"}, records);
+    return text.substr(text.find("\r\n\r\n") + 4);
+  }
+  /// A tail page as the store writes it.
+  static std::string Page(const std::string& records) {
+    return std::string(16, '\0') + records;
+  }
+};
+
+TEST_F(StoreCodecTest, AppendedRecords_AreReadBack) {
+  const auto page =
+      DecodeTail(Page(BodyOf({{.key = "a", .value = "1"},
+                              {.key = "b", .value = std::nullopt}})),
+                 40);
+  ASSERT_TRUE(page);
+
+  ASSERT_EQ(page->records.size(), 2U);
+  EXPECT_EQ(page->records[0].value, "1");
+  EXPECT_EQ(page->records[0].offset, 40U);
+  EXPECT_FALSE(page->records[1].value);
+  EXPECT_EQ(page->next_offset, 42U);
+}
+
+TEST_F(StoreCodecTest, CutPage_IsRefused) {
+  const std::string whole = Page(BodyOf({{.key = "key", .value = "value"}}));
+  for (size_t size = 17; size < whole.size(); ++size) {
+    EXPECT_FALSE(DecodeTail(whole.substr(0, size), 0)) << size;
+  }
+}
+
+TEST_F(StoreCodecTest, RandomBytes_NeverCrashTheDecoders) {
+  Rng rng(1);
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes(rng.Below(64), '\0');
+    for (char& c : bytes) c = static_cast<char>(rng.Below(256));
+    DecodeTail(bytes, 0);
+    DecodeNewest(bytes);
+    DecodeExpectedSequence(bytes);
+  }
+}
+
+TEST_F(StoreCodecTest, NewestPage_IsDecodedFromBase64) {
+  const auto page = DecodeNewest(
+      R"({"items":[{"key":"config","value":"eyJhIjoxfQ==","offset":4}],
+          "more_pages":true,"end_offset":6})");
+  ASSERT_TRUE(page);
+
+  EXPECT_EQ(page->records[0].value, "{\"a\":1}");
+  EXPECT_EQ(page->records[0].offset, 4U);
+  EXPECT_TRUE(page->more);
+  EXPECT_EQ(page->end_offset, 6U);
+}
+
+TEST_F(StoreCodecTest, ExpectedSequence_IsTakenFromARefusalForIt) {
+  EXPECT_EQ(DecodeExpectedSequence(R"({"reason":"seq","sequence":9})"), 9U);
+  EXPECT_FALSE(DecodeExpectedSequence(R"({"reason":"fenced"})"));
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::platform
--- /dev/null
+++ b/tests/serving/event_splitter_test.cc
@@ -0,0 +1,48 @@
+#include "fuchsiadrum/serving/event_splitter.h"
+
+#include <gtest/gtest.h>
+
+namespace fuchsiadrum::serving {
+namespace {
+
+class EventSplitterTest : public testing::Test {
+ protected:
+  std::string out;
+};
+
+TEST_F(EventSplitterTest, EventInTwoReads_IsPassedOnWhole) {
+  EventSplitter splitter(std::nullopt);
+
+  EXPECT_EQ(splitter.Feed("id: 1\ndata: a", this->out), 0);
+  EXPECT_TRUE(this->out.empty());
+  EXPECT_EQ(splitter.Feed("b\n\nid: 2\n", this->out), 1);
+  EXPECT_EQ(this->out, "id: 1\ndata: ab\n\n");
+  EXPECT_EQ(splitter.Rest(), "id: 2\n");
+  EXPECT_EQ(splitter.LastEvent(), 1U);
+}
+
+// A resumed stream may begin with events that the caller has.
+TEST_F(EventSplitterTest, EventsUpToTheLastOne_AreLeftOut) {
+  EventSplitter splitter(2);
+
+  EXPECT_EQ(splitter.Feed("id: 2\n\nid: 3\n\n", this->out), 1);
+  EXPECT_EQ(this->out, "id: 3\n\n");
+  EXPECT_FALSE(splitter.HasGap());
+}
+
+TEST_F(EventSplitterTest, MissingEvent_IsSeenAsGap) {
+  EventSplitter splitter(2);
+
+  splitter.Feed("id: 4\n\n", this->out);
+  EXPECT_TRUE(splitter.HasGap());
+}
+
+TEST_F(EventSplitterTest, CarriageReturns_EndAnEventToo) {
+  EventSplitter splitter(std::nullopt);
+
+  EXPECT_EQ(splitter.Feed("id: 1\r\ndata: a\r\n\r\n", this->out), 1);
+  EXPECT_TRUE(splitter.Rest().empty());
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::serving
--- /dev/null
+++ b/tests/store/keyed_view_test.cc
@@ -0,0 +1,85 @@
+#include "fuchsiadrum/store/keyed_view.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace fuchsiadrum::store {
+namespace {
+
+class KeyedViewTest : public testing::Test {
+ protected:
+  KeyedView view{[this](const KeyedRecord& record) {
+    if (record.value) {
+      this->values[record.key] = *record.value;
+    } else {
+      this->values.erase(record.key);
+    }
+  }};
+  std::map<std::string, std::string> values;
+
+  static KeyedRecord Put(std::string key, std::string value, uint64_t offset) {
+    return {.key = std::move(key), .value = std::move(value), .offset = offset};
+  }
+};
+
+TEST_F(KeyedViewTest, Pages_ThatAreNoSnapshot_AreMadeConsistentByTheTail) {
+  this->view.OnNewest(
+      {.records = {Put("a", "old", 1)}, .more = true, .end_offset = 5});
+  EXPECT_EQ(this->view.Next().after_key, "a");
+  // Between the pages "a" was written again, at 5.
+  this->view.OnNewest(
+      {.records = {Put("b", "new", 6)}, .more = false, .end_offset = 7});
+  EXPECT_FALSE(this->view.IsConsistent());
+  ASSERT_TRUE(this->view.Next().tail);
+  EXPECT_EQ(this->view.Next().from, 5U);
+
+  this->view.OnTail(
+      {.records = {Put("a", "new", 5), Put("b", "new", 6)}, .next_offset = 7});
+  EXPECT_TRUE(this->view.IsConsistent());
+  EXPECT_EQ(this->values["a"], "new");
+}
+
+TEST_F(KeyedViewTest, OlderRecord_AfterANewerOne_ChangesNothing) {
+  this->view.OnNewest(
+      {.records = {Put("a", "new", 4)}, .more = false, .end_offset = 3});
+  this->view.OnTail({.records = {Put("a", "old", 3)}, .next_offset = 4});
+
+  EXPECT_EQ(this->values["a"], "new");
+}
+
+// A gateway that was frozen for longer than the store keeps its history.
+TEST_F(KeyedViewTest, ExpiredTail_IsReadAnew_AndDeletedKeysGo) {
+  this->view.OnNewest({.records = {Put("a", "1", 0), Put("b", "1", 1)},
+                       .more = false,
+                       .end_offset = 2});
+  this->view.OnExpired();
+  EXPECT_FALSE(this->view.Next().tail);
+  EXPECT_EQ(this->values.size(), 2U) << "what is known stays until then";
+
+  this->view.OnNewest(
+      {.records = {Put("b", "2", 9)}, .more = false, .end_offset = 10});
+  EXPECT_EQ(this->values.size(), 1U);
+  EXPECT_EQ(this->values["b"], "2");
+  EXPECT_TRUE(this->view.IsConsistent());
+}
+
+TEST_F(KeyedViewTest, DeletedKey_InTheTail_IsDropped) {
+  this->view.OnNewest(
+      {.records = {Put("a", "1", 0)}, .more = false, .end_offset = 1});
+  this->view.OnTail(
+      {.records = {{.key = "a", .value = std::nullopt, .offset = 1}},
+       .next_offset = 2});
+
+  EXPECT_TRUE(this->values.empty());
+}
+
+TEST_F(KeyedViewTest, EmptyStream_IsConsistentAtOnce) {
+  this->view.OnNewest({.records = {}, .more = false, .end_offset = 0});
+
+  EXPECT_TRUE(this->view.IsConsistent());
+  EXPECT_EQ(this->view.NextOffset(), 0U);
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::store
