Give back what a dead gateway cannot have used

Change: each grant records a ceiling a little above what is in use; a holder goes beyond it only after 2 s without an answered write. A successor whose start came sooner fences the former writer and records the ceiling as the grant. After a boot, other gateways' clocks must confirm the time of day.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -40,7 +40,7 @@
   }
   if (this->closed) return ReserveResult::kHeldElsewhere;
 
-  if (this->InUse(pool) + amount <= pool.usable) {
+  if (this->InUse(pool) + amount <= this->Bound(now, pool)) {
     this->NoteDemand(now, pool, amount);
     pool.reserved += amount;
     return ReserveResult::kReserved;
@@ -60,6 +60,11 @@
   return ReserveResult::kNotYet;
 }
 
+Tokens GrantHolder::Bound(TimePoint now, const Pool& pool) const {
+  return this->IsCutOff(now) ? pool.usable
+                             : std::min(pool.usable, pool.ceiling);
+}
+
 void GrantHolder::Settle(const std::string& organisation, Tokens amount,
                          Tokens spent) {
   Pool& pool = this->pools[organisation];
@@ -75,24 +80,66 @@
   for (auto& [name, pool] : this->pools) {
     if (!pool.limit) continue;
     const std::optional<Tokens> total = this->NextTotal(now, name, pool);
-    if (!total) continue;
-
-    // A lower total binds at once, a higher one when it was read back.
-    pool.asked = *total;
-    pool.usable = std::min(pool.usable, *total);
-    pool.pending = true;
+    if (!total && !this->IsCeilingDue(pool)) continue;
+
+    // Lower totals bind at once, a higher ceiling when the write is answered, a
+    // higher grant when it was read back.
+    if (total) {
+      pool.asked = *total;
+      pool.usable = std::min(pool.usable, *total);
+      pool.pending = true;
+    }
+    pool.ceiling_asked = this->NextCeiling(pool, pool.asked);
+    pool.ceiling = std::min(pool.ceiling, pool.ceiling_asked);
     pool.recorded_at = now;
     pool.recorded_spent = pool.spent;
     this->in_flight.push_back(
         {.organisation = name,
-         .grant = {.granted = *total,
+         .grant = {.granted = pool.asked,
                    .spent = pool.spent,
-                   .demand = Tokens(static_cast<int64_t>(pool.demand))}});
+                   .demand = Tokens(static_cast<int64_t>(pool.demand)),
+                   .ceiling = pool.ceiling_asked}});
   }
   return this->in_flight;
 }
 
-void GrantHolder::OnWritten() { this->in_flight.clear(); }
+void GrantHolder::OnWritten(TimePoint now) {
+  this->answered_at = now;
+  for (const GrantUpdate& update : this->in_flight) {
+    Pool& pool = this->pools[update.organisation];
+    pool.ceiling = pool.ceiling_asked;
+    this->ForgetWantIfMet(pool);
+  }
+  this->in_flight.clear();
+}
+
+void GrantHolder::ForgetWantIfMet(Pool& pool) {
+  const Tokens bound = std::min(pool.usable, pool.ceiling);
+  if (this->InUse(pool) + pool.wanted <= bound) pool.wanted = Tokens(0);
+}
+
+Tokens GrantHolder::CeilingReserve(const Pool& pool) const {
+  const double ahead = pool.demand * Seconds(this->options.ceiling_ahead);
+  return std::max(pool.wanted, Tokens(static_cast<int64_t>(ahead)));
+}
+
+Tokens GrantHolder::NextCeiling(const Pool& pool, Tokens total) const {
+  const Tokens in_use = this->InUse(pool);
+  if (this->closed) return in_use;
+  return std::max(in_use, std::min(total, in_use + this->CeilingReserve(pool)));
+}
+
+bool GrantHolder::IsCeilingDue(const Pool& pool) const {
+  const Tokens next = this->NextCeiling(pool, pool.asked);
+  const Tokens reserve = this->CeilingReserve(pool);
+  const auto low = static_cast<int64_t>(this->options.ceiling_low_water *
+                                        static_cast<double>(reserve.count));
+  const auto high = static_cast<int64_t>(this->options.high_water *
+                                         static_cast<double>(reserve.count));
+  const Tokens left = pool.ceiling - this->InUse(pool);
+  if (left.count < low || left < pool.wanted) return next > pool.ceiling;
+  return left.count > high && next < pool.ceiling;
+}
 
 void GrantHolder::OnRefused() {
   for (const GrantUpdate& update : this->in_flight) {
@@ -126,7 +173,7 @@
   if (pool.asked <= pool.usable) return;
   if (this->table.SumsOf(name).granted <= *pool.limit) {
     pool.usable = pool.asked;
-    pool.wanted = Tokens(0);
+    this->ForgetWantIfMet(pool);
     return;
   }
   const auto pause = static_cast<int64_t>(
@@ -141,10 +188,11 @@
   });
 }
 
-Tokens GrantHolder::Available(const std::string& organisation) const {
+Tokens GrantHolder::Available(TimePoint now,
+                              const std::string& organisation) const {
   const auto found = this->pools.find(organisation);
   if (found == this->pools.end()) return Tokens(0);
-  return found->second.usable - this->InUse(found->second);
+  return this->Bound(now, found->second) - this->InUse(found->second);
 }
 
 Tokens GrantHolder::LimitOf(const std::string& organisation) const {
@@ -153,15 +201,17 @@
   return found->second.limit.value_or(Tokens(0));
 }
 
-Tokens GrantHolder::Target(const Pool& pool, const RecordedGrant& own,
+Tokens GrantHolder::Target(TimePoint now, const std::string& name,
+                           const Pool& pool,
                            const GrantTable::Sums& sums) const {
   const double by_demand = pool.demand * Seconds(this->options.horizon);
 
   // The own pool counts as free: it is what the target decides about.
   const Tokens left = pool.usable - this->InUse(pool);
-  const double free = static_cast<double>(
+  const auto free = static_cast<double>(
       std::max<int64_t>(0, (*pool.limit - sums.granted + left).count));
-  const double others = static_cast<double>((sums.demand - own.demand).count);
+  const auto others = static_cast<double>(
+      this->table.DemandOfOthers(now, name, this->options.holder).count);
   const double part = pool.demand / std::max(1.0, pool.demand + others);
   const double by_rest = free * this->options.pooled_share * part;
   return Tokens(static_cast<int64_t>(std::min(by_demand, by_rest)));
@@ -182,7 +232,7 @@
   // A grant beyond the budget is taken back before another one is asked for.
   if (!pool.pending && pool.asked > pool.usable) return pool.usable;
 
-  const Tokens target = this->Target(pool, own, sums);
+  const Tokens target = this->Target(now, name, pool, sums);
   const Tokens left = pool.usable - in_use;
   const auto low = static_cast<int64_t>(this->options.low_water *
                                         static_cast<double>(target.count));
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -21,6 +21,16 @@
   /// long a gateway serves without the store. Outages of the store of 4 to 9 s
   /// are ordinary.
   Duration horizon = std::chrono::seconds(10);
+  /// Time without an answered write after which the holder counts as cut off
+  /// from the store and uses all that is granted to it. A successor of a dead
+  /// holder that started sooner after the holder's last write gets back what
+  /// lies above the ceiling; restarts take 0.6 to 1.3 s.
+  Duration cut_off_after = std::chrono::milliseconds(2000);
+  /// Demand that the ceiling covers beyond what is in use: the time until the
+  /// holder counts as cut off, and the age of its last write.
+  Duration ceiling_ahead = std::chrono::milliseconds(2400);
+  /// Part of the ceiling's reserve below which the ceiling is raised.
+  double ceiling_low_water = 0.7;
   /// Part of the tokens not granted to anyone that all pools together may
   /// take, each by its part of the demand. Keeps the end of a budget within
   /// everyone's reach.
@@ -65,8 +75,9 @@
 /// the budget, and it records a lower total only after it has stopped using the
 /// difference. So at each position of the stream the usable totals are at most
 /// the recorded ones, and those were within the budget whenever one rose. No
-/// clock and no belief about other gateways is in the argument; a grant of a
-/// dead holder stays counted.
+/// clock and no belief about other gateways is in the argument. A grant of a
+/// dead holder stays counted, but for what lies above its ceiling, if
+/// budget::MayReclaim allows that.
 class GrantHolder {
  public:
   GrantHolder(const GrantHolderOptions& holder_options,
@@ -84,8 +95,8 @@
   /// What to write now; empty: nothing, or a write is under way. The same
   /// updates must be written until an outcome is known.
   std::vector<GrantUpdate> PlanWrite(TimePoint now);
-  /// The last planned write is in the stream.
-  void OnWritten();
+  /// The last planned write is in the stream, and the answer says so.
+  void OnWritten(TimePoint now);
   /// The last planned write is known not to be in the stream and never will be.
   void OnRefused();
   /// The table has just taken over the own record of this organisation.
@@ -99,7 +110,7 @@
   /// True if a reservation waits for a grant.
   bool IsWanting() const;
   /// Tokens that can be reserved at once.
-  Tokens Available(const std::string& organisation) const;
+  Tokens Available(TimePoint now, const std::string& organisation) const;
   /// The organisation's budget; zero: unknown or not limited.
   Tokens LimitOf(const std::string& organisation) const;
 
@@ -109,6 +120,9 @@
     /// Total that may be spent, total last recorded or asked for.
     Tokens usable;
     Tokens asked;
+    /// Ceiling that is recorded, and that of the last write.
+    Tokens ceiling;
+    Tokens ceiling_asked;
     Tokens spent;
     Tokens reserved;
     /// Largest amount that found the pool empty since the last grant.
@@ -123,8 +137,17 @@
     bool pending = false;
   };
 
+  /// True if no write was answered for so long that all grants may be used.
+  bool IsCutOff(TimePoint now) const {
+    return now - this->answered_at > this->options.cut_off_after;
+  }
+  Tokens Bound(TimePoint now, const Pool& pool) const;
+  void ForgetWantIfMet(Pool& pool);
+  Tokens NextCeiling(const Pool& pool, Tokens total) const;
+  bool IsCeilingDue(const Pool& pool) const;
+  Tokens CeilingReserve(const Pool& pool) const;
   Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
-  Tokens Target(const Pool& pool, const RecordedGrant& own,
+  Tokens Target(TimePoint now, const std::string& name, const Pool& pool,
                 const GrantTable::Sums& sums) const;
   std::optional<Tokens> NextTotal(TimePoint now, const std::string& name,
                                   Pool& pool);
@@ -138,6 +161,7 @@
   Rng rng;
   std::map<std::string, Pool> pools;
   std::vector<GrantUpdate> in_flight;
+  TimePoint answered_at;
   bool closed = false;
 };
 
--- a/fuchsiadrum/budget/grant_table.h
+++ b/fuchsiadrum/budget/grant_table.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "fuchsiadrum/core/types.h"
 
@@ -15,6 +17,8 @@
   Tokens spent;
   /// Tokens per second that the holder's callers asked for.
   Tokens demand;
+  /// Total that the holder uses while it reaches the store.
+  Tokens ceiling;
 };
 
 /// The newest recorded grant of every holder. It is only ever replaced record
@@ -25,21 +29,31 @@
   struct Sums {
     Tokens granted;
     Tokens spent;
-    Tokens demand;
   };
 
-  void Set(const std::string& organisation, const std::string& holder,
-           const RecordedGrant& grant);
+  void Set(TimePoint now, const std::string& organisation,
+           const std::string& holder, const RecordedGrant& grant);
   void Erase(const std::string& organisation, const std::string& holder);
 
   Sums SumsOf(const std::string& organisation) const;
+  /// Demand of the other holders whose record changed lately.
+  Tokens DemandOfOthers(TimePoint now, const std::string& organisation,
+                        const std::string& holder) const;
+  std::vector<std::string> Organisations() const;
+  /// Grants of the holders whose name begins so.
+  std::vector<std::pair<std::string, RecordedGrant>> OfVm(
+      const std::string& organisation, const std::string& holder_prefix) const;
   /// Zero without a record.
   RecordedGrant Of(const std::string& organisation,
                    const std::string& holder) const;
 
  private:
+  struct Entry {
+    RecordedGrant grant;
+    TimePoint changed_at;
+  };
   struct Account {
-    std::map<std::string, RecordedGrant> grants;
+    std::map<std::string, Entry> grants;
     Sums sums;
   };
 
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -12,6 +12,12 @@
 constexpr std::string_view kMemberKey = "member/";
 /// Pause after an append whose outcome is unknown, before it is repeated.
 constexpr Duration kRepeatPause = std::chrono::milliseconds(100);
+/// Records before a dead process's last one among which other gateways' signs
+/// are looked for; each of them writes a few records a second.
+constexpr uint64_t kSignsBefore = 400;
+/// How long other gateways' signs are awaited, and how often they are read.
+constexpr Duration kAskPeersTime = std::chrono::seconds(4);
+constexpr Duration kAskPeersPause = std::chrono::milliseconds(400);
 
 budget::GrantHolderOptions HolderOptions(const std::string& name) {
   return {.holder = name, .seed = Hash64(name)};
@@ -46,7 +52,8 @@
       writer_client(io_context, watchdog, opts.store_address),
       writer{.name = this->name},
       granted(io_context),
-      wanted(io_context) {}
+      wanted(io_context),
+      history_client(io_context, watchdog, opts.store_address) {}
 
 void BudgetKeeper::Start() {
   asio::co_spawn(this->context, this->WriteLoop(), asio::detached);
@@ -84,6 +91,7 @@
 }
 
 void BudgetKeeper::Close() {
+  this->closed = true;
   this->holder.Close();
   this->wanted.Notify();
 }
@@ -104,8 +112,16 @@
     return;
   }
   if (content.has_member()) {
-    if (content.member().vm() != this->options.vm) {
-      this->peers[content.member().vm()] = content.member().peer_address();
+    const pb::FleetMember& member = content.member();
+    if (member.vm() != this->options.vm) {
+      this->peers[member.vm()] = member.peer_address();
+    } else if (member.incarnation() != this->options.incarnation) {
+      this->predecessor = member;
+      this->predecessor_offset = record.offset;
+    } else if (!this->first_sign) {
+      this->first_sign = {.vm = member.vm(),
+                          .offset = record.offset,
+                          .time_of_day = Duration(member.unix_us())};
     }
     return;
   }
@@ -113,10 +129,11 @@
 
   const pb::BudgetGrant& grant = content.grant();
   this->grant_keys[record.key] = {grant.organisation(), grant.holder()};
-  this->table.Set(grant.organisation(), grant.holder(),
+  this->table.Set(Now(), grant.organisation(), grant.holder(),
                   {.granted = Tokens(grant.granted_tokens()),
                    .spent = Tokens(grant.spent_tokens()),
-                   .demand = Tokens(grant.demand_tokens_per_s())});
+                   .demand = Tokens(grant.demand_tokens_per_s()),
+                   .ceiling = Tokens(grant.ceiling_tokens())});
   if (grant.holder() == this->name) {
     this->holder.OnOwnRecord(Now(), grant.organisation(),
                              this->follower.IsConsistent());
@@ -133,18 +150,14 @@
 }
 
 asio::awaitable<void> BudgetKeeper::WriteLoop() {
-  // The first append creates the stream.
-  std::vector<store::KeyedRecord> member(1, this->MemberRecord());
-  co_await this->Append(std::move(member));
   asio::co_spawn(this->context, this->follower.Run(), asio::detached);
+  while (!this->was_consistent) {
+    co_await this->wanted.Wait(this->options.write_interval);
+  }
+  asio::co_spawn(this->context, this->TakeOver(), asio::detached);
 
   while (true) {
-    std::vector<store::KeyedRecord> records;
-    if (this->was_consistent) {
-      for (const budget::GrantUpdate& update : this->holder.PlanWrite(Now())) {
-        records.push_back(this->GrantRecord(update));
-      }
-    }
+    std::vector<store::KeyedRecord> records = this->PlanRecords();
     this->flushed = records.empty();
     if (!records.empty()) {
       const bool urgent = this->holder.IsWanting();
@@ -157,6 +170,125 @@
   }
 }
 
+std::vector<store::KeyedRecord> BudgetKeeper::PlanRecords() {
+  std::vector<store::KeyedRecord> records;
+  records.swap(this->queued);
+  const TimePoint now = Now();
+  for (const budget::GrantUpdate& update : this->holder.PlanWrite(now)) {
+    records.push_back(GrantRecord(this->name, update));
+  }
+  const bool due = now - this->signed_at >= this->options.sign_interval;
+  if (records.empty() && (!due || this->closed)) return records;
+  records.push_back(this->MemberRecord());
+  this->signed_at = now;
+  return records;
+}
+
+asio::awaitable<void> BudgetKeeper::TakeOver() {
+  if (!this->predecessor) co_return;
+  const pb::FleetMember former = *this->predecessor;
+  const std::string holder_name =
+      former.vm() + "/" + std::to_string(former.incarnation());
+  budget::VmClocks last_write;
+  last_write.since_boot = Duration(former.boot_us());
+  last_write.time_of_day = Duration(former.unix_us());
+
+  const budget::ReclaimVerdict verdict = budget::MayReclaim(
+      last_write, StartClocks(), budget::GrantHolderOptions().cut_off_after);
+  bool reclaim = verdict == budget::ReclaimVerdict::kYes;
+  if (verdict == budget::ReclaimVerdict::kAskPeers) {
+    reclaim = co_await this->AskPeers();
+  }
+  this->LogTakeOver(holder_name, reclaim ? "reclaim" : "keep");
+  if (!reclaim) co_return;
+
+  co_await this->Fence(holder_name);
+  for (store::KeyedRecord& record : this->ReclaimRecords(holder_name)) {
+    this->queued.push_back(std::move(record));
+  }
+  this->wanted.Notify();
+}
+
+asio::awaitable<bool> BudgetKeeper::AskPeers() {
+  // Signs of all gateways from some time before the former process's last one.
+  const uint64_t from = this->predecessor_offset > kSignsBefore
+                            ? this->predecessor_offset - kSignsBefore
+                            : 0;
+  const TimePoint end = Now() + kAskPeersTime;
+  while (Now() < end) {
+    co_await this->granted.Wait(kAskPeersPause);
+    if (!this->first_sign) continue;
+    std::string text = platform::EncodeReadTail(
+        this->options.store_address, platform::Stream::kFleet, from,
+        Duration::zero());
+    const StoreReply reply = co_await this->history_client.Call(
+        std::move(text), this->options.store_timeout);
+    if (reply.status == platform::kStoreExpired) co_return false;
+    if (reply.status != platform::kStoreDone) continue;
+    if (this->JudgeSigns(reply.body, from).value_or(false)) co_return true;
+  }
+  co_return false;
+}
+
+std::optional<bool> BudgetKeeper::JudgeSigns(const std::string& tail_body,
+                                             uint64_t from) const {
+  const auto page = platform::DecodeTail(tail_body, from);
+  if (!page) return std::nullopt;
+  std::vector<budget::FleetSign> signs;
+  for (const store::KeyedRecord& record : page->records) {
+    pb::FleetRecord content;
+    if (!record.value || !content.ParseFromString(*record.value) ||
+        !content.has_member()) {
+      continue;
+    }
+    signs.push_back({.vm = content.member().vm(),
+                     .offset = record.offset,
+                     .time_of_day = Duration(content.member().unix_us())});
+  }
+  const budget::ReclaimSpan span = {
+      .vm = this->options.vm,
+      .last = {.vm = this->options.vm,
+               .offset = this->predecessor_offset,
+               .time_of_day = Duration(this->predecessor->unix_us())},
+      .first = *this->first_sign};
+  return budget::PeersConfirm(span, signs);
+}
+
+asio::awaitable<void> BudgetKeeper::Fence(std::string holder_name) {
+  platform::Writer fence;
+  fence.name = std::move(holder_name);
+  fence.epoch = 2;
+  const std::vector<store::KeyedRecord> none;
+  while (true) {
+    std::string text = platform::EncodeAppend(
+        this->options.store_address, platform::Stream::kFleet, fence, none);
+    const StoreReply reply = co_await this->history_client.Call(
+        std::move(text), this->options.store_timeout);
+    if (reply.status == platform::kStoreDone ||
+        reply.status == platform::kStoreConflict) {
+      co_return;
+    }
+    co_await this->granted.Wait(kRepeatPause);
+  }
+}
+
+std::vector<store::KeyedRecord> BudgetKeeper::ReclaimRecords(
+    const std::string& holder_name) {
+  std::vector<store::KeyedRecord> records;
+  for (const std::string& organisation : this->table.Organisations()) {
+    const budget::RecordedGrant grant =
+        this->table.Of(organisation, holder_name);
+    if (grant.granted <= grant.ceiling) continue;
+    budget::GrantUpdate update;
+    update.organisation = organisation;
+    update.grant = grant;
+    update.grant.granted = grant.ceiling;
+    update.grant.demand = Tokens(0);
+    records.push_back(GrantRecord(holder_name, update));
+  }
+  return records;
+}
+
 asio::awaitable<void> BudgetKeeper::Append(
     std::vector<store::KeyedRecord> records) {
   // The same sequence is repeated until the outcome is known, so that a late
@@ -168,7 +300,8 @@
         this->options.store_timeout);
     if (reply.status == platform::kStoreDone) {
       ++this->writer.sequence;
-      this->holder.OnWritten();
+      this->holder.OnWritten(Now());
+      this->granted.Notify();
       co_return;
     }
     if (reply.status == platform::kStoreConflict) {
@@ -183,7 +316,7 @@
       }
       // The store has this sequence and has forgotten its answer.
       this->writer.sequence = *expected;
-      this->holder.OnWritten();
+      this->holder.OnWritten(Now());
       co_return;
     }
     co_await this->wanted.Wait(kRepeatPause);
@@ -199,7 +332,9 @@
        {"offset", static_cast<int64_t>(offset)},
        {"granted", grant.granted_tokens()},
        {"spent", grant.spent_tokens()},
-       {"available", this->holder.Available(grant.organisation()).count},
+       {"ceiling", grant.ceiling_tokens()},
+       {"available",
+        this->holder.Available(Now(), grant.organisation()).count},
        {"fleet_granted", sums.granted.count},
        {"fleet_spent", sums.spent.count},
        {"limit", this->holder.LimitOf(grant.organisation()).count}});
@@ -220,21 +355,37 @@
   member.set_incarnation(this->options.incarnation);
   member.set_peer_address(this->options.peer_address);
   member.set_availability_zone(this->options.availability_zone);
+  const budget::VmClocks clocks = ReadVmClocks();
+  member.set_boot_us(clocks.since_boot.count());
+  member.set_unix_us(clocks.time_of_day.count());
   return {.key = std::string(kMemberKey) + this->options.vm,
           .value = record.SerializeAsString()};
 }
 
+void BudgetKeeper::LogTakeOver(const std::string& holder_name,
+                               std::string_view verdict) {
+  const pb::FleetMember& former = *this->predecessor;
+  const budget::VmClocks& start = StartClocks();
+  this->event_log.Write(
+      "take-over",
+      {{"holder", holder_name},
+       {"boot_ms", (start.since_boot.count() - former.boot_us()) / 1000},
+       {"day_ms", (start.time_of_day.count() - former.unix_us()) / 1000},
+       {"verdict", verdict}});
+}
+
 store::KeyedRecord BudgetKeeper::GrantRecord(
-    const budget::GrantUpdate& update) const {
+    const std::string& holder, const budget::GrantUpdate& update) {
   pb::FleetRecord record;
   pb::BudgetGrant& grant = *record.mutable_grant();
   grant.set_organisation(update.organisation);
-  grant.set_holder(this->name);
+  grant.set_holder(holder);
   grant.set_granted_tokens(update.grant.granted.count);
   grant.set_spent_tokens(update.grant.spent.count);
   grant.set_demand_tokens_per_s(update.grant.demand.count);
+  grant.set_ceiling_tokens(update.grant.ceiling.count);
   return {
-      .key = std::string(kGrantKey) + update.organisation + "/" + this->name,
+      .key = std::string(kGrantKey) + update.organisation + "/" + holder,
       .value = record.SerializeAsString()};
 }
 
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fuchsiadrum/budget/grant_holder.h"
+#include "fuchsiadrum/budget/reclaim.h"
 #include "fuchsiadrum/serving/serving_config.h"
 #include "gateway/stream_follower.h"
 #include "schema/fleet.pb.h"
@@ -21,8 +22,11 @@
   Duration store_timeout = std::chrono::milliseconds(600);
   /// How often the fleet's stream is read. Others' grants are known this late.
   Duration read_interval = std::chrono::milliseconds(500);
-  /// Shortest time between two writes, unless a request waits for a grant.
+  /// Time between two writes, unless a request waits for a grant.
   Duration write_interval = std::chrono::milliseconds(250);
+  /// Longest time between two writes. The last one shows a successor of this
+  /// process how long it may have been cut off.
+  Duration sign_interval = std::chrono::milliseconds(500);
 };
 
 /// Carries the decisions of a budget::GrantHolder to and from the fleet's
@@ -48,9 +52,6 @@
   /// True once nothing is left to be written.
   bool IsFlushed() const { return this->flushed; }
 
-  Tokens Available(const std::string& organisation) const {
-    return this->holder.Available(organisation);
-  }
   bool IsLost() const { return this->follower.IsLost(); }
   uint64_t Calls() const {
     return this->follower.Calls() + this->writer_client.Calls();
@@ -65,10 +66,21 @@
   void OnRead();
   asio::awaitable<void> WriteLoop();
   asio::awaitable<void> Append(std::vector<store::KeyedRecord> records);
+  std::vector<store::KeyedRecord> PlanRecords();
+  /// Gives back what the former process of this VM cannot have used.
+  asio::awaitable<void> TakeOver();
+  asio::awaitable<bool> AskPeers();
+  std::optional<bool> JudgeSigns(const std::string& tail_body,
+                                 uint64_t from) const;
+  /// Makes the store refuse writes of that holder that are still on their way.
+  asio::awaitable<void> Fence(std::string holder_name);
+  std::vector<store::KeyedRecord> ReclaimRecords(const std::string& holder);
+  void LogTakeOver(const std::string& holder, std::string_view verdict);
   void LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset);
   void LogRefusal(const StoreReply& reply);
   store::KeyedRecord MemberRecord() const;
-  store::KeyedRecord GrantRecord(const budget::GrantUpdate& update) const;
+  static store::KeyedRecord GrantRecord(const std::string& holder,
+                                        const budget::GrantUpdate& update);
 
   BudgetKeeperOptions options;
   std::string name;
@@ -84,8 +96,18 @@
   std::map<std::string, std::string> peers;
   /// Organisation and holder of each grant's key, for its deletion.
   std::map<std::string, std::pair<std::string, std::string>> grant_keys;
+  /// The former process of this VM, as the stream shows it.
+  std::optional<pb::FleetMember> predecessor;
+  uint64_t predecessor_offset = 0;
+  /// This process's first own record.
+  std::optional<budget::FleetSign> first_sign;
+  /// Records to be written with the next ones.
+  std::vector<store::KeyedRecord> queued;
+  StoreClient history_client;
+  TimePoint signed_at;
   bool was_consistent = false;
   bool flushed = false;
+  bool closed = false;
 };
 
 }  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/gateway/clock.cc
@@ -0,0 +1,28 @@
+#include "gateway/clock.h"
+
+#include <ctime>
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+Duration ReadClock(clockid_t clock) {
+  timespec time{};
+  clock_gettime(clock, &time);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+/// Read before main, so that it is the start of the process.
+const budget::VmClocks kStartClocks = ReadVmClocks();
+
+}  // namespace
+
+budget::VmClocks ReadVmClocks() {
+  return {.since_boot = ReadClock(CLOCK_BOOTTIME),
+          .time_of_day = ReadClock(CLOCK_REALTIME)};
+}
+
+const budget::VmClocks& StartClocks() { return kStartClocks; }
+
+}  // namespace fuchsiadrum::gateway
--- a/gateway/clock.h
+++ b/gateway/clock.h
@@ -1,11 +1,17 @@
 #pragma once
 
 #include "daemon/clock.h"
+#include "fuchsiadrum/budget/reclaim.h"
 
 namespace fuchsiadrum::gateway {
 
 using daemon::Now;
 
+/// This VM's clocks.
+budget::VmClocks ReadVmClocks();
+/// This VM's clocks when the process started.
+const budget::VmClocks& StartClocks();
+
 /// Milliseconds, for log lines.
 inline double ToMs(Duration d) {
   return std::chrono::duration<double, std::milli>(d).count();
--- a/tests/budget/grant_holder_test.cc
+++ b/tests/budget/grant_holder_test.cc
@@ -53,7 +53,7 @@
   void Read(Gateway& gateway, TimePoint now, size_t most = SIZE_MAX) {
     while (gateway.read < this->stream.size() && most-- > 0) {
       const auto& [holder, update] = this->stream[gateway.read++];
-      gateway.table.Set(update.organisation, holder, update.grant);
+      gateway.table.Set(now, update.organisation, holder, update.grant);
       if (holder == gateway.name) {
         gateway.holder->OnOwnRecord(now, update.organisation, true);
       }
@@ -71,7 +71,7 @@
     const std::vector<GrantUpdate> updates = gateway.holder->PlanWrite(now);
     if (updates.empty()) return;
     this->Append(gateway, updates);
-    gateway.holder->OnWritten();
+    gateway.holder->OnWritten(now);
   }
 
   bool Spend(Gateway& gateway, TimePoint now, Tokens amount) {
@@ -290,7 +290,7 @@
           if (rng.Chance(0.5)) break;
           fleet.Append(gateway, gateway.unanswered);
           gateway.unanswered.clear();
-          gateway.holder->OnWritten();
+          gateway.holder->OnWritten(now);
         } else if (rng.Chance(0.3)) {
           gateway.unanswered = gateway.holder->PlanWrite(now);
         } else {
