--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -79,6 +79,7 @@
 
   for (auto& [name, pool] : this->pools) {
     if (!pool.limit) continue;
+    pool.unspent_part = this->UnspentPart(name, pool);
     const std::optional<Tokens> total = this->NextTotal(now, name, pool);
     if (!total && !this->IsCeilingDue(pool)) continue;
 
@@ -119,7 +120,10 @@
 }
 
 Tokens GrantHolder::CeilingReserve(const Pool& pool) const {
-  const double ahead = pool.demand * Seconds(this->options.ceiling_ahead);
+  const double part = std::clamp(pool.unspent_part / this->options.ample_part,
+                                 this->options.least_ceiling_part, 1.0);
+  const double ahead =
+      part * pool.demand * Seconds(this->options.ceiling_ahead);
   return std::max(pool.wanted, Tokens(static_cast<int64_t>(ahead)));
 }
 
@@ -129,6 +133,14 @@
   return std::max(in_use, std::min(total, in_use + this->CeilingReserve(pool)));
 }
 
+double GrantHolder::UnspentPart(const std::string& name,
+                                const Pool& pool) const {
+  if (pool.limit->count <= 0) return 0;
+  const Tokens unspent = *pool.limit - this->table.SumsOf(name).spent;
+  return static_cast<double>(unspent.count) /
+         static_cast<double>(pool.limit->count);
+}
+
 bool GrantHolder::IsCeilingDue(const Pool& pool) const {
   const Tokens next = this->NextCeiling(pool, pool.asked);
   const Tokens reserve = this->CeilingReserve(pool);
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -29,6 +29,11 @@
   /// Demand that the ceiling covers beyond what is in use: the time until the
   /// holder counts as cut off, and the age of its last write.
   Duration ceiling_ahead = std::chrono::milliseconds(2400);
+  /// Unspent part of a budget below which the ceiling's reserve shrinks in
+  /// proportion, down to `least_ceiling_part` of it: what a crash strands would
+  /// be missing at the end of the budget, a pause after a cut would not.
+  double ample_part = 0.5;
+  double least_ceiling_part = 0.33;
   /// Part of the ceiling's reserve below which the ceiling is raised.
   double ceiling_low_water = 0.7;
   /// Part of the tokens not granted to anyone that all pools together may
@@ -123,6 +128,8 @@
     /// Ceiling that is recorded, and that of the last write.
     Tokens ceiling;
     Tokens ceiling_asked;
+    /// Part of the budget that nobody is known to have spent.
+    double unspent_part = 1;
     Tokens spent;
     Tokens reserved;
     /// Largest amount that found the pool empty since the last grant.
@@ -146,6 +153,7 @@
   Tokens NextCeiling(const Pool& pool, Tokens total) const;
   bool IsCeilingDue(const Pool& pool) const;
   Tokens CeilingReserve(const Pool& pool) const;
+  double UnspentPart(const std::string& name, const Pool& pool) const;
   Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
   Tokens Target(TimePoint now, const std::string& name, const Pool& pool,
                 const GrantTable::Sums& sums) const;
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -75,12 +75,12 @@
     const TimePoint now = Now();
     const budget::ReserveResult result =
         this->holder.Reserve(now, organisation, amount);
-    if (result == budget::ReserveResult::kReserved ||
-        result == budget::ReserveResult::kExhausted || now >= end ||
-        this->follower.IsLost()) {
-      co_return result;
-    }
+    // Only a grant that is free comes soon; others' tokens come back when their
+    // holders need them no longer.
+    const bool comes = result == budget::ReserveResult::kNotYet &&
+                       !this->follower.IsLost();
     this->wanted.Notify();
+    if (!comes || now >= end) co_return result;
     co_await this->granted.Wait(end - now);
   }
 }
