Fill pools by large requests and from the first seconds; find lost answers

Change: DemandMeter corrects its start and remembers the largest request; a late answer of an append is looked for in the stream.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -1,7 +1,6 @@
 #include "fuchsiadrum/budget/grant_holder.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "fuchsiadrum/core/assert.h"
 
@@ -18,7 +17,7 @@
 
 void GrantHolder::SetLimit(const std::string& organisation,
                            std::optional<Tokens> limit) {
-  Pool& pool = this->pools[organisation];
+  Pool& pool = this->PoolOf(organisation);
   const std::optional<Tokens> before = pool.limit;
   pool.limit = limit;
   if (!limit || !before || *limit >= *before) return;
@@ -33,7 +32,7 @@
 ReserveResult GrantHolder::Reserve(TimePoint now,
                                    const std::string& organisation,
                                    Tokens amount) {
-  Pool& pool = this->pools[organisation];
+  Pool& pool = this->PoolOf(organisation);
   if (!pool.limit) {
     pool.reserved += amount;
     return ReserveResult::kReserved;
@@ -41,7 +40,7 @@
   if (this->closed) return ReserveResult::kHeldElsewhere;
 
   if (this->InUse(pool) + amount <= this->Bound(now, pool)) {
-    this->NoteDemand(now, pool, amount);
+    pool.demand.Add(now, amount);
     pool.reserved += amount;
     return ReserveResult::kReserved;
   }
@@ -67,7 +66,7 @@
 
 void GrantHolder::Settle(const std::string& organisation, Tokens amount,
                          Tokens spent) {
-  Pool& pool = this->pools[organisation];
+  Pool& pool = this->PoolOf(organisation);
   FD_ASSERT(pool.reserved >= amount, "settled more than was reserved");
   FD_ASSERT(!pool.limit || spent <= amount, "spent more than was reserved");
   pool.reserved -= amount;
@@ -98,7 +97,7 @@
         {.organisation = name,
          .grant = {.granted = pool.asked,
                    .spent = pool.spent,
-                   .demand = Tokens(static_cast<int64_t>(pool.demand)),
+                   .demand = Tokens(static_cast<int64_t>(pool.demand.Rate())),
                    .ceiling = pool.ceiling_asked}});
   }
   return this->in_flight;
@@ -123,7 +122,7 @@
   const double part = std::clamp(pool.unspent_part / this->options.ample_part,
                                  this->options.least_ceiling_part, 1.0);
   const double ahead =
-      part * pool.demand * Seconds(this->options.ceiling_ahead);
+      part * pool.demand.Rate() * Seconds(this->options.ceiling_ahead);
   return std::max(pool.wanted, Tokens(static_cast<int64_t>(ahead)));
 }
 
@@ -216,7 +215,10 @@
 Tokens GrantHolder::Target(TimePoint now, const std::string& name,
                            const Pool& pool,
                            const GrantTable::Sums& sums) const {
-  const double by_demand = pool.demand * Seconds(this->options.horizon);
+  const double rate = pool.demand.Rate();
+  const double by_demand =
+      std::max(rate * Seconds(this->options.horizon),
+               this->options.largest_requests * pool.demand.Largest());
 
   // The own pool counts as free: it is what the target decides about.
   const Tokens left = pool.usable - this->InUse(pool);
@@ -224,7 +226,8 @@
       std::max<int64_t>(0, (*pool.limit - sums.granted + left).count));
   const auto others = static_cast<double>(
       this->table.DemandOfOthers(now, name, this->options.holder).count);
-  const double part = pool.demand / std::max(1.0, pool.demand + others);
+  const double part =
+      std::max(this->options.least_part, rate / std::max(1.0, rate + others));
   const double by_rest = free * this->options.pooled_share * part;
   return Tokens(static_cast<int64_t>(std::min(by_demand, by_rest)));
 }
@@ -232,7 +235,7 @@
 std::optional<Tokens> GrantHolder::NextTotal(TimePoint now,
                                              const std::string& name,
                                              Pool& pool) {
-  this->NoteDemand(now, pool, Tokens(0));
+  pool.demand.Advance(now);
   const GrantTable::Sums sums = this->table.SumsOf(name);
   const RecordedGrant own = this->table.Of(name, this->options.holder);
   const Tokens in_use = this->InUse(pool);
@@ -277,12 +280,13 @@
          this->options.refresh_below * static_cast<double>(pool.limit->count);
 }
 
-void GrantHolder::NoteDemand(TimePoint now, Pool& pool, Tokens amount) const {
-  const double memory = Seconds(this->options.demand_memory);
-  const double elapsed = Seconds(now - pool.demand_at);
-  pool.demand *= std::exp(-elapsed / memory);
-  pool.demand += static_cast<double>(amount.count) / memory;
-  pool.demand_at = now;
+GrantHolder::Pool& GrantHolder::PoolOf(const std::string& organisation) {
+  const auto found = this->pools.find(organisation);
+  if (found != this->pools.end()) return found->second;
+  Pool& pool = this->pools[organisation];
+  pool.demand = DemandMeter(this->options.demand_memory,
+                            this->options.largest_memory);
+  return pool;
 }
 
 }  // namespace fuchsiadrum::budget
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "fuchsiadrum/budget/demand_meter.h"
 #include "fuchsiadrum/budget/grant_table.h"
 #include "fuchsiadrum/core/rng.h"
 #include "fuchsiadrum/core/types.h"
@@ -20,7 +21,7 @@
   /// Demand that a full pool covers: it bounds what a crash strands, and how
   /// long a gateway serves without the store. Outages of the store of 4 to 9 s
   /// are ordinary.
-  Duration horizon = std::chrono::seconds(10);
+  Duration horizon = std::chrono::seconds(12);
   /// Time without an answered write after which the holder counts as cut off
   /// from the store and uses all that is granted to it. A successor of a dead
   /// holder that started sooner after the holder's last write gets back what
@@ -40,8 +41,14 @@
   /// take, each by its part of the demand. Keeps the end of a budget within
   /// everyone's reach.
   double pooled_share = 0.85;
-  /// Time constant of the measured demand.
-  Duration demand_memory = std::chrono::seconds(4);
+  /// Largest recent requests that a full pool covers at least: with few
+  /// requests the demand says little of the next one.
+  double largest_requests = 2.0;
+  /// Least part of what the pools may take that one pool may take.
+  double least_part = 0.02;
+  /// Time constants of the measured demand and of the largest recent request.
+  Duration demand_memory = std::chrono::seconds(6);
+  Duration largest_memory = std::chrono::seconds(20);
   /// A pool is filled up when it falls below this part of its target.
   double low_water = 0.8;
   /// A pool above its target by this factor gives the rest back.
@@ -134,9 +141,7 @@
     Tokens reserved;
     /// Largest amount that found the pool empty since the last grant.
     Tokens wanted;
-    /// Tokens per second.
-    double demand = 0;
-    TimePoint demand_at;
+    DemandMeter demand;
     TimePoint pause_until;
     TimePoint recorded_at;
     Tokens recorded_spent;
@@ -153,6 +158,7 @@
   Tokens NextCeiling(const Pool& pool, Tokens total) const;
   bool IsCeilingDue(const Pool& pool) const;
   Tokens CeilingReserve(const Pool& pool) const;
+  Pool& PoolOf(const std::string& organisation);
   double UnspentPart(const std::string& name, const Pool& pool) const;
   Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
   Tokens Target(TimePoint now, const std::string& name, const Pool& pool,
@@ -161,7 +167,6 @@
                                   Pool& pool);
   bool IsSpendStale(TimePoint now, const Pool& pool,
                     const GrantTable::Sums& sums) const;
-  void NoteDemand(TimePoint now, Pool& pool, Tokens amount) const;
   void Judge(TimePoint now, const std::string& name, Pool& pool);
 
   GrantHolderOptions options;
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -11,6 +11,9 @@
 constexpr std::string_view kGrantKey = "grant/";
 constexpr std::string_view kMemberKey = "member/";
 /// Pause after an append whose outcome is unknown, before it is repeated.
+/// Age of an unanswered append at which the stream is read for it; answers take
+/// a few milliseconds.
+constexpr Duration kLateAnswer = std::chrono::milliseconds(120);
 constexpr Duration kRepeatPause = std::chrono::milliseconds(100);
 /// Records before a dead process's last one among which other gateways' signs
 /// are looked for; each of them writes a few records a second.
@@ -118,10 +121,8 @@
     } else if (member.incarnation() != this->options.incarnation) {
       this->predecessor = member;
       this->predecessor_offset = record.offset;
-    } else if (!this->first_sign) {
-      this->first_sign = {.vm = member.vm(),
-                          .offset = record.offset,
-                          .time_of_day = Duration(member.unix_us())};
+    } else {
+      this->OnOwnSign(member, record.offset);
     }
     return;
   }
@@ -141,6 +142,26 @@
   }
 }
 
+void BudgetKeeper::OnOwnSign(const pb::FleetMember& member, uint64_t offset) {
+  if (!this->first_sign) {
+    this->first_sign = {.vm = member.vm(),
+                        .offset = offset,
+                        .time_of_day = Duration(member.unix_us())};
+  }
+  if (this->append_since.us != 0 &&
+      member.append() == this->writer.sequence) {
+    this->append_seen = true;
+    this->writer_client.Abandon();
+  }
+}
+
+void BudgetKeeper::OnTick(TimePoint now) {
+  if (this->append_since.us == 0 || this->append_seen) return;
+  if (now - this->append_since < kLateAnswer) return;
+  this->append_since = now;
+  this->follower.Poke();
+}
+
 void BudgetKeeper::OnRead() {
   const bool consistent = this->follower.IsConsistent();
   if (consistent && !this->was_consistent) this->holder.OnConsistent(Now());
@@ -293,15 +314,15 @@
     std::vector<store::KeyedRecord> records) {
   // The same sequence is repeated until the outcome is known, so that a late
   // write and its repeat count once.
+  this->append_seen = false;
   while (true) {
+    this->append_since = Now();
     const StoreReply reply = co_await this->writer_client.Call(
         platform::EncodeAppend(this->options.store_address,
                                platform::Stream::kFleet, this->writer, records),
         this->options.store_timeout);
-    if (reply.status == platform::kStoreDone) {
-      ++this->writer.sequence;
-      this->holder.OnWritten(Now());
-      this->granted.Notify();
+    if (reply.status == platform::kStoreDone || this->append_seen) {
+      this->FinishAppend();
       co_return;
     }
     if (reply.status == platform::kStoreConflict) {
@@ -311,18 +332,30 @@
         // A fenced writer begins a new epoch; nothing of this call was done.
         ++this->writer.epoch;
         this->writer.sequence = 0;
+        this->append_since = TimePoint();
         this->holder.OnRefused();
         co_return;
       }
       // The store has this sequence and has forgotten its answer.
-      this->writer.sequence = *expected;
-      this->holder.OnWritten(Now());
+      this->writer.sequence = *expected - 1;
+      this->FinishAppend();
       co_return;
     }
     co_await this->wanted.Wait(kRepeatPause);
+    if (this->append_seen) {
+      this->FinishAppend();
+      co_return;
+    }
   }
 }
 
+void BudgetKeeper::FinishAppend() {
+  ++this->writer.sequence;
+  this->append_since = TimePoint();
+  this->holder.OnWritten(Now());
+  this->granted.Notify();
+}
+
 void BudgetKeeper::LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset) {
   const budget::GrantTable::Sums sums =
       this->table.SumsOf(grant.organisation());
@@ -358,6 +391,7 @@
   const budget::VmClocks clocks = ReadVmClocks();
   member.set_boot_us(clocks.since_boot.count());
   member.set_unix_us(clocks.time_of_day.count());
+  member.set_append(this->writer.sequence);
   return {.key = std::string(kMemberKey) + this->options.vm,
           .value = record.SerializeAsString()};
 }
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -47,6 +47,8 @@
                                                  Tokens amount,
                                                  Duration patience);
   void Settle(const std::string& organisation, Tokens amount, Tokens spent);
+  /// Call every few milliseconds: looks for an append whose answer is late.
+  void OnTick(TimePoint now);
   /// Gives unused tokens back.
   void Close();
   /// True once nothing is left to be written.
@@ -63,9 +65,11 @@
 
  private:
   void OnRecord(const store::KeyedRecord& record);
+  void OnOwnSign(const pb::FleetMember& member, uint64_t offset);
   void OnRead();
   asio::awaitable<void> WriteLoop();
   asio::awaitable<void> Append(std::vector<store::KeyedRecord> records);
+  void FinishAppend();
   std::vector<store::KeyedRecord> PlanRecords();
   /// Gives back what the former process of this VM cannot have used.
   asio::awaitable<void> TakeOver();
@@ -105,6 +109,10 @@
   std::vector<store::KeyedRecord> queued;
   StoreClient history_client;
   TimePoint signed_at;
+  /// Start of the append under way, or of the last look for it; us 0: none.
+  TimePoint append_since;
+  /// The append under way was read back.
+  bool append_seen = false;
   bool was_consistent = false;
   bool flushed = false;
   bool closed = false;
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -84,6 +84,7 @@
 
 void GatewayCore::OnTick(TimePoint now) {
   this->watchdog.Check(now);
+  this->budgets.OnTick(now);
   if (now - this->pool_swept >= kPoolSweep) {
     this->pool_swept = now;
     this->pool.OnTick(now);
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -38,4 +38,8 @@
   co_return reply;
 }
 
+void StoreClient::Abandon() {
+  if (this->connection) this->connection->Close();
+}
+
 }  // namespace fuchsiadrum::gateway
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -28,6 +28,8 @@
   /// Sends the call. Without an answer within the time it may have been done,
   /// or may be done later.
   asio::awaitable<StoreReply> Call(std::string text, Duration timeout);
+  /// Ends the call under way as unanswered.
+  void Abandon();
   const std::string& Address() const { return this->address; }
   /// Calls made, answered or not.
   uint64_t Calls() const { return this->calls; }
