Leave silent and unreachable upstreams sooner

Cause: requests waited 400 ms for connections to dark upstreams, three of them at each gateway, and streams that may be resumed waited for the kernel's probes. Change: one failed connection ejects; an upstream that says nothing on any connection loses its resumable streams after 0.7 s and is chosen less.

--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -1,5 +1,6 @@
 #include "fuchsiadrum/serving/attempt_policy.h"
 
+#include <algorithm>
 #include <array>
 
 namespace fuchsiadrum::serving {
@@ -11,6 +12,15 @@
   return kNames[static_cast<size_t>(outcome)];
 }
 
+bool IsStalled(const Route& route, Duration silence, Duration waited,
+               double expected_ms) {
+  if (!route.IsIdempotent()) return false;
+  const auto expected = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(kStallFactor * expected_ms));
+  const Duration limit = std::max(kLeastStall, expected);
+  return silence > limit && waited > limit;
+}
+
 bool MayRepeat(const Route& route, const AttemptState& state) {
   if (state.time_left < kLeastTimeForAttempt) return false;
   switch (state.outcome) {
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -52,6 +52,18 @@
 /// shortest service call take about this long.
 constexpr Duration kLeastTimeForAttempt = std::chrono::milliseconds(30);
 
+/// Least silence of an upstream after which a request that may run again is
+/// taken away from it, and the same as a multiple of the time expected for a
+/// first event: a long prompt is read in silence.
+constexpr Duration kLeastStall = std::chrono::milliseconds(700);
+constexpr double kStallFactor = 3.0;
+
+/// True if an attempt should end because nothing comes from its upstream.
+/// `silence` is that of the upstream on all connections, `waited` the time since
+/// the attempt was sent or got its last event.
+bool IsStalled(const Route& route, Duration silence, Duration waited,
+               double expected_ms);
+
 /// True if another attempt is allowed by the route's kind and bounds. The
 /// fleet's allowance of repeats is asked besides.
 bool MayRepeat(const Route& route, const AttemptState& state);
--- a/fuchsiadrum/serving/fleet_upstream.cc
+++ b/fuchsiadrum/serving/fleet_upstream.cc
@@ -90,16 +90,36 @@
   const double weight = this->options.outcome_weight;
   this->failure_ratio += weight * (1 - this->failure_ratio);
   ++this->failures;
-  if (this->failures < this->options.failures_to_eject) return;
+  if (this->failures >= this->options.failures_to_eject) this->Eject(now);
+}
+
+void FleetUpstream::OnUnreachable(TimePoint now) {
+  const double weight = this->options.outcome_weight;
+  this->failure_ratio += weight * (1 - this->failure_ratio);
+  this->Eject(now);
+}
 
-  const Duration time =
-      std::min(this->options.longest_ejection,
-               this->options.first_ejection *
-                   (int64_t{1} << std::min(this->ejections, 10)));
+void FleetUpstream::Eject(TimePoint now) {
+  constexpr int kMostDoublings = 10;
+  const int64_t factor = int64_t{1}
+                         << std::min(this->ejections, kMostDoublings);
   ++this->ejections;
-  this->ejected_until = now + time;
+  this->ejected_until =
+      now + std::min(this->options.longest_ejection,
+                     this->options.first_ejection * factor);
   // One more failure after the pause ejects it again.
   this->failures = this->options.failures_to_eject - 1;
 }
 
+void FleetUpstream::OnSent(TimePoint now) {
+  // The first request after a quiet time starts the wait for an answer.
+  if (this->in_flight <= 1) this->heard_at = now;
+}
+
+Duration FleetUpstream::Silence(TimePoint now) const {
+  if (this->in_flight == 0) return Duration::zero();
+  const Duration silence = now - this->heard_at;
+  return silence > this->options.silent_after ? silence : Duration::zero();
+}
+
 }  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -74,6 +74,9 @@
   /// A load report is ignored after this time. Answers come several times a
   /// second from each upstream in use.
   Duration report_lifetime = std::chrono::milliseconds(1500);
+  /// Silence of an upstream with requests of this gateway after which it counts
+  /// as silent; engines make an event every few tens of milliseconds.
+  Duration silent_after = std::chrono::milliseconds(400);
   /// Memory assumed for cached parts when the service names none.
   int64_t default_memory_tokens = 400000;
 };
@@ -101,6 +104,14 @@
   /// `slowness` is the observed over the expected time.
   void OnSuccess(TimePoint now, double slowness_ratio);
   void OnFailure(TimePoint now);
+  /// No connection could be opened: it gets no request for a while.
+  void OnUnreachable(TimePoint now);
+  /// A request was sent, or bytes of an answer arrived.
+  void OnSent(TimePoint now);
+  void OnHeard(TimePoint now) { this->heard_at = now; }
+  /// How long the upstream has said nothing although requests wait there; zero
+  /// below the option.
+  Duration Silence(TimePoint now) const;
 
   bool IsEjected(TimePoint now) const { return now < this->ejected_until; }
   /// Part of recent outcomes that failed.
@@ -113,6 +124,9 @@
   LoadReport report;
   TimePoint report_at;
   int in_flight_at_report = 0;
+  void Eject(TimePoint now);
+
+  TimePoint heard_at;
   double failure_ratio = 0;
   double slowness = 1;
   int failures = 0;
--- a/fuchsiadrum/serving/placement.cc
+++ b/fuchsiadrum/serving/placement.cc
@@ -24,6 +24,10 @@
   return parts.size() == 1 ? parts[0].id : parts[parts.size() - 2].id;
 }
 
+double Milliseconds(Duration d) {
+  return std::chrono::duration<double, std::milli>(d).count();
+}
+
 bool IsExcluded(const PlacementRequest& request, const std::string& id) {
   return std::ranges::find(request.excluded, id) != request.excluded.end();
 }
@@ -78,6 +82,7 @@
       cost += this->options.other_zone_ms;
     }
     cost += this->options.failure_ms * candidate->FailureRatio();
+    cost += this->options.silence_weight * Milliseconds(candidate->Silence(now));
     cost *= 1 + this->options.noise * this->rng.Unit();
     if (cost >= best_cost) continue;
 
--- a/fuchsiadrum/serving/placement.h
+++ b/fuchsiadrum/serving/placement.h
@@ -31,6 +31,8 @@
   double other_zone_ms = 6.0;
   /// Cost of a request that fails, times the upstream's failure ratio.
   double failure_ms = 1500.0;
+  /// Cost of an upstream's silence, per millisecond of it.
+  double silence_weight = 1.0;
   /// Upstreams with a preference for a prompt: they will have it cached by the
   /// requests of all gateways, which compute the same preference.
   size_t preferred = 2;
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/clock.h"
+#include "gateway/request_task.h"
 #include "platform/config_codec.h"
 
 namespace fuchsiadrum::gateway {
@@ -85,6 +86,7 @@
 void GatewayCore::OnTick(TimePoint now) {
   this->watchdog.Check(now);
   this->budgets.OnTick(now);
+  for (RequestTask* task : this->tasks) task->CheckStall(now);
   if (now - this->pool_swept >= kPoolSweep) {
     this->pool_swept = now;
     this->pool.OnTick(now);
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -17,6 +17,7 @@
 namespace fuchsiadrum::gateway {
 
 class CallerConnection;
+class RequestTask;
 
 /// What all requests of a gateway share: beliefs, decisions and connections.
 /// Everything runs in one thread.
@@ -50,6 +51,7 @@
   GatewayMetrics& Metrics() { return this->metrics; }
   Rng& Random() { return this->rng; }
   std::set<CallerConnection*>& Callers() { return this->callers; }
+  std::set<RequestTask*>& Tasks() { return this->tasks; }
   Watchdog& Timeouts() { return this->watchdog; }
   /// The metrics page.
   std::string MetricsText() const;
@@ -75,6 +77,8 @@
   StreamFollower upstream_follower;
   BudgetKeeper budgets;
   std::set<CallerConnection*> callers;
+  /// Requests that are being served.
+  std::set<RequestTask*> tasks;
   TimePoint pool_swept;
   bool stopping = false;
 };
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -113,6 +113,12 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void HttpConnection::SetAckTimeout(Duration time) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time);
+  SetOption(this->socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<unsigned int>(ms.count()));
+}
+
 void HttpConnection::Close() {
   this->NeverExpire();
   ErrorCode ignored;
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -42,6 +42,8 @@
   /// True if the last answer was read whole, all of the request was sent, and
   /// neither bytes nor an end have come since.
   bool IsReusable();
+  /// Longest time that sent bytes may stay unacknowledged.
+  void SetAckTimeout(Duration time);
   bool HasTimedOut() const { return this->timed_out; }
   void Close();
 
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -15,7 +15,12 @@
 
 /// Time for a connection to an upstream. Round trips take a few milliseconds;
 /// a lost opening packet is sent again after a second.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
+/// Time in which sent bytes must be acknowledged: round trips take a few
+/// milliseconds, and two packets in a row are seldom lost. Requests that may not
+/// be repeated wait longer, since a link may heal and their answer still come.
+constexpr Duration kAckTimeout = std::chrono::milliseconds(900);
+constexpr Duration kPatientAckTimeout = std::chrono::milliseconds(4000);
 /// Answers of an upstream to other requests that are skipped before its
 /// connection is given up.
 constexpr int kMostForeignAnswers = 2;
@@ -57,7 +62,19 @@
       config(gateway_core.Config()),
       arrived(Now()),
       deadline(arrived),
-      last_event(request.last_event) {}
+      last_event(request.last_event) {
+  this->core.Tasks().insert(this);
+}
+
+RequestTask::~RequestTask() { this->core.Tasks().erase(this); }
+
+void RequestTask::CheckStall(TimePoint now) {
+  if (!this->current || !this->was_sent || !this->upstream_now) return;
+  if (serving::IsStalled(*this->route, this->upstream_now->Silence(now),
+                         now - this->progress_at, this->expected_ms)) {
+    this->current->Close();
+  }
+}
 
 asio::awaitable<bool> RequestTask::Run() {
   std::optional<OwnAnswer> refusal = this->Admit();
@@ -238,9 +255,14 @@
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
   if (connection) {
     this->current = connection;
+    this->upstream_now = choice.upstream;
+    this->expected_ms = choice.expected_ms;
+    connection->SetAckTimeout(this->route->IsIdempotent() ? kAckTimeout
+                                                          : kPatientAckTimeout);
     upstream.cache.Use(this->request.parts);
     outcome = co_await this->Exchange(choice, *connection);
     this->current.reset();
+    this->upstream_now.reset();
     if (outcome == AttemptOutcome::kComplete ||
         outcome == AttemptOutcome::kFailed ||
         outcome == AttemptOutcome::kRejected) {
@@ -286,6 +308,7 @@
   const platform::HttpAnswerHead* head =
       co_await this->ReadMatchingHead(connection);
   if (head == nullptr) co_return this->Broken();
+  choice.upstream->OnHeard(Now());
   if (this->answer.load) choice.upstream->OnReport(Now(), *this->answer.load);
 
   constexpr int kMisdirected = 421;
@@ -315,7 +338,7 @@
   co_return AttemptOutcome::kFailed;
 }
 
-void RequestTask::Send(const serving::FleetUpstream& upstream,
+void RequestTask::Send(serving::FleetUpstream& upstream,
                        HttpConnection& connection) {
   serving::UpstreamCall call;
   call.upstream_id = upstream.entry.id;
@@ -330,6 +353,8 @@
   }
 
   this->sent_at = Now();
+  this->progress_at = this->sent_at;
+  upstream.OnSent(this->sent_at);
   this->was_sent = true;
   this->answer = {};
   this->answer_body.clear();
@@ -379,6 +404,10 @@
     bytes.clear();
     events.clear();
     part = co_await connection.ReadBody(bytes);
+    if (!bytes.empty()) {
+      this->progress_at = Now();
+      choice.upstream->OnHeard(this->progress_at);
+    }
     const int count = splitter.Feed(bytes, events);
     if (splitter.HasGap() && this->head_sent) {
       co_return AttemptOutcome::kBrokenMidway;
@@ -464,6 +493,9 @@
   serving::FleetUpstream& upstream = *choice.upstream;
   switch (outcome) {
     case AttemptOutcome::kNotSent:
+      ++this->misses;
+      upstream.OnUnreachable(Now());
+      break;
     case AttemptOutcome::kRejected:
       ++this->misses;
       upstream.OnFailure(Now());
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -21,8 +21,14 @@
   RequestTask(GatewayCore& gateway_core, CallerConnection& caller_connection,
               serving::CallerRequest caller_request);
 
+  ~RequestTask();
+  RequestTask(const RequestTask&) = delete;
+  RequestTask& operator=(const RequestTask&) = delete;
+
   /// True if the caller got an answer with an end.
   asio::awaitable<bool> Run();
+  /// Ends an attempt whose upstream has gone silent.
+  void CheckStall(TimePoint now);
 
  private:
   /// An answer of the gateway itself.
@@ -42,7 +48,7 @@
   OwnAnswer NoUpstream() const;
   static OwnAnswer FinalAnswer(serving::NextStep step, std::string_view reason);
   bool AbortAnswer(std::string_view reason);
-  void Send(const serving::FleetUpstream& upstream, HttpConnection& connection);
+  void Send(serving::FleetUpstream& upstream, HttpConnection& connection);
   asio::awaitable<serving::AttemptOutcome> Attempt(
       const serving::PlacementChoice& choice);
   asio::awaitable<std::shared_ptr<HttpConnection>> Open(
@@ -96,6 +102,10 @@
   bool prompt_pending = false;
   /// Bytes of the present attempt may have left.
   bool was_sent = false;
+  /// Upstream of the present attempt, and when it last made progress.
+  serving::FleetUpstreamPtr upstream_now;
+  TimePoint progress_at;
+  double expected_ms = 0;
 
   serving::UpstreamAnswer answer;
   std::string answer_body;
