Never take a request from a silent upstream at its last attempt

Change: silence counts after 1.5 s, only while another attempt is allowed, and the fleet's allowance is taken first. Tests: AttemptPolicyTest.LastAttempt_OnASilentUpstream_IsNeverEnded and two more.

--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -12,13 +12,13 @@
   return kNames[static_cast<size_t>(outcome)];
 }
 
-bool IsStalled(const Route& route, Duration silence, Duration waited,
-               double expected_ms) {
-  if (!route.IsIdempotent()) return false;
+bool IsStalled(const Route& route, const StallState& state) {
+  if (!route.IsIdempotent() || state.runs >= route.max_attempts) return false;
   const auto expected = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(kStallFactor * expected_ms));
+      std::chrono::duration<double, std::milli>(kStallFactor *
+                                                state.expected_ms));
   const Duration limit = std::max(kLeastStall, expected);
-  return silence > limit && waited > limit;
+  return state.silence > limit && state.waited > limit;
 }
 
 bool MayRepeat(const Route& route, const AttemptState& state) {
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -54,15 +54,26 @@
 
 /// Least silence of an upstream after which a request that may run again is
 /// taken away from it, and the same as a multiple of the time expected for a
-/// first event: a long prompt is read in silence.
-constexpr Duration kLeastStall = std::chrono::milliseconds(700);
-constexpr double kStallFactor = 3.0;
+/// first event: under load an engine reads prompts for a second without making
+/// an event, and callers leave a silent stream after four.
+constexpr Duration kLeastStall = std::chrono::milliseconds(1500);
+constexpr double kStallFactor = 4.0;
 
-/// True if an attempt should end because nothing comes from its upstream.
-/// `silence` is that of the upstream on all connections, `waited` the time
-/// since the attempt was sent or got its last event.
-bool IsStalled(const Route& route, Duration silence, Duration waited,
-               double expected_ms);
+/// What is known of an attempt under way.
+struct StallState {
+  /// Silence of the upstream on all connections.
+  Duration silence = Duration::zero();
+  /// Time since the attempt was sent or got its last event.
+  Duration waited = Duration::zero();
+  /// Time that was expected for a first event.
+  double expected_ms = 0;
+  /// Attempts that may have run the request, this one included.
+  int runs = 1;
+};
+
+/// True if an attempt should end because nothing comes from its upstream. Never
+/// the last one: silence alone is no reason to end an answer.
+bool IsStalled(const Route& route, const StallState& state);
 
 /// True if another attempt is allowed by the route's kind and bounds. The
 /// fleet's allowance of repeats is asked besides.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -71,10 +71,17 @@
 
 void RequestTask::CheckStall(TimePoint now) {
   if (!this->current || !this->was_sent || !this->upstream_now) return;
-  if (serving::IsStalled(*this->route, this->upstream_now->Silence(now),
-                         now - this->progress_at, this->expected_ms)) {
-    this->current->Close();
-  }
+  const serving::StallState state = {
+      .silence = this->upstream_now->Silence(now),
+      .waited = now - this->progress_at,
+      .expected_ms = this->expected_ms,
+      .runs = this->runs + 1};
+  if (!serving::IsStalled(*this->route, state)) return;
+  // The repeat is taken first: without one, the silent upstream is the last
+  // hope.
+  if (!this->core.Retries().Take(now, this->service)) return;
+  this->repeat_taken = true;
+  this->current->Close();
 }
 
 asio::awaitable<bool> RequestTask::Run() {
@@ -214,8 +221,10 @@
                                        .misses = this->misses,
                                        .delivered = this->head_sent,
                                        .time_left = this->TimeLeft()};
-  const bool repeat = serving::MayRepeat(*this->route, state) &&
-                      this->core.Retries().Take(Now(), this->service);
+  const bool repeat =
+      serving::MayRepeat(*this->route, state) &&
+      (this->repeat_taken || this->core.Retries().Take(Now(), this->service));
+  this->repeat_taken = false;
   return serving::StepAfter(*this->route, state, repeat);
 }
 
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -102,6 +102,8 @@
   bool prompt_pending = false;
   /// Bytes of the present attempt may have left.
   bool was_sent = false;
+  /// The fleet's allowance has granted the next repeat.
+  bool repeat_taken = false;
   /// Upstream of the present attempt, and when it last made progress.
   serving::FleetUpstreamPtr upstream_now;
   TimePoint progress_at;
--- a/tests/serving/attempt_policy_test.cc
+++ b/tests/serving/attempt_policy_test.cc
@@ -80,6 +80,35 @@
   }
 }
 
+// coral-andina-grown trouble-3: the second and last upstream of a stream was
+// silent for 0.7 s under a cold start's load, and the answer was given up.
+TEST_F(AttemptPolicyTest, LastAttempt_OnASilentUpstream_IsNeverEnded) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2, true);
+  StallState state = {.silence = std::chrono::seconds(3),
+                      .waited = std::chrono::seconds(3),
+                      .expected_ms = 100,
+                      .runs = 1};
+  EXPECT_TRUE(IsStalled(route, state));
+  state.runs = 2;
+  EXPECT_FALSE(IsStalled(route, state));
+}
+
+TEST_F(AttemptPolicyTest, BusyUpstream_SilentForASecond_IsLeftAlone) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2, true);
+  EXPECT_FALSE(IsStalled(route, {.silence = std::chrono::seconds(1),
+                                 .waited = std::chrono::seconds(1),
+                                 .expected_ms = 100}));
+  EXPECT_FALSE(IsStalled(route, {.silence = std::chrono::seconds(3),
+                                 .waited = std::chrono::milliseconds(200),
+                                 .expected_ms = 100}));
+}
+
+TEST_F(AttemptPolicyTest, PlainStream_OnASilentUpstream_IsLeftAlone) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2);
+  EXPECT_FALSE(IsStalled(route, {.silence = std::chrono::seconds(3),
+                                 .waited = std::chrono::seconds(3)}));
+}
+
 TEST_F(AttemptPolicyTest, Attempt_WithoutTimeLeft_IsNotRepeated) {
   const Route route = RouteOf(RequestKind::kSafe, 2);
   AttemptState state = After(AttemptOutcome::kBroken, 1, 0);
