Test the gateway between a fake store and fake upstreams

What: nine tests over loopback of the whole program's path: unsafe requests once only, a stream resumed at another upstream, a spent budget and a top-up, forged answers, ambiguous framing, a store that refuses.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -246,8 +246,8 @@
     if (!this->first_sign) continue;
     platform::TailRead read;
     read.from = from;
-    std::string text = platform::EncodeReadTail(
-        this->options.store_address, platform::Stream::kFleet, read);
+    std::string text = platform::EncodeReadTail(this->options.store_address,
+                                                platform::Stream::kFleet, read);
     const StoreReply reply = co_await this->history_client.Call(
         std::move(text), this->options.store_timeout);
     if (reply.status == platform::kStoreExpired) co_return false;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,6 +8,7 @@
 namespace fuchsiadrum::gateway {
 
 /// The whole gateway in one thread: listeners, the core, and the planned stop.
+/// It lives as long as the process, since open connections refer to it.
 class Gateway {
  public:
   explicit Gateway(const pb::GatewaySettings& gateway_settings);
@@ -16,6 +17,13 @@
   std::string Open();
   /// Runs until a planned stop has ended.
   void Run();
+  /// Ends Run at once, without a planned stop. Any thread.
+  void Halt() { this->context.stop(); }
+  /// Ports in use.
+  uint16_t CallersPort() const {
+    return this->acceptor.local_endpoint().port();
+  }
+  uint16_t ReadinessPort() const { return this->readiness.Port(); }
 
  private:
   asio::awaitable<void> AcceptLoop();
--- a/gateway/main.cc
+++ b/gateway/main.cc
@@ -45,16 +45,15 @@
   }
 
   std::signal(SIGPIPE, SIG_IGN);
-  Gateway gateway(settings);
+  // Never destroyed: connections that are still open refer to it.
+  static Gateway& gateway = *new Gateway(settings);
   const std::string reason = gateway.Open();
   if (!reason.empty()) {
     std::cerr << "fuchsiadrum-gateway: " << reason << "\n";
     return 1;
   }
   gateway.Run();
-  // Connections that are still open end with the process.
-  std::cout.flush();
-  std::_Exit(0);
+  return 0;
 }
 
 }  // namespace
--- a/gateway/page_server.h
+++ b/gateway/page_server.h
@@ -26,6 +26,7 @@
 
   /// Opens "IP:port" and serves it; otherwise the reason.
   std::string Open(const std::string& address);
+  uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
 
  private:
   asio::awaitable<void> AcceptLoop();
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -38,8 +38,8 @@
   const store::KeyedView::NextRead next = this->view.Next();
   const Duration hold = next.tail ? this->options.hold : Duration::zero();
   std::string text = this->EncodeRead(next);
-  const StoreReply reply = co_await this->client.Call(
-      std::move(text), this->options.timeout + hold);
+  const StoreReply reply =
+      co_await this->client.Call(std::move(text), this->options.timeout + hold);
   this->last_status = reply.status;
   co_return this->Accept(next, reply);
 }
--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,180 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+
+#include "tests/gateway/platform_fixture.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+class GatewayTest : public PlatformFixture {};
+
+TEST_F(GatewayTest, UnsafeRequest_IsPassedOnUnchanged_OnceOnly) {
+  std::atomic<int> runs{0};
+  HttpRequest seen;
+  LoopbackServer upstream([&](const HttpRequest& request, auto&) {
+    ++runs;
+    seen = request;
+    HttpAnswer answer = Signed(request);
+    answer.body() = "booked";
+    return std::optional(answer);
+  });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+
+  const HttpAnswer answer = this->Call(Request("/book/robes?n=40"));
+  EXPECT_EQ(answer.result_int(), 200U);
+  EXPECT_EQ(answer.body(), "booked");
+  EXPECT_EQ(runs, 1);
+  EXPECT_EQ(seen.target(), "/book/robes?n=40");
+  EXPECT_EQ(seen.body(), "hello");
+  EXPECT_EQ(seen["Tenant"], "parish");
+  EXPECT_EQ(seen["Expect-Runner"], "u1");
+  EXPECT_EQ(seen.count("Key"), 0U);
+}
+
+TEST_F(GatewayTest, UnsafeRequest_WhoseAnswerIsLost_IsNotRunAgain) {
+  std::atomic<int> runs{0};
+  LoopbackServer upstream([&](const HttpRequest&, auto&) {
+    ++runs;
+    return std::optional<HttpAnswer>();
+  });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+
+  EXPECT_EQ(this->Call(Request("/book/robes")).result_int(), 502U);
+  EXPECT_EQ(runs, 1);
+}
+
+TEST_F(GatewayTest, StreamThatBreaksOff_GoesOnAtAnotherUpstream) {
+  std::mutex mutex;
+  std::vector<std::string> resumed_after;
+  const auto serve = [&](const HttpRequest& request, Tcp::socket& socket) {
+    const std::string last(request["Last-Event-Id"]);
+    {
+      const std::lock_guard lock(mutex);
+      resumed_after.push_back(last);
+    }
+    const int begin = last.empty() ? 1 : std::stoi(last) + 1;
+    const int end = last.empty() ? 2 : 4;
+    std::string text =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nRunner-Signature: s1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n";
+    for (int id = begin; id <= end; ++id) {
+      text += "f\r\n" + Event(id) + "\r\n";
+    }
+    // The first run breaks off inside an event.
+    text += last.empty() ? "f\r\nid: 3\nda" : "0\r\n\r\n";
+    asio::write(socket, asio::buffer(text));
+    return std::optional<HttpAnswer>();
+  };
+  LoopbackServer first(serve);
+  LoopbackServer second(serve);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", first);
+  this->PutUpstream("u2", second);
+  this->StartGateway();
+
+  const HttpAnswer answer = this->Call(Request("/draft/x", "100,50"));
+  EXPECT_EQ(answer.result_int(), 200U);
+  EXPECT_EQ(answer.body(), Event(1) + Event(2) + Event(3) + Event(4));
+  EXPECT_EQ(resumed_after, (std::vector<std::string>{"", "2"}));
+}
+
+TEST_F(GatewayTest, SpentBudget_IsRefusedWith402_AndATopUpHelps) {
+  LoopbackServer upstream([&](const HttpRequest& request, auto&) {
+    HttpAnswer answer = Signed(request);
+    answer.body() = Event(1);
+    return std::optional(answer);
+  });
+  this->PutConfig(1, 250);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+
+  EXPECT_EQ(this->Call(Request("/draft/x", "100,50")).result_int(), 200U);
+  EXPECT_EQ(this->Call(Request("/draft/x", "190,50")).result_int(), 402U);
+  this->PutConfig(2, 1000);
+  unsigned int status = 0;
+  for (int i = 0; i < 100 && status != 200; ++i) {
+    status = this->Call(Request("/draft/x", "190,50")).result_int();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  EXPECT_EQ(status, 200U);
+}
+
+TEST_F(GatewayTest, RejectedRequest_WithoutAnotherUpstream_IsRefusedAsNotRun) {
+  LoopbackServer upstream([&](const HttpRequest&, auto&) {
+    HttpAnswer answer(http::status::service_unavailable, 11);
+    answer.set("Not-Executed", "1");
+    return std::optional(answer);
+  });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+
+  const HttpAnswer answer = this->Call(Request("/book/robes"));
+  EXPECT_EQ(answer.result_int(), 503U);
+  EXPECT_FALSE(answer["Retry-After"].empty());
+}
+
+TEST_F(GatewayTest, UnknownKeyAndRoute_AreRefused) {
+  LoopbackServer upstream(
+      [&](const HttpRequest& request, auto&) { return Signed(request); });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+
+  HttpRequest foreign = Request("/book/robes");
+  foreign.set("Key", "k9");
+  EXPECT_EQ(this->Call(foreign).result_int(), 401U);
+  EXPECT_EQ(this->Call(Request("/nowhere/")).result_int(), 404U);
+}
+
+// What a configuration of unknown age does not name may be new.
+TEST_F(GatewayTest, UnknownKey_WhileTheStoreRefuses_IsNotDenied) {
+  LoopbackServer upstream(
+      [&](const HttpRequest& request, auto&) { return Signed(request); });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+  this->store.refusing = true;
+
+  HttpRequest foreign = Request("/book/robes");
+  foreign.set("Key", "k9");
+  unsigned int status = 401;
+  for (int i = 0; i < 40 && status == 401; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    status = this->Call(foreign).result_int();
+  }
+  EXPECT_EQ(status, 503U);
+  EXPECT_EQ(this->Call(Request("/book/robes")).result_int(), 200U);
+}
+
+TEST_F(GatewayTest, SuccessWithoutSignature_IsNotPassedOn) {
+  LoopbackServer upstream([&](const HttpRequest& request, auto&) {
+    HttpAnswer answer(http::status::ok, 11);
+    answer.set("Attempt-Id", request["Attempt-Id"]);
+    answer.body() = "forged";
+    return std::optional(answer);
+  });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+
+  EXPECT_EQ(this->Call(Request("/book/robes")).result_int(), 502U);
+}
+
+TEST_F(GatewayTest, AmbiguousFraming_IsRefused) {
+  this->PutConfig(1, 100000);
+  this->StartGateway();
+  HttpRequest request = Request("/book/robes");
+  request.insert("Transfer-Encoding", "chunked");
+
+  EXPECT_EQ(this->Call(request).result_int(), 400U);
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/tests/gateway/platform_fixture.h
@@ -0,0 +1,330 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "gateway/asio.h"
+#include "gateway/gateway.h"
+
+namespace fuchsiadrum::gateway {
+
+namespace http = boost::beast::http;
+using HttpRequest = http::request<http::string_body>;
+using HttpAnswer = http::response<http::string_body>;
+
+/// HTTP server on loopback with a thread for each connection. The handler may
+/// write to the socket itself and return nothing.
+class LoopbackServer {
+ public:
+  using Handler = std::function<std::optional<HttpAnswer>(const HttpRequest&,
+                                                          Tcp::socket&)>;
+
+  explicit LoopbackServer(Handler request_handler)
+      : handler(std::move(request_handler)),
+        acceptor(context, {asio::ip::address_v4::loopback(), 0}),
+        thread([this] { this->Accept(); }) {}
+  ~LoopbackServer() {
+    this->stopping = true;
+    ErrorCode ignored;
+    Tcp::socket wake(this->context);
+    wake.connect(this->acceptor.local_endpoint(), ignored);
+    this->thread.join();
+    for (const auto& socket : this->sockets) {
+      ::shutdown(socket->native_handle(), SHUT_RDWR);
+    }
+    for (std::thread& worker : this->workers) worker.join();
+  }
+  LoopbackServer(const LoopbackServer&) = delete;
+  LoopbackServer& operator=(const LoopbackServer&) = delete;
+
+  std::string Address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+  }
+
+ private:
+  void Accept() {
+    while (true) {
+      auto socket = std::make_shared<Tcp::socket>(this->context);
+      ErrorCode error;
+      this->acceptor.accept(*socket, error);
+      if (error || this->stopping) return;
+      this->sockets.push_back(socket);
+      this->workers.emplace_back([this, socket] { this->Serve(*socket); });
+    }
+  }
+
+  void Serve(Tcp::socket& socket) {
+    boost::beast::flat_buffer buffer;
+    ErrorCode error;
+    while (!error) {
+      HttpRequest request;
+      http::read(socket, buffer, request, error);
+      if (error) break;
+      std::optional<HttpAnswer> answer = this->handler(request, socket);
+      if (!answer) break;
+      answer->prepare_payload();
+      http::write(socket, *answer, error);
+    }
+    ::shutdown(socket.native_handle(), SHUT_RDWR);
+  }
+
+  Handler handler;
+  asio::io_context context;
+  Tcp::acceptor acceptor;
+  std::atomic<bool> stopping{false};
+  std::vector<std::shared_ptr<Tcp::socket>> sockets;
+  std::vector<std::thread> workers;
+  std::thread thread;
+};
+
+/// Stand-in of the platform's store: keyed streams in memory, by its protocol.
+class FakeStore {
+ public:
+  FakeStore() : server([this](const auto& r, auto&) { return this->On(r); }) {}
+
+  std::string Address() const { return this->server.Address(); }
+  void Put(const std::string& topic, const std::string& key,
+           const std::string& value) {
+    const std::lock_guard lock(this->mutex);
+    this->streams[topic].emplace_back(static_cast<char>(key.size()) + key +
+                                      value);
+  }
+  /// While set, every call is refused.
+  std::atomic<bool> refusing{false};
+
+ private:
+  static std::string Parameter(const std::string& target,
+                               const std::string& name) {
+    const size_t at = target.find(name + "=");
+    if (at == std::string::npos) return "";
+    const size_t begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+  }
+  static std::string BigEndian(uint64_t value, int bytes) {
+    std::string out;
+    for (int i = bytes - 1; i >= 0; --i) {
+      out += static_cast<char>((value >> (8 * i)) & 255U);
+    }
+    return out;
+  }
+
+  HttpAnswer On(const HttpRequest& request) {
+    HttpAnswer answer(http::status::ok, 11);
+    if (this->refusing) {
+      answer.result(http::status::service_unavailable);
+      return answer;
+    }
+    const std::string target(request.target());
+    const std::lock_guard lock(this->mutex);
+    auto& stream = this->streams[Parameter(target, "topic")];
+    if (target.starts_with("/log-append")) {
+      this->Append(request.body(), stream);
+      answer.body() = "{\"offset\":0,\"end_offset\":0}";
+    } else if (target.starts_with("/log-newest")) {
+      answer.body() = Newest(stream);
+    } else {
+      answer.body() = BigEndian(stream.size(), 8) + BigEndian(0, 8);
+      for (size_t i = std::stoul(Parameter(target, "from")); i < stream.size();
+           ++i) {
+        answer.body() += BigEndian(stream[i].size(), 4) + stream[i];
+      }
+    }
+    return answer;
+  }
+
+  void Append(std::string_view body, std::vector<std::string>& stream) {
+    constexpr size_t kLength = 4;
+    while (body.size() >= kLength) {
+      size_t length = 0;
+      for (const unsigned char c : body.substr(0, kLength)) {
+        length = length * 256 + c;
+      }
+      stream.emplace_back(body.substr(kLength, length));
+      body.remove_prefix(kLength + length);
+    }
+  }
+
+  static std::string Newest(const std::vector<std::string>& stream) {
+    std::map<std::string, std::pair<std::string, size_t>> newest;
+    for (size_t i = 0; i < stream.size(); ++i) {
+      const size_t size = static_cast<unsigned char>(stream[i][0]);
+      newest[stream[i].substr(1, size)] = {stream[i].substr(1 + size), i};
+    }
+    nlohmann::json page = {{"items", nlohmann::json::array()},
+                           {"more_pages", false},
+                           {"end_offset", stream.size()}};
+    for (const auto& [key, value] : newest) {
+      page["items"].push_back({{"key", key},
+                               {"value", Base64(value.first)},
+                               {"offset", value.second}});
+    }
+    return page.dump();
+  }
+
+  static std::string Base64(const std::string& text) {
+    static constexpr std::string_view kDigits =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string out;
+    for (size_t i = 0; i < text.size(); i += 3) {
+      uint32_t group = 0;
+      for (size_t j = 0; j < 3; ++j) {
+        const bool inside = i + j < text.size();
+        group = group * 256 +
+                (inside ? static_cast<unsigned char>(text[i + j]) : 0);
+      }
+      for (size_t j = 0; j < 4; ++j) {
+        const bool inside = i + j <= text.size();
+        out += inside ? kDigits[(group >> (18 - 6 * j)) & 63U] : '=';
+      }
+    }
+    return out;
+  }
+
+  std::mutex mutex;
+  std::map<std::string, std::vector<std::string>> streams;
+  LoopbackServer server;
+};
+
+/// One gateway between a fake store, fake upstreams and the test's calls.
+class PlatformFixture : public testing::Test {
+ protected:
+  static constexpr char kTopicOperators[] = "keyed.op";
+  static constexpr char kTopicUpstreams[] = "keyed.servers";
+
+  /// Writes a configuration with one streaming and one unsafe route.
+  void PutConfig(int version, int64_t prepaid) {
+    const nlohmann::json config = {
+        {"version", version},
+        {"routes",
+         {{{"name", "draft"},
+           {"host", "choir.example"},
+           {"path_prefix", "/draft/"},
+           {"kind", "streaming"},
+           {"timeout_ms", 3000},
+           {"service", "engine"},
+           {"max_attempts", 2},
+           {"affinity", true},
+           {"resumable", true}},
+          {{"name", "book"},
+           {"host", "choir.example"},
+           {"path_prefix", "/book/"},
+           {"kind", "unsafe"},
+           {"timeout_ms", 1000},
+           {"service", "engine"},
+           {"max_attempts", 1}}}},
+        {"services",
+         {{{"name", "engine"},
+           {"max_connections", 100},
+           {"engine", {{"slots", 8}, {"stride", 5}}}}}},
+        {"limits", nlohmann::json::object()},
+        {"tenants",
+         {{{"name", "parish"}, {"api_keys", {"k1"}}, {"prepaid", prepaid}}}}};
+    this->store.Put(kTopicOperators, "config", config.dump());
+  }
+
+  void PutUpstream(const std::string& id, const LoopbackServer& upstream,
+                   const std::string& state = "ready") {
+    const nlohmann::json entry = {
+        {"service", "engine"},   {"address", upstream.Address()},
+        {"zone", "a"},           {"slots", 8},
+        {"born", 1700000000000}, {"state", state}};
+    this->store.Put(kTopicUpstreams, id, entry.dump());
+  }
+
+  void StartGateway() {
+    pb::GatewaySettings settings;
+    settings.mutable_vm()->set_name("vm-1");
+    settings.mutable_vm()->set_availability_zone("a");
+    settings.mutable_listen()->set_callers("127.0.0.1:0");
+    settings.mutable_listen()->set_readiness("127.0.0.1:0");
+    settings.mutable_listen()->set_metrics("127.0.0.1:0");
+    settings.mutable_store()->set_address(this->store.Address());
+    settings.mutable_store()->set_timeout_ms(600);
+    settings.mutable_stop()->set_grace_s(8);
+    settings.mutable_bounds()->set_retry_ratio(0.2);
+    settings.mutable_bounds()->set_retry_slack(1000);
+    settings.mutable_bounds()->set_retry_window_s(10);
+    // Never destroyed, as in the program.
+    this->gateway = new Gateway(settings);
+    ASSERT_EQ(this->gateway->Open(), "");
+    this->runner = std::thread([this] { this->gateway->Run(); });
+    this->WaitReady();
+  }
+
+  void TearDown() override {
+    if (this->gateway == nullptr) return;
+    this->gateway->Halt();
+    this->runner.join();
+  }
+
+  /// Asks for readiness until it is given.
+  void WaitReady() {
+    for (int i = 0; i < 200; ++i) {
+      if (this->Call(this->gateway->ReadinessPort(),
+                     HttpRequest(http::verb::get, "/ready", 11))
+              .result_int() == 200) {
+        return;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    FAIL() << "not ready in 4 s";
+  }
+
+  static HttpRequest Request(const std::string& target,
+                             const std::string& tokens = "") {
+    HttpRequest request(http::verb::post, target, 11);
+    request.set("Host", "choir.example");
+    request.set("Attempt-Id", "a1");
+    request.set("Deadline-Ms", "2000");
+    request.set("Key", "k1");
+    if (!tokens.empty()) request.set("Token-Counts", tokens);
+    request.body() = "hello";
+    request.prepare_payload();
+    return request;
+  }
+
+  HttpAnswer Call(const HttpRequest& request) {
+    return this->Call(this->gateway->CallersPort(), request);
+  }
+  /// Status 0: the connection ended without a whole answer.
+  HttpAnswer Call(uint16_t port, const HttpRequest& request) {
+    asio::io_context context;
+    Tcp::socket socket(context);
+    ErrorCode error;
+    socket.connect({asio::ip::address_v4::loopback(), port}, error);
+    http::write(socket, request, error);
+    boost::beast::flat_buffer buffer;
+    HttpAnswer answer;
+    http::read(socket, buffer, answer, error);
+    if (error) answer.result(0U);
+    return answer;
+  }
+
+  static HttpAnswer Signed(const HttpRequest& request) {
+    HttpAnswer answer(http::status::ok, 11);
+    answer.set("Attempt-Id", request["Attempt-Id"]);
+    answer.set("Runner-Signature", "s1");
+    return answer;
+  }
+  static std::string Event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+  }
+
+  FakeStore store;
+  Gateway* gateway = nullptr;
+  std::thread runner;
+};
+
+}  // namespace fuchsiadrum::gateway
