--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -103,7 +103,9 @@
             http::make_error_code(http::error::bad_method).category() &&
         error != http::error::end_of_stream &&
         error != http::error::partial_message;
-    if (malformed) co_await this->Refuse(400, "malformed head", "");
+    if (malformed) {
+      co_await this->Refuse(400, "malformed head", "");
+    }
     co_return std::nullopt;
   }
   if (HasAmbiguousFraming(parser.get())) {
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -124,7 +124,9 @@
   this->core.Budgets().Close();
 
   // Callers that the balancer still sends are served.
-  while (Now() - begin < kBalancerDelay) co_await Sleep(kStopPoll);
+  while (Now() - begin < kBalancerDelay) {
+    co_await Sleep(kStopPoll);
+  }
   ErrorCode ignored;
   this->acceptor.close(ignored);
 
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -38,9 +38,10 @@
   std::string text;
   for (const auto& [key, count] : this->requests) {
     const auto& [route, outcome, status] = key;
-    text += Line("requests_total{route=\"" + route + "\",outcome=\"" + outcome +
-                     "\",status=\"" + std::to_string(status) + "\"}",
-                 static_cast<double>(count));
+    std::string name = "requests_total{route=\"";
+    name.append(route).append("\",outcome=\"").append(outcome);
+    name.append("\",status=\"").append(std::to_string(status)).append("\"}");
+    text += Line(name, static_cast<double>(count));
   }
   for (const auto& [key, count] : this->attempts) {
     text += Line("attempts_total{service=\"" + key.first + "\",outcome=\"" +
--- a/gateway/page_server.cc
+++ b/gateway/page_server.cc
@@ -77,7 +77,7 @@
 }
 
 std::string PageServer::Open(const std::string& address) {
-  const std::string reason = OpenAcceptor(this->acceptor, address);
+  std::string reason = OpenAcceptor(this->acceptor, address);
   if (reason.empty()) {
     asio::co_spawn(this->context, this->AcceptLoop(), asio::detached);
   }
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -86,12 +86,16 @@
 
 asio::awaitable<bool> RequestTask::Run() {
   std::optional<OwnAnswer> refusal = this->Admit();
-  if (refusal) co_return co_await this->Answer(*refusal);
+  if (refusal) {
+    co_return co_await this->Answer(*refusal);
+  }
 
   this->caller.Arm(this->deadline,
                    [this](bool gone) { this->OnInterrupt(gone); });
   refusal = co_await this->ReserveTokens();
-  if (refusal) co_return co_await this->Answer(*refusal);
+  if (refusal) {
+    co_return co_await this->Answer(*refusal);
+  }
 
   this->core.Retries().OnRequest(this->arrived, this->service);
   const bool whole = co_await this->Serve();
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -29,7 +29,9 @@
   }
   reply.status = static_cast<int>(head->result_int());
   BodyPart part = BodyPart::kMore;
-  while (part == BodyPart::kMore) part = co_await used->ReadBody(reply.body);
+  while (part == BodyPart::kMore) {
+    part = co_await used->ReadBody(reply.body);
+  }
   used->NeverExpire();
   if (part == BodyPart::kBroken) {
     this->connection.reset();
--- a/settings/value_parser.cc
+++ b/settings/value_parser.cc
@@ -70,7 +70,7 @@
     return "\"" + text + "\" is not a whole number";
   }
 
-  const auto fault = this->CheckRange(text, static_cast<double>(value));
+  auto fault = this->CheckRange(text, static_cast<double>(value));
   if (fault) return fault;
 
   const auto* reflection = section.GetReflection();
@@ -103,7 +103,7 @@
   if (error != std::errc() || at != end) {
     return "\"" + text + "\" is not a number";
   }
-  const auto fault = this->CheckRange(text, value);
+  auto fault = this->CheckRange(text, value);
   if (fault) return fault;
   section.GetReflection()->SetDouble(&section, &this->field, value);
   return std::nullopt;
--- a/tests/budget/reclaim_test.cc
+++ b/tests/budget/reclaim_test.cc
@@ -28,6 +28,7 @@
   static bool Confirmed(Duration away, Duration own_span, int peers,
                         int stepped) {
     std::vector<FleetSign> signs;
+    signs.reserve(2 * static_cast<size_t>(peers));
     uint64_t offset = 0;
     const Duration day = std::chrono::hours(1000);
     for (int i = 0; i < peers; ++i) {
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -79,12 +79,13 @@
 }
 
 TEST_F(RequestCodecTest, MalformedFields_AreRefusedWithAReason) {
-  const std::pair<const char*, const char*> kBad[] = {{"Deadline-Ms", "soon"},
-                                                      {"Token-Counts", "12"},
-                                                      {"Token-Counts", "-1,5"},
-                                                      {"Prompt-Prefix", "abc"},
-                                                      {"Attempt-Id", ""}};
-  for (const auto& [name, value] : kBad) {
+  const std::pair<const char*, const char*> bad_fields[] = {
+      {"Deadline-Ms", "soon"},
+      {"Token-Counts", "12"},
+      {"Token-Counts", "-1,5"},
+      {"Prompt-Prefix", "abc"},
+      {"Attempt-Id", ""}};
+  for (const auto& [name, value] : bad_fields) {
     HttpRequestHead bad = this->head;
     bad.set(name, value);
     EXPECT_FALSE(DecodeRequest(bad, this->reason)) << name << ": " << value;
--- a/tests/serving/placement_test.cc
+++ b/tests/serving/placement_test.cc
@@ -88,8 +88,9 @@
 
 TEST_F(PlacementTest, AllExcluded_GivesAReason) {
   std::vector<std::string> all;
-  for (const auto& upstream : this->upstreams)
+  for (const auto& upstream : this->upstreams) {
     all.push_back(upstream->entry.id);
+  }
 
   EXPECT_FALSE(this->Choose(this->parts, all));
   EXPECT_FALSE(this->placement.LastReason().text.empty());
