Keep the platform's names in tests/platform; name the attempt limit

Moved: the gateway's tests and their fake store, which speak the platform's protocol. Renamed: max_attempts to attempt_limit outside platform/. No behaviour changed.

--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -13,7 +13,7 @@
 }
 
 bool IsStalled(const Route& route, const StallState& state) {
-  if (!route.IsIdempotent() || state.runs >= route.max_attempts) return false;
+  if (!route.IsIdempotent() || state.runs >= route.attempt_limit) return false;
   const auto expected = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(kStallFactor *
                                                 state.expected_ms));
@@ -29,10 +29,10 @@
       return state.misses < kMostMisses;
     case AttemptOutcome::kFailed:
       return route.kind == RequestKind::kSafe &&
-             state.runs < route.max_attempts;
+             state.runs < route.attempt_limit;
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kBrokenMidway:
-      return route.IsIdempotent() && state.runs < route.max_attempts;
+      return route.IsIdempotent() && state.runs < route.attempt_limit;
     case AttemptOutcome::kComplete:
     case AttemptOutcome::kCallerGone:
     case AttemptOutcome::kTimedOut:
--- a/fuchsiadrum/serving/serving_config.h
+++ b/fuchsiadrum/serving/serving_config.h
@@ -45,7 +45,7 @@
   /// 0 is the most urgent.
   int priority = 5;
   /// Upstreams on which one request may run.
-  int max_attempts = 1;
+  int attempt_limit = 1;
   /// No key is needed.
   bool anonymous = false;
   /// A stream that broke off may go on at another upstream.
--- a/tests/gateway/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -3,7 +3,7 @@
 #include <atomic>
 #include <mutex>
 
-#include "tests/gateway/platform_fixture.h"
+#include "tests/platform/platform_fixture.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
--- a/tests/serving/attempt_policy_test.cc
+++ b/tests/serving/attempt_policy_test.cc
@@ -7,11 +7,11 @@
 
 class AttemptPolicyTest : public testing::Test {
  protected:
-  static Route RouteOf(RequestKind kind, int max_attempts,
+  static Route RouteOf(RequestKind kind, int attempt_limit,
                        bool resumable = false) {
     Route route;
     route.kind = kind;
-    route.max_attempts = max_attempts;
+    route.attempt_limit = attempt_limit;
     route.resumable = resumable;
     return route;
   }
