Send nothing for a caller that left while a grant was awaited

Cause: the interrupt fired before there was an attempt; an idle connection was then taken without looking at it, and the request ran for nobody. Found by reading. Test, failing before: CallerThatLeavesWhileAGrantIsAwaited. Ruled out: the path of a new connection, which looks after it has opened.

--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -256,12 +256,17 @@
 
 asio::awaitable<AttemptOutcome> RequestTask::Attempt(
     const serving::PlacementChoice& choice) {
+  this->was_sent = false;
+  // The caller may have left, or the time may be over, before there was an
+  // attempt to be interrupted.
+  if (this->caller_gone) co_return AttemptOutcome::kCallerGone;
+  if (this->timed_out) co_return AttemptOutcome::kTimedOut;
+
   serving::FleetUpstream& upstream = *choice.upstream;
   this->tried.push_back(upstream.entry.id);
   if (!this->tried_text.empty()) this->tried_text += ',';
   this->tried_text += upstream.entry.id;
 
-  this->was_sent = false;
   upstream.OnDispatch(Now());
   upstream.pending_tokens += choice.uncached_tokens;
   this->prompt_pending = true;
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -105,6 +105,28 @@
   EXPECT_EQ(status, 200U);
 }
 
+// Found by reading: the caller's end was noticed, and the request sent all the
+// same once its grant had come.
+TEST_F(GatewayTest, CallerThatLeavesWhileAGrantIsAwaited_CausesNoRun) {
+  std::atomic<int> runs{0};
+  LoopbackServer upstream([&](const HttpRequest& request, auto&) {
+    ++runs;
+    HttpAnswer answer = Signed(request);
+    answer.body() = Event(1);
+    return std::optional(answer);
+  });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+  // An idle connection to the upstream is taken without a wait.
+  EXPECT_EQ(this->Call(Request("/book/robes")).result_int(), 200U);
+
+  this->store.append_ms = 150;
+  this->CallAndLeave(Request("/draft/x", "100,50"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  EXPECT_EQ(runs, 1);
+}
+
 TEST_F(GatewayTest, RejectedRequest_WithoutAnotherUpstream_IsRefusedAsNotRun) {
   LoopbackServer upstream([&](const HttpRequest&, auto&) {
     HttpAnswer answer(http::status::service_unavailable, 11);
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -103,6 +103,8 @@
   }
   /// While set, every call is refused.
   std::atomic<bool> refusing{false};
+  /// Time that an append takes.
+  std::atomic<int> append_ms{0};
 
  private:
   static std::string Parameter(const std::string& target,
@@ -127,6 +129,9 @@
       return answer;
     }
     const std::string target(request.target());
+    if (target.starts_with("/log-append")) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(this->append_ms));
+    }
     const std::lock_guard lock(this->mutex);
     auto& stream = this->streams[Parameter(target, "topic")];
     if (target.starts_with("/log-append")) {
@@ -312,6 +317,17 @@
     return answer;
   }
 
+  /// Sends the request and closes the connection without its answer.
+  void CallAndLeave(const HttpRequest& request) {
+    asio::io_context context;
+    Tcp::socket socket(context);
+    ErrorCode error;
+    socket.connect(
+        {asio::ip::address_v4::loopback(), this->gateway->CallersPort()},
+        error);
+    http::write(socket, request, error);
+  }
+
   static HttpAnswer Signed(const HttpRequest& request) {
     HttpAnswer answer(http::status::ok, 11);
     answer.set("Attempt-Id", request["Attempt-Id"]);
