--- a/fuchsiadrum/serving/upstream_directory.cc
+++ b/fuchsiadrum/serving/upstream_directory.cc
@@ -1,9 +1,16 @@
 #include "fuchsiadrum/serving/upstream_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsiadrum::serving {
 
+Duration KeepMissingTime(Duration drain_time) {
+  constexpr double kPart = 0.6;
+  return std::min(UpstreamDirectoryOptions().keep_missing,
+                  std::chrono::duration_cast<Duration>(drain_time * kPart));
+}
+
 bool UpstreamDirectory::Put(const UpstreamEntry& entry) {
   FleetUpstreamPtr& known = this->upstreams[entry.id];
   const bool same_life =
--- a/fuchsiadrum/serving/upstream_directory.h
+++ b/fuchsiadrum/serving/upstream_directory.h
@@ -20,6 +20,11 @@
   UpstreamOptions upstream;
 };
 
+/// How long a missing upstream may be kept if a gone one must get no request
+/// after `drain_time`: the entry's deletion is read some 0.4 s late, and a
+/// request takes a moment to be sent.
+Duration KeepMissingTime(Duration drain_time);
+
 /// All upstreams that may get requests, by service.
 class UpstreamDirectory {
  public:
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -48,7 +48,9 @@
       context(io_context),
       log({.vm = gateway_settings.vm().name()}),
       rng(daemon::StartIncarnation()),
-      directory(serving::UpstreamDirectoryOptions()),
+      directory(
+          {.keep_missing = serving::KeepMissingTime(std::chrono::milliseconds(
+               gateway_settings.bounds().drain_ms()))}),
       placement(
           {.seed = daemon::StartIncarnation(),
            .availability_zone = gateway_settings.vm().availability_zone()}),
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -258,6 +258,7 @@
     settings.mutable_store()->set_address(this->store.Address());
     settings.mutable_store()->set_timeout_ms(600);
     settings.mutable_stop()->set_grace_s(8);
+    settings.mutable_bounds()->set_drain_ms(2000);
     settings.mutable_bounds()->set_retry_ratio(0.2);
     settings.mutable_bounds()->set_retry_slack(1000);
     settings.mutable_bounds()->set_retry_window_s(10);
--- a/tests/serving/upstream_directory_test.cc
+++ b/tests/serving/upstream_directory_test.cc
@@ -64,6 +64,13 @@
   EXPECT_TRUE(this->Usable().empty());
 }
 
+TEST_F(UpstreamDirectoryTest, ShortDrainTime_ShortensTheWaitForMissingOnes) {
+  const Duration one_second = std::chrono::seconds(1);
+  EXPECT_LT(KeepMissingTime(one_second), one_second);
+  EXPECT_EQ(KeepMissingTime(std::chrono::seconds(9)),
+            UpstreamDirectoryOptions().keep_missing);
+}
+
 // Entries lapse while the store is away and are back two seconds after it.
 TEST_F(UpstreamDirectoryTest, EntriesLapsedInAnOutage_AreKeptUntilTheyReturn) {
   this->directory.Put(Entry("a"));
