Remove functions that nothing calls

Cause: left over from earlier forms of the take-over, the connection and the cache. Ruled out: use by the tests (none). No behaviour changed.

--- a/fuchsiadrum/budget/grant_table.cc
+++ b/fuchsiadrum/budget/grant_table.cc
@@ -57,17 +57,6 @@
                                                : entry->second.grant;
 }
 
-std::vector<std::pair<std::string, RecordedGrant>> GrantTable::OfVm(
-    const std::string& organisation, const std::string& holder_prefix) const {
-  std::vector<std::pair<std::string, RecordedGrant>> found;
-  const auto account = this->accounts.find(organisation);
-  if (account == this->accounts.end()) return found;
-  for (const auto& [name, entry] : account->second.grants) {
-    if (name.starts_with(holder_prefix)) found.emplace_back(name, entry.grant);
-  }
-  return found;
-}
-
 std::vector<std::string> GrantTable::Organisations() const {
   std::vector<std::string> names;
   for (const auto& [name, account] : this->accounts) names.push_back(name);
--- a/fuchsiadrum/budget/grant_table.h
+++ b/fuchsiadrum/budget/grant_table.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "fuchsiadrum/core/types.h"
@@ -40,9 +39,6 @@
   Tokens DemandOfOthers(TimePoint now, const std::string& organisation,
                         const std::string& holder) const;
   std::vector<std::string> Organisations() const;
-  /// Grants of the holders whose name begins so.
-  std::vector<std::pair<std::string, RecordedGrant>> OfVm(
-      const std::string& organisation, const std::string& holder_prefix) const;
   /// Zero without a record.
   RecordedGrant Of(const std::string& organisation,
                    const std::string& holder) const;
--- a/fuchsiadrum/serving/fleet_upstream.cc
+++ b/fuchsiadrum/serving/fleet_upstream.cc
@@ -44,12 +44,6 @@
   }
 }
 
-void PromptCache::Clear() {
-  this->recent.clear();
-  this->entries.clear();
-  this->used = 0;
-}
-
 FleetUpstream::FleetUpstream(UpstreamEntry upstream_entry,
                              const UpstreamOptions& opts)
     : entry(std::move(upstream_entry)),
--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -42,7 +42,6 @@
   int64_t CachedTokens(std::span<const PromptPart> parts) const;
   /// The upstream reads these parts now.
   void Use(std::span<const PromptPart> parts);
-  void Clear();
 
  private:
   struct Entry {
--- a/fuchsiadrum/serving/serving_config.cc
+++ b/fuchsiadrum/serving/serving_config.cc
@@ -54,13 +54,6 @@
   return found == this->services.end() ? nullptr : &*found;
 }
 
-const Organisation* ServingConfig::FindOrganisation(
-    std::string_view name) const {
-  const auto found =
-      std::ranges::find(this->organisations, name, &Organisation::name);
-  return found == this->organisations.end() ? nullptr : &*found;
-}
-
 const std::string& ChooseService(const Route& route, Rng& rng) {
   static const std::string kNone;
   if (route.services.empty()) return kNone;
--- a/fuchsiadrum/serving/serving_config.h
+++ b/fuchsiadrum/serving/serving_config.h
@@ -114,8 +114,6 @@
   const Organisation* OwnerOf(const std::string& key) const;
   /// nullptr: no such service.
   const Service* FindService(std::string_view name) const;
-  /// nullptr: no such organisation.
-  const Organisation* FindOrganisation(std::string_view name) const;
 
  private:
   /// Routes of a host, longest prefix first.
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -125,9 +125,6 @@
   this->socket.close(ignored);
 }
 
-void HttpConnection::OnExpired() {
-  this->timed_out = true;
-  this->Close();
-}
+void HttpConnection::OnExpired() { this->Close(); }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -44,7 +44,6 @@
   bool IsReusable();
   /// Longest time that sent bytes may stay unacknowledged.
   void SetAckTimeout(Duration time);
-  bool HasTimedOut() const { return this->timed_out; }
   void Close();
 
  protected:
@@ -61,7 +60,6 @@
   std::string send_head;
   std::shared_ptr<const std::string> send_body;
   bool sending = false;
-  bool timed_out = false;
 };
 
 }  // namespace fuchsiadrum::gateway
