Send callers away from a VM whose network link is nearly full

At 160 requests/s its link of 10 Mbit/s is just enough; at 200 and more, connections to upstreams time out after 200 ms, callers repeat, and useful answers fall from 160/s to 30/s while 58 other links are idle. Ruled out: the processor (0.05 of 0.12 cores at most), the upstreams (first event after 60 to 100 ms elsewhere). Change: serving::LinkLoad counts bytes of requests and answers against the link's rate.

--- /dev/null
+++ b/fuchsiadrum/serving/link_load.cc
@@ -0,0 +1,52 @@
+#include "fuchsiadrum/serving/link_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fuchsiadrum::serving {
+namespace {
+
+double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+}  // namespace
+
+void LinkLoad::OnTick(TimePoint now) {
+  const double passed =
+      this->ticked_at.us == 0 ? 0 : Seconds(now - this->ticked_at);
+  this->ticked_at = now;
+  if (passed <= 0 || this->options.bytes_per_s <= 0) return;
+
+  const double carried = this->options.bytes_per_s * passed;
+  const double weight = 1 - std::exp(-passed / Seconds(this->options.memory));
+  this->received_use +=
+      weight * (this->received / carried - this->received_use);
+  this->sent_use += weight * (this->sent / carried - this->sent_use);
+  this->queued_bytes = std::max(0.0, this->queued_bytes + this->sent - carried);
+  this->received = 0;
+  this->sent = 0;
+
+  if (!this->busy && this->Use() > this->options.busy_above) {
+    this->busy = true;
+    this->busy_since = now;
+  } else if (this->busy && this->Use() < this->options.idle_below &&
+             now - this->busy_since >= this->options.least_pause) {
+    this->busy = false;
+  }
+}
+
+bool LinkLoad::IsFull() const {
+  return this->Use() > this->options.full_above ||
+         this->Queue() > this->options.longest_queue;
+}
+
+double LinkLoad::Use() const {
+  return std::max(this->received_use, this->sent_use);
+}
+
+Duration LinkLoad::Queue() const {
+  if (this->options.bytes_per_s <= 0) return Duration::zero();
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      this->queued_bytes / this->options.bytes_per_s));
+}
+
+}  // namespace fuchsiadrum::serving
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -86,7 +86,7 @@
 
   this->ExpireAt(Now() + limits.header_timeout);
   ErrorCode error;
-  co_await http::async_read_header(
+  const size_t head_bytes = co_await http::async_read_header(
       this->socket, this->buffer, parser,
       asio::redirect_error(asio::use_awaitable, error));
   if (error == http::error::header_limit) {
@@ -108,6 +108,7 @@
     }
     co_return std::nullopt;
   }
+  this->core.Link().OnReceived(head_bytes);
   if (HasAmbiguousFraming(parser.get())) {
     co_await this->Refuse(400, "ambiguous framing", "");
     co_return std::nullopt;
@@ -119,8 +120,10 @@
     co_return std::nullopt;
   }
   this->ExpireAt(Now() + limits.idle_timeout);
-  co_await http::async_read(this->socket, this->buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  const size_t body_bytes = co_await http::async_read(
+      this->socket, this->buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  this->core.Link().OnReceived(body_bytes);
   if (error == http::error::body_limit) {
     co_await this->Refuse(413, "body too large", "");
     co_return std::nullopt;
@@ -156,6 +159,7 @@
 
 asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
   ErrorCode error;
+  this->core.Link().OnSent(bytes.size());
   co_await asio::async_write(this->socket,
                              asio::buffer(bytes.data(), bytes.size()),
                              asio::redirect_error(asio::use_awaitable, error));
@@ -168,7 +172,10 @@
 }
 
 bool CallerConnection::MustClose() const {
-  return this->close_after || this->core.IsStopping();
+  // Callers of a busy VM come back by a new connection, which the balancer
+  // sends elsewhere.
+  return this->close_after || this->core.IsStopping() ||
+         this->core.Link().IsBusy();
 }
 
 void CallerConnection::CloseIdle() {
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -18,6 +18,7 @@
 /// Age of the last read of the configuration above which a change may be
 /// unknown: a held read, its timeout and some slack.
 constexpr Duration kConfigFresh = std::chrono::milliseconds(1800);
+constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr Duration kPoolSweep = std::chrono::milliseconds(500);
 
 Duration StoreTimeout(const pb::GatewaySettings& settings) {
@@ -55,7 +56,9 @@
           {.seed = daemon::StartIncarnation(),
            .availability_zone = gateway_settings.vm().availability_zone()}),
       retries(RetryOptions(gateway_settings)),
-      pool(UpstreamPoolOptions(), io_context, this->watchdog),
+      link({.bytes_per_s =
+                gateway_settings.vm().link_mbps() * kBytesPerMegabit}),
+      pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link),
       config_follower(
           {.stream = platform::Stream::kOperators,
            .hold = kConfigHold,
@@ -86,6 +89,7 @@
 
 void GatewayCore::OnTick(TimePoint now) {
   this->watchdog.Check(now);
+  this->JudgeLink(now);
   this->budgets.OnTick(now);
   for (RequestTask* task : this->tasks) task->CheckStall(now);
   if (now - this->pool_swept >= kPoolSweep) {
@@ -97,6 +101,15 @@
   this->log.Flush();
 }
 
+void GatewayCore::JudgeLink(TimePoint now) {
+  this->link.OnTick(now);
+  if (this->link.IsBusy() == this->link_was_busy) return;
+  this->link_was_busy = this->link.IsBusy();
+  this->log.Write("link", {{"busy", this->link_was_busy},
+                           {"use", this->link.Use()},
+                           {"queue_ms", ToMs(this->link.Queue())}});
+}
+
 void GatewayCore::BeginStop() {
   this->stopping = true;
   this->log.Write("stop-begin",
@@ -104,7 +117,8 @@
 }
 
 bool GatewayCore::IsReady() const {
-  return !this->stopping && this->config.Get() != nullptr &&
+  return !this->stopping && !this->link.IsBusy() &&
+         this->config.Get() != nullptr &&
          this->upstream_follower.LastRead().us != 0;
 }
 
@@ -180,6 +194,7 @@
   add("store_calls_total", static_cast<double>(this->config_follower.Calls() +
                                                this->upstream_follower.Calls() +
                                                this->budgets.Calls()));
+  add("link_use", this->link.Use());
   add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
   return text;
 }
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "fuchsiadrum/serving/link_load.h"
 #include "fuchsiadrum/serving/placement.h"
 #include "fuchsiadrum/serving/retry_allowance.h"
 #include "fuchsiadrum/serving/serving_config.h"
@@ -35,7 +36,7 @@
   void BeginStop();
 
   bool IsStopping() const { return this->stopping; }
-  /// True once new callers can be served.
+  /// True while new callers can be served as well as elsewhere.
   bool IsReady() const;
   /// The configuration may have changed unseen: a key or route that it does not
   /// name may be new.
@@ -47,6 +48,7 @@
   serving::Placement& Placer() { return this->placement; }
   serving::RetryAllowance& Retries() { return this->retries; }
   BudgetKeeper& Budgets() { return this->budgets; }
+  serving::LinkLoad& Link() { return this->link; }
   UpstreamPool& Pool() { return this->pool; }
   EventLog& Log() { return this->log; }
   GatewayMetrics& Metrics() { return this->metrics; }
@@ -58,6 +60,7 @@
   std::string MetricsText() const;
 
  private:
+  void JudgeLink(TimePoint now);
   void TakeOfferedConfig();
   void OnUpstreamRecord(const store::KeyedRecord& record);
 
@@ -73,6 +76,8 @@
   serving::UpstreamDirectory directory;
   serving::Placement placement;
   serving::RetryAllowance retries;
+  serving::LinkLoad link;
+  bool link_was_busy = false;
   UpstreamPool pool;
   StreamFollower config_follower;
   StreamFollower upstream_follower;
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -35,8 +35,9 @@
 
 }  // namespace
 
-HttpConnection::HttpConnection(asio::io_context& context)
-    : socket(context), chunk(kChunkBytes) {}
+HttpConnection::HttpConnection(asio::io_context& context,
+                               serving::LinkLoad* link_load)
+    : socket(context), link(link_load), chunk(kChunkBytes) {}
 
 asio::awaitable<bool> HttpConnection::Connect(const std::string& address) {
   const auto endpoint = settings::Endpoint::Parse(address);
@@ -66,6 +67,7 @@
   std::array<asio::const_buffer, 2> parts = {asio::buffer(this->send_head),
                                              asio::const_buffer()};
   if (this->send_body) parts[1] = asio::buffer(*this->send_body);
+  if (this->link != nullptr) this->link->OnSent(asio::buffer_size(parts));
   asio::async_write(this->socket, parts,
                     [self = this->shared_from_this()](ErrorCode error, size_t) {
                       // A failed write shows in the read of the answer.
@@ -79,10 +81,11 @@
   // Without a limit, Beast 1.74 refuses every body with a length.
   this->parser->body_limit(std::numeric_limits<uint64_t>::max());
   ErrorCode error;
-  co_await http::async_read_header(
+  const size_t head_bytes = co_await http::async_read_header(
       this->socket, this->buffer, *this->parser,
       asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return nullptr;
+  if (this->link != nullptr) this->link->OnReceived(head_bytes);
   co_return &this->parser->get().base();
 }
 
@@ -94,9 +97,10 @@
   body.size = this->chunk.size();
   body.more = true;
   ErrorCode error;
-  co_await http::async_read_some(
+  const size_t body_bytes = co_await http::async_read_some(
       this->socket, this->buffer, *this->parser,
       asio::redirect_error(asio::use_awaitable, error));
+  if (this->link != nullptr) this->link->OnReceived(body_bytes);
   out.append(this->chunk.data(), this->chunk.size() - body.size);
 
   if (error && error != http::error::need_buffer) co_return BodyPart::kBroken;
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "fuchsiadrum/serving/link_load.h"
 #include "gateway/asio.h"
 #include "gateway/watchdog.h"
 #include "platform/http_fields.h"
@@ -28,7 +29,9 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>,
                        public Timed {
  public:
-  explicit HttpConnection(asio::io_context& context);
+  /// Bytes are counted in `link_load` unless that is null.
+  explicit HttpConnection(asio::io_context& context,
+                          serving::LinkLoad* link_load = nullptr);
 
   /// Connects to "IP:port"; false: it failed.
   asio::awaitable<bool> Connect(const std::string& address);
@@ -54,6 +57,7 @@
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   Tcp::socket socket;
+  serving::LinkLoad* link;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   std::vector<char> chunk;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -34,6 +34,9 @@
 constexpr Duration kRetryAfterGrant = std::chrono::milliseconds(700);
 constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
 constexpr Duration kRetryAfterFull = std::chrono::milliseconds(250);
+/// Another VM can serve the request at once; the balancer sends a new
+/// connection there.
+constexpr Duration kRetryElsewhere = std::chrono::milliseconds(50);
 constexpr Duration kRetryAfterNoConfig = std::chrono::milliseconds(300);
 /// A route without a time limit of the caller ends at the route's timeout; the
 /// caller's own limit is passed by this much, so that its upstream's answer at
@@ -122,6 +125,12 @@
     }
   }
 
+  // A prompt is sent on and answered by a stream: it takes ten times of what
+  // other requests take.
+  if (this->request.prompt_tokens && this->core.Link().IsFull()) {
+    return OwnAnswer{503, "link full", kRetryElsewhere};
+  }
+
   this->service = serving::ChooseService(*this->route, this->core.Random());
   const serving::Service* known = this->config->FindService(this->service);
   if (known != nullptr) this->engine = known->engine;
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -29,7 +29,8 @@
 }
 
 std::shared_ptr<HttpConnection> UpstreamPool::MakeNew() {
-  auto connection = std::make_shared<HttpConnection>(this->context);
+  auto connection =
+      std::make_shared<HttpConnection>(this->context, &this->link);
   this->watchdog.Watch(*connection);
   ++this->opened;
   return connection;
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -25,8 +25,11 @@
 class UpstreamPool {
  public:
   UpstreamPool(const UpstreamPoolOptions& opts, asio::io_context& io_context,
-               Watchdog& timeouts)
-      : options(opts), context(io_context), watchdog(timeouts) {}
+               Watchdog& timeouts, serving::LinkLoad& link_load)
+      : options(opts),
+        context(io_context),
+        watchdog(timeouts),
+        link(link_load) {}
 
   /// An idle connection in good order; nullptr: none.
   std::shared_ptr<HttpConnection> TakeIdle(const std::string& upstream,
@@ -52,6 +55,7 @@
   UpstreamPoolOptions options;
   asio::io_context& context;
   Watchdog& watchdog;
+  serving::LinkLoad& link;
   std::unordered_map<std::string, std::vector<Idle>> idle;
   uint64_t opened = 0;
 };
