--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -1,6 +1,7 @@
 #include "fuchsiadrum/budget/grant_holder.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "fuchsiadrum/core/assert.h"
 
@@ -41,6 +42,7 @@
 
   if (this->InUse(pool) + amount <= this->Bound(now, pool)) {
     pool.demand.Add(now, amount);
+    this->NoteRequest(amount);
     pool.reserved += amount;
     return ReserveResult::kReserved;
   }
@@ -122,7 +124,7 @@
   const double part = std::clamp(pool.unspent_part / this->options.ample_part,
                                  this->options.least_ceiling_part, 1.0);
   const double ahead =
-      part * pool.demand.Rate() * Seconds(this->options.ceiling_ahead);
+      part * pool.expected_rate * Seconds(this->options.ceiling_ahead);
   return std::max(pool.wanted, Tokens(static_cast<int64_t>(ahead)));
 }
 
@@ -212,22 +214,71 @@
   return found->second.limit.value_or(Tokens(0));
 }
 
-Tokens GrantHolder::Target(TimePoint now, const std::string& name,
-                           const Pool& pool,
+void GrantHolder::NoteRequest(Tokens amount) {
+  const auto size = static_cast<double>(amount.count);
+  const double weight =
+      this->typical_request > 0 ? this->options.typical_weight : 1;
+  this->typical_request += weight * (size - this->typical_request);
+}
+
+double GrantHolder::ExpectRate(TimePoint now, const std::string& name,
+                               Pool& pool) const {
+  const double own = pool.demand.Rate();
+  const double fleet =
+      own +
+      static_cast<double>(
+          this->table.DemandOfOthers(now, name, this->options.holder).count);
+  if (fleet > 0 && pool.demanded_since.us == 0) pool.demanded_since = now;
+  if (this->fleet_size == 0 || fleet <= 0) {
+    pool.expected_rate = own;
+    return fleet;
+  }
+
+  const double observed = std::min(Seconds(this->options.demand_memory),
+                                   Seconds(now - pool.demanded_since));
+  const double weight = Seconds(this->options.fleet_weight);
+  const double average = fleet / static_cast<double>(this->fleet_size);
+  const double mean = (own * observed + average * weight) / (observed + weight);
+  // Callers of some organisations all reach one gateway: own demand counts in
+  // full.
+  pool.expected_rate = std::max(own, mean);
+  return fleet;
+}
+
+Tokens GrantHolder::InitialShare(TimePoint now, const Pool& pool) const {
+  if (this->fleet_size == 0) return Tokens(0);
+  // Fades while the demand becomes known.
+  double part = 1;
+  if (pool.demanded_since.us != 0) {
+    part -= Seconds(now - pool.demanded_since) /
+            Seconds(this->options.demand_memory);
+  }
+  const double share = std::max(0.0, part) * this->options.initial_part *
+                       static_cast<double>(pool.limit->count) /
+                       static_cast<double>(this->fleet_size);
+  return Tokens(static_cast<int64_t>(share));
+}
+
+Tokens GrantHolder::Target(TimePoint now, const std::string& name, Pool& pool,
                            const GrantTable::Sums& sums) const {
-  const double rate = pool.demand.Rate();
+  const double fleet = this->ExpectRate(now, name, pool);
+  const double expected = pool.expected_rate * Seconds(this->options.horizon);
   const double by_demand =
-      std::max(rate * Seconds(this->options.horizon),
-               this->options.largest_requests * pool.demand.Largest());
+      std::max({expected + this->options.deviations *
+                               std::sqrt(expected * this->typical_request),
+                this->options.largest_requests * pool.demand.Largest(),
+                static_cast<double>(this->InitialShare(now, pool).count)});
+
+  double part = this->options.least_part;
+  if (this->fleet_size > 0) {
+    part = std::max(part, 1.0 / static_cast<double>(this->fleet_size));
+  }
+  if (fleet > 0) part = std::max(part, pool.expected_rate / fleet);
 
   // The own pool counts as free: it is what the target decides about.
   const Tokens left = pool.usable - this->InUse(pool);
   const auto free = static_cast<double>(
       std::max<int64_t>(0, (*pool.limit - sums.granted + left).count));
-  const auto others = static_cast<double>(
-      this->table.DemandOfOthers(now, name, this->options.holder).count);
-  const double part =
-      std::max(this->options.least_part, rate / std::max(1.0, rate + others));
   const double by_rest = free * this->options.pooled_share * part;
   return Tokens(static_cast<int64_t>(std::min(by_demand, by_rest)));
 }
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -41,6 +41,17 @@
   /// take, each by its part of the demand. Keeps the end of a budget within
   /// everyone's reach.
   double pooled_share = 0.85;
+  /// Time of own demand that weighs as much as the fleet's average demand: a
+  /// gateway sees few requests of a small organisation, but any gateway may get
+  /// the next ones.
+  Duration fleet_weight = std::chrono::seconds(4);
+  /// Standard deviations of the demand that a pool covers beyond the horizon.
+  double deviations = 2.0;
+  /// Part of a budget that all pools share before any demand is known, so that
+  /// the first requests need not wait and the store may fail at once.
+  double initial_part = 0.4;
+  /// Weight of one request in the size of a typical request.
+  double typical_weight = 0.05;
   /// Largest recent requests that a full pool covers at least: with few
   /// requests the demand says little of the next one.
   double largest_requests = 2.0;
@@ -95,6 +106,10 @@
   GrantHolder(const GrantHolderOptions& holder_options,
               const GrantTable& grant_table);
 
+  /// Gateways among which demand is spread; until this is known, only own
+  /// demand counts.
+  void SetFleetSize(size_t size) { this->fleet_size = size; }
+
   /// The organisation's budget; empty: not limited.
   void SetLimit(const std::string& organisation, std::optional<Tokens> limit);
 
@@ -142,6 +157,10 @@
     /// Largest amount that found the pool empty since the last grant.
     Tokens wanted;
     DemandMeter demand;
+    /// Tokens per second that are expected here, from own and the fleet's
+    /// demand; and since when any demand is known.
+    double expected_rate = 0;
+    TimePoint demanded_since;
     TimePoint pause_until;
     TimePoint recorded_at;
     Tokens recorded_spent;
@@ -154,6 +173,7 @@
     return now - this->answered_at > this->options.cut_off_after;
   }
   Tokens Bound(TimePoint now, const Pool& pool) const;
+  void NoteRequest(Tokens amount);
   void ForgetWantIfMet(Pool& pool);
   Tokens NextCeiling(const Pool& pool, Tokens total) const;
   bool IsCeilingDue(const Pool& pool) const;
@@ -161,7 +181,11 @@
   Pool& PoolOf(const std::string& organisation);
   double UnspentPart(const std::string& name, const Pool& pool) const;
   Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
-  Tokens Target(TimePoint now, const std::string& name, const Pool& pool,
+  /// Updates the expected rate; returns the demand of the whole fleet.
+  double ExpectRate(TimePoint now, const std::string& name, Pool& pool) const;
+  /// Part of the budget that this gateway takes while no demand is known.
+  Tokens InitialShare(TimePoint now, const Pool& pool) const;
+  Tokens Target(TimePoint now, const std::string& name, Pool& pool,
                 const GrantTable::Sums& sums) const;
   std::optional<Tokens> NextTotal(TimePoint now, const std::string& name,
                                   Pool& pool);
@@ -174,6 +198,9 @@
   Rng rng;
   std::map<std::string, Pool> pools;
   std::vector<GrantUpdate> in_flight;
+  size_t fleet_size = 0;
+  /// Size of a typical request of any organisation; 0: not known.
+  double typical_request = 0;
   TimePoint answered_at;
   bool closed = false;
 };
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -15,6 +15,9 @@
 /// a few milliseconds.
 constexpr Duration kLateAnswer = std::chrono::milliseconds(120);
 constexpr Duration kRepeatPause = std::chrono::milliseconds(100);
+/// Time after the start in which all gateways have shown themselves: they start
+/// together and write twice a second.
+constexpr Duration kFleetShowsItself = std::chrono::seconds(3);
 /// Records before a dead process's last one among which other gateways' signs
 /// are looked for; each of them writes a few records a second.
 constexpr uint64_t kSignsBefore = 400;
@@ -59,6 +62,7 @@
       history_client(io_context, watchdog, opts.store_address) {}
 
 void BudgetKeeper::Start() {
+  this->started_at = Now();
   asio::co_spawn(this->context, this->WriteLoop(), asio::detached);
 }
 
@@ -199,6 +203,9 @@
 }
 
 std::vector<store::KeyedRecord> BudgetKeeper::PlanRecords() {
+  if (Now() - this->started_at >= kFleetShowsItself) {
+    this->holder.SetFleetSize(this->FleetSize());
+  }
   std::vector<store::KeyedRecord> records;
   records.swap(this->queued);
   for (const budget::GrantUpdate& update : this->holder.PlanWrite(Now())) {
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -107,6 +107,7 @@
   /// Records to be written with the next ones.
   std::vector<store::KeyedRecord> queued;
   StoreClient history_client;
+  TimePoint started_at;
   TimePoint planned_at;
   TimePoint written_at;
   /// Start of the append under way, or of the last look for it; us 0: none.
--- a/tests/budget/grant_holder_test.cc
+++ b/tests/budget/grant_holder_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "fuchsiadrum/core/rng.h"
+
 namespace fuchsiadrum::budget {
 namespace {
 
@@ -168,6 +170,85 @@
             Tokens(1000));
 }
 
+// coral-andina-grown: 59 gateways, and organisations that send each of them a
+// request every few seconds. All are cut from the store before some have seen a
+// request. Before, half of the requests of such an organisation were refused.
+TEST_F(GrantHolderTest, SmallOrganisation_WhenAllAreCutOff_IsServedByMost) {
+  constexpr int kGateways = 59;
+  constexpr int kRequestsPerSecond = 20;
+  GrantFleet fleet(kGateways);
+  fleet.SetLimit(Tokens(5'000'000));
+  for (const auto& gateway : fleet.gateways) {
+    gateway->holder->SetFleetSize(kGateways);
+  }
+  const auto step = std::chrono::milliseconds(250);
+  const auto exchange = [&] {
+    for (const auto& gateway : fleet.gateways) fleet.Write(*gateway, this->now);
+    for (const auto& gateway : fleet.gateways) fleet.Read(*gateway, this->now);
+  };
+  for (int i = 0; i < 8; ++i) {
+    this->Pass(step);
+    exchange();
+  }
+
+  Rng rng(7);
+  int sent = 0;
+  int refused = 0;
+  const auto serve = [&] {
+    for (int i = 0; i < kRequestsPerSecond / 4; ++i) {
+      const auto chosen = static_cast<size_t>(rng.Unit() * kGateways);
+      const Tokens amount(rng.Unit() < 0.5 ? 9000 : 1000);
+      ++sent;
+      refused +=
+          fleet.Spend(*fleet.gateways[chosen], this->now, amount) ? 0 : 1;
+    }
+  };
+  for (int i = 0; i < 20; ++i) {
+    this->Pass(step);
+    serve();
+    exchange();
+  }
+  sent = 0;
+  refused = 0;
+  this->Pass(std::chrono::seconds(2));
+  for (int i = 0; i < 24; ++i) {
+    this->Pass(step);
+    serve();
+  }
+  EXPECT_LT(refused * 5, sent);
+}
+
+// Callers of some organisations all reach one gateway: the others' shares must
+// not keep its pool small.
+TEST_F(GrantHolderTest, OrganisationAtOneGateway_WhenCutOff_IsServed) {
+  constexpr int kGateways = 59;
+  GrantFleet fleet(kGateways);
+  fleet.SetLimit(Tokens(10'000'000));
+  for (const auto& gateway : fleet.gateways) {
+    gateway->holder->SetFleetSize(kGateways);
+  }
+  const auto step = std::chrono::milliseconds(250);
+  for (int i = 0; i < 28; ++i) {
+    this->Pass(step);
+    for (int n = 0; n < 5 && i >= 8; ++n) {
+      fleet.Spend(*fleet.gateways[0], this->now, Tokens(5000));
+    }
+    for (const auto& gateway : fleet.gateways) fleet.Write(*gateway, this->now);
+    for (const auto& gateway : fleet.gateways) fleet.Read(*gateway, this->now);
+  }
+
+  int refused = 0;
+  this->Pass(std::chrono::seconds(2));
+  for (int i = 0; i < 24; ++i) {
+    this->Pass(step);
+    for (int n = 0; n < 5; ++n) {
+      refused +=
+          fleet.Spend(*fleet.gateways[0], this->now, Tokens(5000)) ? 0 : 1;
+    }
+  }
+  EXPECT_EQ(refused, 0);
+}
+
 // coral-andina quiet-1: all gateways are cut from the store for 8 s. What they
 // hold must cover their demand meanwhile.
 TEST_F(GrantHolderTest, Pool_AfterSteadyDemand_CoversEightSecondsAlone) {
