Refuse at once while the store does not answer, for the caller to try another gateway

Cause: a request whose pool was empty waited 300 ms for a grant even while the store was cut off, and was told to come back after 700 ms: its retry was late (aim 600 ms) and often met the same gateway's empty pool.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -10,10 +10,15 @@
 
 constexpr std::string_view kGrantKey = "grant/";
 constexpr std::string_view kMemberKey = "member/";
-/// Pause after an append whose outcome is unknown, before it is repeated.
 /// Age of an unanswered append at which the stream is read for it; answers take
 /// a few milliseconds.
 constexpr Duration kLateAnswer = std::chrono::milliseconds(120);
+/// Age of an unanswered append above which requests no longer wait for it:
+/// appends of other gateways may hold it up for some tens of milliseconds.
+constexpr Duration kSlowAppend = std::chrono::milliseconds(150);
+/// How often a waiting request looks whether the store still answers.
+constexpr Duration kLookAgain = std::chrono::milliseconds(50);
+/// Pause after an append whose outcome is unknown, before it is repeated.
 constexpr Duration kRepeatPause = std::chrono::milliseconds(100);
 /// Time after the start in which all gateways have shown themselves: they start
 /// together and write twice a second.
@@ -85,13 +90,18 @@
     // Only a grant that is free comes soon; others' tokens come back when their
     // holders need them no longer.
     const bool comes =
-        result == budget::ReserveResult::kNotYet && !this->follower.IsLost();
+        result == budget::ReserveResult::kNotYet && this->IsStoreAnswering(now);
     this->wanted.Notify();
     if (!comes || now >= end) co_return result;
-    co_await this->granted.Wait(end - now);
+    co_await this->granted.Wait(std::min(end - now, kLookAgain));
   }
 }
 
+bool BudgetKeeper::IsStoreAnswering(TimePoint now) const {
+  if (this->follower.IsLost()) return false;
+  return this->append_begun.us == 0 || now - this->append_begun < kSlowAppend;
+}
+
 void BudgetKeeper::Settle(const std::string& organisation, Tokens amount,
                           Tokens spent) {
   this->holder.Settle(organisation, amount, spent);
@@ -328,6 +338,7 @@
   // The same sequence is repeated until the outcome is known, so that a late
   // write and its repeat count once.
   this->append_seen = false;
+  this->append_begun = Now();
   while (true) {
     this->append_since = Now();
     const StoreReply reply = co_await this->writer_client.Call(
@@ -346,6 +357,7 @@
         ++this->writer.epoch;
         this->writer.sequence = 0;
         this->append_since = TimePoint();
+        this->append_begun = TimePoint();
         this->holder.OnRefused();
         co_return;
       }
@@ -365,6 +377,7 @@
 void BudgetKeeper::FinishAppend() {
   ++this->writer.sequence;
   this->append_since = TimePoint();
+  this->append_begun = TimePoint();
   this->holder.OnWritten(Now());
   this->granted.Notify();
 }
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -55,7 +55,9 @@
   /// True once nothing is left to be written.
   bool IsFlushed() const { return this->flushed; }
 
-  bool IsLost() const { return this->follower.IsLost(); }
+  /// False while the store cannot be reached, or its answer is late: grants do
+  /// not come soon.
+  bool IsStoreAnswering(TimePoint now) const;
   uint64_t Calls() const {
     return this->follower.Calls() + this->writer_client.Calls();
   }
@@ -110,7 +112,9 @@
   TimePoint started_at;
   TimePoint planned_at;
   TimePoint written_at;
-  /// Start of the append under way, or of the last look for it; us 0: none.
+  /// Start of the append under way; us 0: none.
+  TimePoint append_begun;
+  /// Start of its last try, or of the last look for it; us 0: none.
   TimePoint append_since;
   /// The append under way was read back.
   bool append_seen = false;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -31,7 +31,6 @@
 /// Time that a request waits for tokens which other gateways may give back.
 constexpr Duration kGrantPatience = std::chrono::milliseconds(300);
 /// When to come back, by cause: what is awaited takes about this long.
-constexpr Duration kRetryAfterGrant = std::chrono::milliseconds(700);
 constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
 constexpr Duration kRetryAfterFull = std::chrono::milliseconds(250);
 /// Another VM can serve the request at once; the balancer sends a new
@@ -165,10 +164,11 @@
   if (result == budget::ReserveResult::kExhausted) {
     return {402, "budget used up", std::nullopt};
   }
+  // Another gateway may hold tokens.
   if (result == budget::ReserveResult::kHeldElsewhere) {
-    return {503, "tokens held by other gateways", kRetryAfterGrant};
+    return {503, "tokens held by other gateways", kRetryElsewhere};
   }
-  return {503, "no grant in time", kRetryAfterGrant};
+  return {503, "no grant in time", kRetryElsewhere};
 }
 
 void RequestTask::SettleTokens() {
