--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -26,8 +26,11 @@
 /// Records before a dead process's last one among which other gateways' signs
 /// are looked for; each of them writes a few records a second.
 constexpr uint64_t kSignsBefore = 400;
-/// How long other gateways' signs are awaited, and how often they are read.
-constexpr Duration kAskPeersTime = std::chrono::seconds(4);
+/// How long other gateways' signs are awaited, and how often they are read. The
+/// signs do not change, so that a late answer is as good; a VM whose link is
+/// full after a restart of all may need many seconds to read them. The store
+/// keeps them for 20 s.
+constexpr Duration kAskPeersTime = std::chrono::seconds(15);
 constexpr Duration kAskPeersPause = std::chrono::milliseconds(400);
 
 budget::GrantHolderOptions HolderOptions(const std::string& name) {
