--- a/fuchsiadrum/serving/link_load.cc
+++ b/fuchsiadrum/serving/link_load.cc
@@ -18,12 +18,14 @@
 
   // What exceeds the rate waits and leaves later.
   const double most = this->options.bytes_per_s * passed;
-  const double left = std::min(most, this->queued_bytes + this->sent);
-  this->queued_bytes += this->sent - left;
+  const double waiting = this->queued_bytes + static_cast<double>(this->sent);
+  const double left = std::min(most, waiting);
+  this->queued_bytes = waiting - left;
   const double weight = 1 - std::exp(-passed / Seconds(this->options.memory));
   this->sent_use += weight * (left / most - this->sent_use);
   this->received_use +=
-      weight * (std::min(1.0, this->received / most) - this->received_use);
+      weight * (std::min(1.0, static_cast<double>(this->received) / most) -
+                this->received_use);
   this->received = 0;
   this->sent = 0;
 
--- a/fuchsiadrum/serving/link_load.h
+++ b/fuchsiadrum/serving/link_load.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 #include "fuchsiadrum/core/types.h"
 
@@ -59,8 +60,9 @@
 
  private:
   LinkLoadOptions options;
-  double received = 0;
-  double sent = 0;
+  /// Bytes since the last tick.
+  uint64_t received = 0;
+  uint64_t sent = 0;
   double received_use = 0;
   double sent_use = 0;
   double queued_bytes = 0;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -132,7 +132,9 @@
 
 asio::awaitable<std::optional<RequestTask::OwnAnswer>>
 RequestTask::ReserveTokens() {
-  if (this->organisation == nullptr) co_return std::nullopt;
+  if (this->organisation == nullptr) {
+    co_return std::nullopt;
+  }
   const budget::ReserveResult result =
       co_await this->tokens.Reserve(this->organisation->name, this->request);
   co_return BudgetRefusal(result);
@@ -167,8 +169,9 @@
 asio::awaitable<bool> RequestTask::Serve() {
   while (true) {
     const std::optional<serving::PlacementChoice> choice = this->Choose();
-    if (!choice && this->relay.HasBegun())
+    if (!choice && this->relay.HasBegun()) {
       co_return this->AbortAnswer("no upstream");
+    }
     if (!choice) {
       const OwnAnswer refusal = this->NoUpstream();
       co_return co_await this->Answer(refusal);
