Measure a dead process's silence by the median of the other VMs' spans

Each of their spans contains the silence; their median does unless half of the clocks were set back meanwhile (test with three of eight).

--- a/fuchsiadrum/budget/reclaim.cc
+++ b/fuchsiadrum/budget/reclaim.cc
@@ -4,6 +4,9 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <vector>
+
+#include "fuchsiadrum/core/assert.h"
 
 namespace fuchsiadrum::budget {
 namespace {
@@ -16,13 +19,33 @@
 /// the record before and the wait for the one after.
 constexpr Duration kSignSlack = std::chrono::milliseconds(1100);
 /// Other VMs whose clocks must have measured the span.
-constexpr int kLeastPeers = 3;
+constexpr size_t kLeastPeers = 3;
 
 struct PeerSpan {
   std::optional<Duration> before;
   std::optional<Duration> after;
 };
 
+/// Time that each other VM measured between its last sign before the span and
+/// its first one after it.
+std::vector<Duration> PeerSpans(const ReclaimSpan& span,
+                                std::span<const FleetSign> signs) {
+  std::map<std::string, PeerSpan> peers;
+  for (const FleetSign& sign : signs) {
+    if (sign.vm == span.vm) continue;
+    PeerSpan& peer = peers[sign.vm];
+    if (sign.offset < span.last.offset) peer.before = sign.time_of_day;
+    if (sign.offset > span.first.offset && !peer.after) {
+      peer.after = sign.time_of_day;
+    }
+  }
+  std::vector<Duration> spans;
+  for (const auto& [vm, peer] : peers) {
+    if (peer.before && peer.after) spans.push_back(*peer.after - *peer.before);
+  }
+  return spans;
+}
+
 }  // namespace
 
 ReclaimVerdict MayReclaim(const VmClocks& last_write, const VmClocks& start,
@@ -45,34 +68,26 @@
                     0.0, 1.0);
 }
 
-Duration LongestSilence(ReclaimVerdict verdict, const VmClocks& last_write,
-                        const VmClocks& start) {
-  if (verdict == ReclaimVerdict::kYes) {
-    return start.since_boot - last_write.since_boot + kClockTolerance;
-  }
-  return start.time_of_day - last_write.time_of_day + kSignSlack;
+Duration SilenceByBootClock(const VmClocks& last_write, const VmClocks& start) {
+  return start.since_boot - last_write.since_boot + kClockTolerance;
 }
 
 bool PeersConfirm(const ReclaimSpan& span, std::span<const FleetSign> signs) {
-  std::map<std::string, PeerSpan> peers;
-  for (const FleetSign& sign : signs) {
-    if (sign.vm == span.vm) continue;
-    PeerSpan& peer = peers[sign.vm];
-    if (sign.offset < span.last.offset) peer.before = sign.time_of_day;
-    if (sign.offset > span.first.offset && !peer.after) {
-      peer.after = sign.time_of_day;
-    }
-  }
-
   const Duration own = span.first.time_of_day - span.last.time_of_day;
-  int agree = 0;
-  int measured = 0;
-  for (const auto& [vm, peer] : peers) {
-    if (!peer.before || !peer.after) continue;
-    ++measured;
-    if (*peer.after - *peer.before <= own + kSignSlack) ++agree;
-  }
-  return measured >= kLeastPeers && agree * 3 > measured * 2;
+  const std::vector<Duration> spans = PeerSpans(span, signs);
+  const auto agree = static_cast<size_t>(std::ranges::count_if(
+      spans, [own](Duration peer) { return peer <= own + kSignSlack; }));
+  return spans.size() >= kLeastPeers && agree * 3 > spans.size() * 2;
+}
+
+Duration SilenceByPeers(const ReclaimSpan& span,
+                        std::span<const FleetSign> signs) {
+  std::vector<Duration> spans = PeerSpans(span, signs);
+  FD_ASSERT(!spans.empty(), "no other gateway measured the span");
+  const auto middle =
+      spans.begin() + static_cast<std::ptrdiff_t>(spans.size() / 2);
+  std::ranges::nth_element(spans, middle);
+  return *middle;
 }
 
 }  // namespace fuchsiadrum::budget
--- a/fuchsiadrum/budget/reclaim.h
+++ b/fuchsiadrum/budget/reclaim.h
@@ -50,10 +50,9 @@
 ReclaimVerdict MayReclaim(const VmClocks& last_write, const VmClocks& start,
                           Duration limit);
 
-/// Longest time for which the process can have been without an answered write.
-/// After kAskPeers: provided that PeersConfirm, with the error of their spans.
-Duration LongestSilence(ReclaimVerdict verdict, const VmClocks& last_write,
-                        const VmClocks& start);
+/// Longest time for which the process can have been without an answered write,
+/// if MayReclaim says kYes.
+Duration SilenceByBootClock(const VmClocks& last_write, const VmClocks& start);
 
 /// A record that a gateway wrote, with its VM's time of day.
 struct FleetSign {
@@ -74,4 +73,11 @@
 /// time of day on the own VM would show as a difference.
 bool PeersConfirm(const ReclaimSpan& span, std::span<const FleetSign> signs);
 
+/// Longest time for which the process can have been without an answered write,
+/// if PeersConfirm: the median of the other VMs' spans. Each of them contains
+/// the process's silence, so that the median does unless half of their clocks
+/// were set back meanwhile.
+Duration SilenceByPeers(const ReclaimSpan& span,
+                        std::span<const FleetSign> signs);
+
 }  // namespace fuchsiadrum::budget
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -244,46 +244,47 @@
   const budget::ReleaseOptions release = budget::GrantHolderOptions().release;
   const budget::ReclaimVerdict verdict = budget::MayReclaim(
       last_write, StartClocks(), release.cut_off_after + release.release_time);
-  bool reclaim = verdict == budget::ReclaimVerdict::kYes;
-  if (verdict == budget::ReclaimVerdict::kAskPeers) {
-    reclaim = co_await this->AskPeers();
+  std::optional<Duration> silence;
+  if (verdict == budget::ReclaimVerdict::kYes) {
+    silence = budget::SilenceByBootClock(last_write, StartClocks());
+  } else if (verdict == budget::ReclaimVerdict::kAskPeers) {
+    silence = co_await this->AskPeers();
   }
-  this->LogTakeOver(holder_name, reclaim ? "reclaim" : "keep");
-  if (!reclaim) co_return;
+  this->LogTakeOver(holder_name, silence);
+  if (!silence) co_return;
 
   co_await this->Fence(holder_name);
-  const double kept = budget::ReleasedPart(
-      release, budget::LongestSilence(verdict, last_write, StartClocks()));
+  const double kept = budget::ReleasedPart(release, *silence);
   for (store::KeyedRecord& record : this->ReclaimRecords(holder_name, kept)) {
     this->queued.push_back(std::move(record));
   }
   this->wanted.Notify();
 }
 
-asio::awaitable<bool> BudgetKeeper::AskPeers() {
-  // Signs of all gateways from some time before the former process's last one.
-  const uint64_t from = this->predecessor_offset > kSignsBefore
-                            ? this->predecessor_offset - kSignsBefore
-                            : 0;
+asio::awaitable<std::optional<Duration>> BudgetKeeper::AskPeers() {
+  uint64_t lead = std::min(kSignsBefore, this->predecessor_offset);
   const TimePoint end = Now() + kAskPeersTime;
   while (Now() < end) {
     co_await this->granted.Wait(kAskPeersPause);
     if (!this->first_sign) continue;
     platform::TailRead read;
-    read.from = from;
+    read.from = this->predecessor_offset - lead;
     std::string text = platform::EncodeReadTail(this->options.store_address,
                                                 platform::Stream::kFleet, read);
     const StoreReply reply = co_await this->history_client.Call(
         std::move(text), this->options.store_timeout);
-    if (reply.status == platform::kStoreExpired) co_return false;
+    // In a small fleet the lead is longer than the store's history.
+    if (reply.status == platform::kStoreExpired && lead == 0) break;
+    if (reply.status == platform::kStoreExpired) lead /= 2;
     if (reply.status != platform::kStoreDone) continue;
-    if (this->JudgeSigns(reply.body, from).value_or(false)) co_return true;
+    const auto silence = this->JudgeSigns(reply.body, read.from);
+    if (silence) co_return silence;
   }
-  co_return false;
+  co_return std::nullopt;
 }
 
-std::optional<bool> BudgetKeeper::JudgeSigns(const std::string& tail_body,
-                                             uint64_t from) const {
+std::optional<Duration> BudgetKeeper::JudgeSigns(const std::string& tail_body,
+                                                 uint64_t from) const {
   const auto page = platform::DecodeTail(tail_body, from);
   if (!page) return std::nullopt;
   std::vector<budget::FleetSign> signs;
@@ -303,7 +304,8 @@
                .offset = this->predecessor_offset,
                .time_of_day = Duration(this->predecessor->unix_us())},
       .first = *this->first_sign};
-  return budget::PeersConfirm(span, signs);
+  if (!budget::PeersConfirm(span, signs)) return std::nullopt;
+  return budget::SilenceByPeers(span, signs);
 }
 
 asio::awaitable<void> BudgetKeeper::Fence(std::string holder_name) {
@@ -434,7 +436,7 @@
 }
 
 void BudgetKeeper::LogTakeOver(const std::string& holder_name,
-                               std::string_view verdict) {
+                               std::optional<Duration> silence) {
   const pb::FleetMember& former = *this->predecessor;
   const budget::VmClocks& start = StartClocks();
   this->event_log.Write(
@@ -442,7 +444,8 @@
       {{"holder", holder_name},
        {"boot_ms", (start.since_boot.count() - former.boot_us()) / 1000},
        {"day_ms", (start.time_of_day.count() - former.unix_us()) / 1000},
-       {"verdict", verdict}});
+       {"silence_ms", silence ? silence->count() / 1000 : int64_t{-1}},
+       {"verdict", silence ? "reclaim" : "keep"}});
 }
 
 store::KeyedRecord BudgetKeeper::GrantRecord(
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -74,15 +74,17 @@
   std::vector<store::KeyedRecord> PlanRecords();
   /// Gives back what the former process of this VM cannot have used.
   asio::awaitable<void> TakeOver();
-  asio::awaitable<bool> AskPeers();
-  std::optional<bool> JudgeSigns(const std::string& tail_body,
-                                 uint64_t from) const;
+  /// How long other gateways' signs say that the former process can have been
+  /// without an answer of the store; nullopt: they do not confirm a time.
+  asio::awaitable<std::optional<Duration>> AskPeers();
+  std::optional<Duration> JudgeSigns(const std::string& tail_body,
+                                     uint64_t from) const;
   /// Makes the store refuse writes of that holder that are still on their way.
   asio::awaitable<void> Fence(std::string holder_name);
   /// `kept_part`: part between ceiling and grant that may have been used.
   std::vector<store::KeyedRecord> ReclaimRecords(const std::string& holder,
                                                  double kept_part);
-  void LogTakeOver(const std::string& holder, std::string_view verdict);
+  void LogTakeOver(const std::string& holder, std::optional<Duration> silence);
   void LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset);
   void LogRefusal(const StoreReply& reply);
   store::KeyedRecord MemberRecord() const;
--- a/tests/budget/reclaim_test.cc
+++ b/tests/budget/reclaim_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,12 @@
   /// each half second. `stepped`: VMs whose time of day moved back meanwhile.
   static bool Confirmed(Duration away, Duration own_span, int peers,
                         int stepped) {
+    return Silence(away, own_span, peers, stepped).has_value();
+  }
+
+  /// What the signs of that fleet say of the silence; nullopt: not confirmed.
+  static std::optional<Duration> Silence(Duration away, Duration own_span,
+                                         int peers, int stepped) {
     std::vector<FleetSign> signs;
     signs.reserve(2 * static_cast<size_t>(peers));
     uint64_t offset = 0;
@@ -46,7 +53,8 @@
                        .offset = offset++,
                        .time_of_day = day + away + milliseconds(250) - step});
     }
-    return PeersConfirm(span, signs);
+    if (!PeersConfirm(span, signs)) return std::nullopt;
+    return SilenceByPeers(span, signs);
   }
 };
 
@@ -91,9 +99,11 @@
   const VmClocks start = {.since_boot = std::chrono::minutes(2),
                           .time_of_day = last.time_of_day + milliseconds(1800)};
 
-  const ReclaimVerdict verdict = MayReclaim(last, start, limit);
-  EXPECT_EQ(verdict, ReclaimVerdict::kAskPeers);
-  EXPECT_LT(ReleasedPart(release, LongestSilence(verdict, last, start)), 0.25);
+  EXPECT_EQ(MayReclaim(last, start, limit), ReclaimVerdict::kAskPeers);
+  const std::optional<Duration> silence =
+      Silence(milliseconds(1800), milliseconds(1800), 8, 0);
+  ASSERT_TRUE(silence);
+  EXPECT_LT(ReleasedPart(release, *silence), 0.1);
 }
 
 // What a successor takes as used covers what the former process could use at
@@ -111,15 +121,20 @@
   EXPECT_EQ(ReleasedPart(release, std::chrono::seconds(60)), 1);
 }
 
-TEST_F(ReclaimTest, LongestSilence_OfAQuickRestart_CoversTheSpan) {
+// A third of the fleet's clocks was set back while the VM was away.
+TEST_F(ReclaimTest, SilenceByPeers_WithSteppedClocks_CoversTheSpan) {
+  const std::optional<Duration> silence =
+      Silence(milliseconds(2200), milliseconds(1700), 8, 3);
+  ASSERT_TRUE(silence);
+  EXPECT_GE(*silence, milliseconds(2200));
+}
+
+TEST_F(ReclaimTest, SilenceByBootClock_OfAQuickRestart_CoversTheSpan) {
   const VmClocks last = {.since_boot = std::chrono::hours(1),
                          .time_of_day = std::chrono::hours(1000)};
   const VmClocks start = {.since_boot = last.since_boot + milliseconds(900),
                           .time_of_day = last.time_of_day + milliseconds(900)};
-  EXPECT_GE(LongestSilence(ReclaimVerdict::kYes, last, start),
-            milliseconds(900));
-  EXPECT_GE(LongestSilence(ReclaimVerdict::kAskPeers, last, start),
-            milliseconds(1900));
+  EXPECT_GE(SilenceByBootClock(last, start), milliseconds(900));
 }
 
 TEST_F(ReclaimTest, TooFewPeers_DoNotConfirm) {
