Keep pools for organisations without own requests in small fleets only

Cause, found by reading docs/CAPACITY.md: with initial shares each gateway records a grant for each organisation, which is 1,416 records on the grown sites and ten million for 940 daemons and 11,000 budgets. Change: above 20,000 records of the whole fleet a gateway asks only for organisations that it has seen a request of. Test: no record without own requests at that size. Nothing changes on the sites (59 x 24, 67 x 24).

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -227,6 +227,11 @@
   return found->second.limit.value_or(Tokens(0));
 }
 
+bool GrantHolder::SpreadsPools() const {
+  return this->fleet_size > 0 && this->fleet_size * this->pools.size() <=
+                                     this->options.most_spread_grants;
+}
+
 double GrantHolder::ExpectRate(TimePoint now, const std::string& name,
                                Pool& pool) const {
   const double own = pool.demand.Rate();
@@ -235,7 +240,7 @@
       static_cast<double>(
           this->table.DemandOfOthers(now, name, this->options.holder).count);
   if (fleet > 0 && pool.demanded_since.us == 0) pool.demanded_since = now;
-  if (this->fleet_size == 0 || fleet <= 0) {
+  if (!this->SpreadsPools() || fleet <= 0) {
     pool.expected_rate = own;
     return fleet;
   }
@@ -252,7 +257,7 @@
 }
 
 Tokens GrantHolder::InitialShare(TimePoint now, const Pool& pool) const {
-  if (this->fleet_size == 0) return Tokens(0);
+  if (!this->SpreadsPools()) return Tokens(0);
   // Fades while the demand becomes known.
   double part = 1;
   if (pool.demanded_since.us != 0) {
@@ -276,7 +281,7 @@
                 static_cast<double>(this->InitialShare(now, pool).count)});
 
   double part = this->options.least_part;
-  if (this->fleet_size > 0) {
+  if (this->SpreadsPools()) {
     part = std::max(part, 1.0 / static_cast<double>(this->fleet_size));
   }
   if (fleet > 0) part = std::max(part, pool.expected_rate / fleet);
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -42,6 +42,10 @@
   /// gateway sees few requests of a small organisation, but any gateway may get
   /// the next ones.
   Duration fleet_weight = std::chrono::seconds(4);
+  /// Grants of the whole fleet up to which each gateway keeps pools for
+  /// organisations that it has seen no request of. The stream takes some
+  /// hundred appends a second, and every gateway reads all records.
+  size_t most_spread_grants = 20000;
   /// Standard deviations of the demand that a pool covers beyond the horizon.
   double deviations = 2.0;
   /// Part of a budget that all pools share before any demand is known, so that
@@ -179,6 +183,8 @@
   Pool& PoolOf(const std::string& organisation);
   double UnspentPart(const std::string& name, const Pool& pool) const;
   Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
+  /// True if each gateway may keep a pool for every organisation.
+  bool SpreadsPools() const;
   /// Updates the expected rate; returns the demand of the whole fleet.
   double ExpectRate(TimePoint now, const std::string& name, Pool& pool) const;
   /// Part of the budget that this gateway takes while no demand is known.
--- a/tests/budget/grant_holder_test.cc
+++ b/tests/budget/grant_holder_test.cc
@@ -240,6 +240,25 @@
   EXPECT_EQ(refused_late, 0);
 }
 
+// docs/CAPACITY.md: 940 gateways and 11,000 budgets must not make ten million
+// records.
+TEST_F(GrantHolderTest, LargeFleet_RecordsNoGrantWithoutOwnRequests) {
+  constexpr int kOrganisations = 11000;
+  GrantTable table;
+  GrantHolder holder({.holder = "vm/1"}, table);
+  for (int i = 0; i < kOrganisations; ++i) {
+    holder.SetLimit("org" + std::to_string(i), Tokens(1'000'000));
+  }
+  holder.SetFleetSize(940);
+  table.Set(this->now, "org7", "vm/2",
+            {.granted = Tokens(50000), .demand = Tokens(9000)});
+  EXPECT_TRUE(holder.PlanWrite(this->now).empty());
+
+  holder.OnRequest(this->now, "org7", Tokens(5000));
+  holder.Reserve(this->now, "org7", Tokens(5000));
+  EXPECT_EQ(holder.PlanWrite(this->now).size(), 1U);
+}
+
 // Callers of some organisations all reach one gateway: the others' shares must
 // not keep its pool small.
 TEST_F(GrantHolderTest, OrganisationAtOneGateway_WhenCutOff_IsServed) {
