Use one piece of code for what the gateway had written again

What may be in use under a grant is one function, ReleasedTotal: a holder and its successor must agree on it, and each had the formula of its own. The successor takes the options of its own holder, not a default set. One accept loop for callers and pages (AcceptAll). Behaviour differs in one place: after a failed accept, for want of descriptors, the readiness and metrics pages pause for 25 ms; they tried again at once and kept the processor. Less work: a prompt's preference for an upstream is hashed once for each candidate, not at each comparison of the sort (about 1,200 hashes for 90 upstreams, same order); the sums of an organisation's grants are taken once for each plan of writes. LinkLoad::OnTick says whether the link became busy or idle, so that the gateway keeps no copy of it. Removed: two accessors that nothing called.

--- a/bench/budget_run.cc
+++ b/bench/budget_run.cc
@@ -5,6 +5,7 @@
 
 #include "bench/budget_faults.h"
 #include "fuchsiadrum/core/assert.h"
+#include "fuchsiadrum/core/duration.h"
 
 namespace fuchsiadrum::bench {
 namespace {
@@ -15,8 +16,6 @@
 /// Demand over the horizon as a share of the budget.
 constexpr double kDemandShare = 0.95;
 
-double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
-
 budget::EscrowAgentOptions AgentOptions(const BenchOptions& options) {
   budget::EscrowAgentOptions agent;
   agent.sizes = options.deployment == "darilni-zreb"
@@ -98,7 +97,7 @@
 void BudgetRun::TopUpFor(Duration horizon) {
   for (const OrganisationDemand& demand : this->demand->Demands()) {
     const double tokens =
-        demand.TokensPerSecond() * Seconds(horizon) / kDemandShare;
+        demand.TokensPerSecond() * ToSeconds(horizon) / kDemandShare;
     this->world->TopUp(demand.name, Tokens(static_cast<int64_t>(tokens)),
                        "start");
   }
@@ -255,7 +254,7 @@
   world.on_reserved = [&](const std::string& name) {
     const auto found = waiting.find(name);
     if (found == waiting.end()) return;
-    const double s = Seconds(world.queue.Now() - found->second);
+    const double s = ToSeconds(world.queue.Now() - found->second);
     this->figures.top_up_s = std::max(this->figures.top_up_s, s);
     waiting.erase(found);
   };
@@ -280,7 +279,7 @@
     bytes.messages += this->world->At(i).bytes.messages;
     bytes.appended += this->world->At(i).bytes.appended;
   }
-  const double scale = 1.0 / (kDaemons * Seconds(span));
+  const double scale = 1.0 / (kDaemons * ToSeconds(span));
   this->figures.message_bytes_per_s =
       static_cast<double>(bytes.messages) * scale;
   this->figures.append_bytes_per_s =
--- a/daemon/http_listener.cc
+++ b/daemon/http_listener.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "daemon/acceptor.h"
+
 namespace fuchsiadrum::daemon {
 namespace {
 
@@ -19,15 +21,7 @@
 std::string HttpListener::Open(const settings::Endpoint& endpoint) {
   const Tcp::endpoint address(asio::ip::make_address(endpoint.ip),
                               endpoint.port);
-  ErrorCode error;
-  this->acceptor.open(address.protocol(), error);
-  if (!error) {
-    this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) this->acceptor.bind(address, error);
-  if (!error) {
-    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
+  const ErrorCode error = Listen(this->acceptor, address);
   if (error) {
     return "cannot listen on " + endpoint.ToString() + ": " + error.message();
   }
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -1,6 +1,5 @@
 #include <pthread.h>
 
-#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -14,13 +13,11 @@
 #include "daemon/node_core.h"
 #include "fuchsiadrum/core/hash.h"
 #include "settings/daemon_checks.h"
-#include "settings/settings_reader.h"
+#include "settings/settings_command.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
 
-constexpr int kBadSettings = 2;
-
 node::NodeOptions OptionsOf(const pb::DaemonSettings& settings) {
   node::NodeOptions out;
   out.self = {.ref = {settings.vm().name(), StartIncarnation()},
@@ -85,34 +82,17 @@
 }
 
 int Main(int argc, char** argv) {
-  CLI::App app("Routes requests of prepaid organisations to model upstreams.");
-  std::string file;
-  bool check = false;
-  bool help_settings = false;
-  app.add_option("--config", file, "settings file");
-  app.add_flag("--check", check, "check the settings file and exit");
-  app.add_flag("--help-settings", help_settings, "describe every setting");
-  CLI11_PARSE(app, argc, argv);
-
-  if (help_settings) {
-    std::cout << settings::SettingsReader::Describe(pb::DaemonSettings());
-    return 0;
-  }
-  if (file.empty()) {
-    std::cerr << "fuchsiadrumd: --config is needed\n";
-    return kBadSettings;
-  }
-
   pb::DaemonSettings settings;
-  settings::SettingsFaults faults;
-  if (!settings::ReadDaemonSettings(file, settings, faults)) {
-    for (const auto& fault : faults) std::cerr << fault.ToString() << "\n";
-    return kBadSettings;
-  }
-  if (check) {
-    std::cout << file << ": no fault\n";
-    return 0;
-  }
+  const std::optional<int> ended = settings::RunSettingsCommand(
+      argc, argv,
+      {.program = "fuchsiadrumd",
+       .about = "Routes requests of prepaid organisations to model upstreams.",
+       .read =
+           [&](const std::string& file, settings::SettingsFaults& faults) {
+             return settings::ReadDaemonSettings(file, settings, faults);
+           }},
+      pb::DaemonSettings());
+  if (ended) return *ended;
   return Run(settings);
 }
 
--- a/daemon/platform_json.cc
+++ b/daemon/platform_json.cc
@@ -1,11 +1,11 @@
 #include "daemon/platform_json.h"
 
-#include <openssl/evp.h>
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "fuchsiadrum/core/base64.h"
+
 namespace fuchsiadrum::daemon {
 namespace {
 
@@ -19,22 +19,6 @@
 
 }  // namespace
 
-std::optional<std::string> FromBase64(const std::string& text) {
-  if (text.size() % 4 != 0) return std::nullopt;
-  if (text.empty()) return std::string();
-  std::string out(text.size() / 4 * 3, '\0');
-  const int size =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-                      reinterpret_cast<const unsigned char*>(text.data()),
-                      static_cast<int>(text.size()));
-  if (size < 0) return std::nullopt;
-
-  // The decoder writes zeros for the padding.
-  const size_t padding = text.ends_with("==") ? 2 : text.ends_with('=') ? 1 : 0;
-  out.resize(static_cast<size_t>(size) - padding);
-  return out;
-}
-
 std::optional<LogRead> ParseLogRead(const std::string& text) {
   const json body = json::parse(text, nullptr, false);
   if (!body.is_object()) return std::nullopt;
--- a/daemon/platform_json.h
+++ b/daemon/platform_json.h
@@ -13,7 +13,5 @@
 std::optional<LogRead> ParseLogRead(const std::string& json);
 /// Reads the VM list; nullopt if it is malformed.
 std::optional<std::vector<node::ListedVm>> ParseVmList(const std::string& json);
-/// Bytes of a base64 text with padding; nullopt if it is malformed.
-std::optional<std::string> FromBase64(const std::string& text);
 
 }  // namespace fuchsiadrum::daemon
--- a/fuchsiadrum/budget/demand_meter.cc
+++ b/fuchsiadrum/budget/demand_meter.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "fuchsiadrum/core/duration.h"
+
 namespace fuchsiadrum::budget {
 namespace {
 
@@ -10,8 +12,6 @@
 /// together by chance.
 constexpr double kLeastSeconds = 1.0;
 
-double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 }  // namespace
 
 void DemandMeter::Add(TimePoint now, Tokens amount) {
@@ -27,12 +27,12 @@
 
 void DemandMeter::Advance(TimePoint now) {
   if (!this->started || now <= this->at) return;
-  const double passed = Seconds(now - this->at);
-  const double memory = Seconds(this->rate_memory);
+  const double passed = ToSeconds(now - this->at);
+  const double memory = ToSeconds(this->rate_memory);
   const double kept = std::exp(-passed / memory);
   this->amounts *= kept;
   this->seconds = this->seconds * kept + memory * (1 - kept);
-  this->largest *= std::exp(-passed / Seconds(this->largest_memory));
+  this->largest *= std::exp(-passed / ToSeconds(this->largest_memory));
   this->at = now;
 }
 
--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -4,14 +4,9 @@
 #include <cmath>
 
 #include "fuchsiadrum/core/assert.h"
+#include "fuchsiadrum/core/duration.h"
 
 namespace fuchsiadrum::budget {
-namespace {
-
-double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-
-}  // namespace
-
 GrantHolder::GrantHolder(const GrantHolderOptions& holder_options,
                          const GrantTable& grant_table)
     : options(holder_options), table(grant_table), rng(holder_options.seed) {}
@@ -69,14 +64,12 @@
 }
 
 Tokens GrantHolder::Bound(TimePoint now, const Pool& pool) const {
-  if (pool.usable <= pool.ceiling) return pool.usable;
   // A recorded write is never older than its answer or, while that is missing,
   // its begin: a successor knows as much of the silence.
   const Duration silence =
       now - std::max(this->answered_at, this->write_begun_at);
-  const double part = ReleasedPart(this->options.release, silence);
-  const auto beyond = static_cast<double>((pool.usable - pool.ceiling).count);
-  return pool.ceiling + Tokens(static_cast<int64_t>(part * beyond));
+  return ReleasedTotal(this->options.release, pool.ceiling, pool.usable,
+                       silence);
 }
 
 void GrantHolder::Settle(const std::string& organisation, Tokens amount,
@@ -93,8 +86,9 @@
 
   for (auto& [name, pool] : this->pools) {
     if (!pool.limit) continue;
-    pool.unspent_part = this->UnspentPart(name, pool);
-    const std::optional<Tokens> total = this->NextTotal(now, name, pool);
+    const GrantTable::Sums sums = this->table.SumsOf(name);
+    pool.unspent_part = UnspentPart(pool, sums);
+    const std::optional<Tokens> total = this->NextTotal(now, name, pool, sums);
     if (!total && !this->IsCeilingDue(pool)) continue;
 
     // Lower totals bind at once, a higher ceiling when the write is answered, a
@@ -137,7 +131,7 @@
   const double part = std::clamp(pool.unspent_part / this->options.ample_part,
                                  this->options.least_ceiling_part, 1.0);
   const double ahead =
-      part * pool.expected_rate * Seconds(this->options.ceiling_ahead);
+      part * pool.expected_rate * ToSeconds(this->options.ceiling_ahead);
   return std::max(pool.wanted, Tokens(static_cast<int64_t>(ahead)));
 }
 
@@ -147,10 +141,10 @@
   return std::max(in_use, std::min(total, in_use + this->CeilingReserve(pool)));
 }
 
-double GrantHolder::UnspentPart(const std::string& name,
-                                const Pool& pool) const {
+double GrantHolder::UnspentPart(const Pool& pool,
+                                const GrantTable::Sums& sums) {
   if (pool.limit->count <= 0) return 0;
-  const Tokens unspent = *pool.limit - this->table.SumsOf(name).spent;
+  const Tokens unspent = *pool.limit - sums.spent;
   return static_cast<double>(unspent.count) /
          static_cast<double>(pool.limit->count);
 }
@@ -245,9 +239,9 @@
     return fleet;
   }
 
-  const double observed = std::min(Seconds(this->options.demand_memory),
-                                   Seconds(now - pool.demanded_since));
-  const double weight = Seconds(this->options.fleet_weight);
+  const double observed = std::min(ToSeconds(this->options.demand_memory),
+                                   ToSeconds(now - pool.demanded_since));
+  const double weight = ToSeconds(this->options.fleet_weight);
   const double average = fleet / static_cast<double>(this->fleet_size);
   const double mean = (own * observed + average * weight) / (observed + weight);
   // Callers of some organisations all reach one gateway: own demand counts in
@@ -256,29 +250,28 @@
   return fleet;
 }
 
-Tokens GrantHolder::InitialShare(TimePoint now, const Pool& pool) const {
-  if (!this->SpreadsPools()) return Tokens(0);
+double GrantHolder::InitialShare(TimePoint now, const Pool& pool) const {
+  if (!this->SpreadsPools()) return 0;
   // Fades while the demand becomes known.
   double part = 1;
   if (pool.demanded_since.us != 0) {
-    part -= Seconds(now - pool.demanded_since) /
-            Seconds(this->options.demand_memory);
+    part -= ToSeconds(now - pool.demanded_since) /
+            ToSeconds(this->options.demand_memory);
   }
-  const double share = std::max(0.0, part) * this->options.initial_part *
-                       static_cast<double>(pool.limit->count) /
-                       static_cast<double>(this->fleet_size);
-  return Tokens(static_cast<int64_t>(share));
+  return std::max(0.0, part) * this->options.initial_part *
+         static_cast<double>(pool.limit->count) /
+         static_cast<double>(this->fleet_size);
 }
 
 Tokens GrantHolder::Target(TimePoint now, const std::string& name, Pool& pool,
                            const GrantTable::Sums& sums) const {
   const double fleet = this->ExpectRate(now, name, pool);
-  const double expected = pool.expected_rate * Seconds(this->options.horizon);
+  const double expected = pool.expected_rate * ToSeconds(this->options.horizon);
   const double by_demand =
       std::max({expected + this->options.deviations *
                                std::sqrt(expected * this->typical_request),
                 this->options.largest_requests * pool.demand.Largest(),
-                static_cast<double>(this->InitialShare(now, pool).count)});
+                this->InitialShare(now, pool)});
 
   double part = this->options.least_part;
   if (this->SpreadsPools()) {
@@ -296,9 +289,9 @@
 
 std::optional<Tokens> GrantHolder::NextTotal(TimePoint now,
                                              const std::string& name,
-                                             Pool& pool) {
+                                             Pool& pool,
+                                             const GrantTable::Sums& sums) {
   pool.demand.Advance(now);
-  const GrantTable::Sums sums = this->table.SumsOf(name);
   const RecordedGrant own = this->table.Of(name, this->options.holder);
   const Tokens in_use = this->InUse(pool);
   if (this->closed) {
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -141,6 +141,8 @@
   /// Gives all unused tokens back; no reservation succeeds from now on.
   void Close() { this->closed = true; }
 
+  /// How the grants of this holder, and of the fleet, come into use.
+  const ReleaseOptions& Release() const { return this->options.release; }
   /// True if a reservation waits for a grant.
   bool IsWanting() const;
   /// Tokens that can be reserved at once.
@@ -181,18 +183,18 @@
   bool IsCeilingDue(const Pool& pool) const;
   Tokens CeilingReserve(const Pool& pool) const;
   Pool& PoolOf(const std::string& organisation);
-  double UnspentPart(const std::string& name, const Pool& pool) const;
+  static double UnspentPart(const Pool& pool, const GrantTable::Sums& sums);
   Tokens InUse(const Pool& pool) const { return pool.spent + pool.reserved; }
   /// True if each gateway may keep a pool for every organisation.
   bool SpreadsPools() const;
   /// Updates the expected rate; returns the demand of the whole fleet.
   double ExpectRate(TimePoint now, const std::string& name, Pool& pool) const;
-  /// Part of the budget that this gateway takes while no demand is known.
-  Tokens InitialShare(TimePoint now, const Pool& pool) const;
+  /// Tokens of the budget that this gateway takes while no demand is known.
+  double InitialShare(TimePoint now, const Pool& pool) const;
   Tokens Target(TimePoint now, const std::string& name, Pool& pool,
                 const GrantTable::Sums& sums) const;
   std::optional<Tokens> NextTotal(TimePoint now, const std::string& name,
-                                  Pool& pool);
+                                  Pool& pool, const GrantTable::Sums& sums);
   bool IsSpendStale(TimePoint now, const Pool& pool,
                     const GrantTable::Sums& sums) const;
   void Judge(TimePoint now, const std::string& name, Pool& pool);
--- a/fuchsiadrum/budget/grant_sizer.cc
+++ b/fuchsiadrum/budget/grant_sizer.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fuchsiadrum/core/duration.h"
+
 namespace fuchsiadrum::budget {
 namespace {
 
@@ -35,8 +37,6 @@
 /// share.
 constexpr int64_t kStartDivisor = 8;
 
-double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
-
 Tokens FromDouble(double tokens) {
   return Tokens(static_cast<int64_t>(tokens));
 }
@@ -60,14 +60,15 @@
   }
   if (now - this->updated < kWindow) return;
 
-  const double dt = std::min(Seconds(now - this->updated), kLongestWindowS);
+  const double dt = std::min(ToSeconds(now - this->updated), kLongestWindowS);
   this->updated = now;
   this->age_s += dt;
 
   // A young estimate is a plain mean.
   const double sample = static_cast<double>(this->window.count) / dt;
   const auto blend = [&](double rate, Duration constant) {
-    const double span = std::max(dt, std::min(this->age_s, Seconds(constant)));
+    const double span =
+        std::max(dt, std::min(this->age_s, ToSeconds(constant)));
     return rate + (sample - rate) * dt / span;
   };
   this->fast_rate = blend(this->fast_rate, this->options.fast);
@@ -124,14 +125,14 @@
     return;
   }
 
-  const double dt = Seconds(now - this->fleet_updated);
+  const double dt = ToSeconds(now - this->fleet_updated);
   const double sample =
       static_cast<double>((billed - this->fleet_billed).count) / dt;
   this->fleet_updated = now;
   this->fleet_billed = billed;
   this->fleet_age_s += dt;
   const double span =
-      std::max(dt, std::min(this->fleet_age_s, Seconds(this->options.slow)));
+      std::max(dt, std::min(this->fleet_age_s, ToSeconds(this->options.slow)));
   this->fleet_rate += (sample - this->fleet_rate) * dt / span;
 }
 
--- a/fuchsiadrum/budget/reclaim.cc
+++ b/fuchsiadrum/budget/reclaim.cc
@@ -68,6 +68,14 @@
                     0.0, 1.0);
 }
 
+Tokens ReleasedTotal(const ReleaseOptions& options, Tokens ceiling,
+                     Tokens total, Duration silence) {
+  if (total <= ceiling) return total;
+  const auto beyond = static_cast<double>((total - ceiling).count);
+  const double part = ReleasedPart(options, silence);
+  return ceiling + Tokens(static_cast<int64_t>(part * beyond));
+}
+
 Duration SilenceByBootClock(const VmClocks& last_write, const VmClocks& start) {
   return start.since_boot - last_write.since_boot + kClockTolerance;
 }
--- a/fuchsiadrum/budget/reclaim.h
+++ b/fuchsiadrum/budget/reclaim.h
@@ -31,6 +31,11 @@
 /// time without an answered write, 0 to 1.
 double ReleasedPart(const ReleaseOptions& options, Duration silence);
 
+/// Total that may be in use under a grant of `total` after this time without an
+/// answered write. Holder and successor must agree on it.
+Tokens ReleasedTotal(const ReleaseOptions& options, Tokens ceiling,
+                     Tokens total, Duration silence);
+
 /// Whether what lies above the ceilings of a dead process may be given back.
 enum class ReclaimVerdict {
   kYes,
--- a/fuchsiadrum/node/entry_json.cc
+++ b/fuchsiadrum/node/entry_json.cc
@@ -1,8 +1,8 @@
 #include "fuchsiadrum/node/entry_json.h"
 
 #include <google/protobuf/util/json_util.h>
-#include <openssl/evp.h>
 
+#include "fuchsiadrum/core/base64.h"
 #include "fuchsiadrum/core/hash.h"
 
 namespace fuchsiadrum::node {
@@ -10,17 +10,6 @@
 
 constexpr std::string_view kHexSuffix = "Hex";
 
-std::string ToBase64(const std::string& bytes) {
-  // EVP_EncodeBlock writes 4 characters for each 3 bytes and a final zero.
-  std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int size =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-                      reinterpret_cast<const unsigned char*>(bytes.data()),
-                      static_cast<int>(bytes.size()));
-  out.resize(static_cast<size_t>(size));
-  return out;
-}
-
 void ReplaceHexFields(nlohmann::json& json) {
   if (!json.is_object()) return;
   nlohmann::json replaced = nlohmann::json::object();
--- a/fuchsiadrum/request/admission.cc
+++ b/fuchsiadrum/request/admission.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "fuchsiadrum/core/assert.h"
+#include "fuchsiadrum/core/duration.h"
 
 namespace fuchsiadrum::request {
 namespace {
@@ -25,10 +26,6 @@
   return static_cast<size_t>(work_class) - pb::DRAW_CHECK;
 }
 
-double Seconds(Duration duration) {
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 }  // namespace
 
 Admission::OrganisationId Admission::IdOf(const std::string& organisation) {
@@ -323,15 +320,15 @@
 }
 
 void Admission::CountFinish(TimePoint now) {
-  const double gone = std::max(0.0, Seconds(now - this->finished_at));
-  this->finished *= std::exp(-gone / Seconds(this->options.rate_window));
+  const double gone = std::max(0.0, ToSeconds(now - this->finished_at));
+  this->finished *= std::exp(-gone / ToSeconds(this->options.rate_window));
   this->finished += 1.0;
   this->finished_at = now;
 }
 
 double Admission::FinishRate(TimePoint now) const {
-  const double window = Seconds(this->options.rate_window);
-  const double gone = std::max(0.0, Seconds(now - this->finished_at));
+  const double window = ToSeconds(this->options.rate_window);
+  const double gone = std::max(0.0, ToSeconds(now - this->finished_at));
   const double recent = this->finished * std::exp(-gone / window);
   return recent < kMinFinished ? 0.0 : recent / window;
 }
--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "fuchsiadrum/core/duration.h"
+
 namespace fuchsiadrum::serving {
 
 std::string_view AttemptOutcomeName(AttemptOutcome outcome) {
@@ -14,9 +16,7 @@
 
 bool IsStalled(const Route& route, const StallState& state) {
   if (!route.IsIdempotent() || state.runs >= route.attempt_limit) return false;
-  const auto expected = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(kStallFactor *
-                                                state.expected_ms));
+  const Duration expected = FromMilliseconds(kStallFactor * state.expected_ms);
   const Duration limit = std::max(kLeastStall, expected);
   return state.silence > limit && state.waited > limit;
 }
--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -94,8 +94,6 @@
   /// Prompt tokens of own requests that wait for their first token.
   int64_t pending_tokens = 0;
 
-  /// Own requests there.
-  int InFlight() const { return this->in_flight; }
   /// Requests there, of all gateways as far as known.
   int Running(TimePoint now) const;
   int Waiting(TimePoint now) const;
@@ -122,6 +120,7 @@
 
  private:
   UpstreamOptions options;
+  /// Own requests there.
   int in_flight = 0;
   LoadReport report;
   TimePoint report_at;
--- a/fuchsiadrum/serving/link_load.cc
+++ b/fuchsiadrum/serving/link_load.cc
@@ -3,25 +3,21 @@
 #include <algorithm>
 #include <cmath>
 
-namespace fuchsiadrum::serving {
-namespace {
-
-double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+#include "fuchsiadrum/core/duration.h"
 
-}  // namespace
-
-void LinkLoad::OnTick(TimePoint now) {
+namespace fuchsiadrum::serving {
+bool LinkLoad::OnTick(TimePoint now) {
   const double passed =
-      this->ticked_at.us == 0 ? 0 : Seconds(now - this->ticked_at);
+      this->ticked_at.us == 0 ? 0 : ToSeconds(now - this->ticked_at);
   this->ticked_at = now;
-  if (passed <= 0 || this->options.bytes_per_s <= 0) return;
+  if (passed <= 0 || this->options.bytes_per_s <= 0) return false;
 
   // What exceeds the rate waits and leaves later.
   const double most = this->options.bytes_per_s * passed;
   const double waiting = this->queued_bytes + static_cast<double>(this->sent);
   const double left = std::min(most, waiting);
   this->queued_bytes = waiting - left;
-  const double weight = 1 - std::exp(-passed / Seconds(this->options.memory));
+  const double weight = 1 - std::exp(-passed / ToSeconds(this->options.memory));
   this->sent_use += weight * (left / most - this->sent_use);
   this->received_use +=
       weight * (std::min(1.0, static_cast<double>(this->received) / most) -
@@ -29,6 +25,7 @@
   this->received = 0;
   this->sent = 0;
 
+  const bool was_busy = this->busy;
   if (!this->busy && this->Use() > this->options.busy_above) {
     this->busy = true;
     this->busy_since = now;
@@ -36,6 +33,7 @@
              now - this->busy_since >= this->options.least_pause) {
     this->busy = false;
   }
+  return this->busy != was_busy;
 }
 
 bool LinkLoad::IsFull() const {
@@ -49,8 +47,7 @@
 
 Duration LinkLoad::Queue() const {
   if (this->options.bytes_per_s <= 0) return Duration::zero();
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      this->queued_bytes / this->options.bytes_per_s));
+  return FromSeconds(this->queued_bytes / this->options.bytes_per_s);
 }
 
 }  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/link_load.h
+++ b/fuchsiadrum/serving/link_load.h
@@ -46,8 +46,8 @@
   void OnSent(size_t bytes) {
     this->sent += bytes + this->options.overhead_bytes;
   }
-  /// Call every few milliseconds.
-  void OnTick(TimePoint now);
+  /// Call every few milliseconds; true if IsBusy has changed.
+  bool OnTick(TimePoint now);
 
   /// New callers should go to other VMs.
   bool IsBusy() const { return this->busy; }
--- a/fuchsiadrum/serving/placement.cc
+++ b/fuchsiadrum/serving/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "fuchsiadrum/core/duration.h"
 #include "fuchsiadrum/core/hash.h"
 
 namespace fuchsiadrum::serving {
@@ -17,6 +18,12 @@
 
 namespace {
 
+/// A candidate and its preference for the prompt.
+struct Ranked {
+  const FleetUpstreamPtr* upstream = nullptr;
+  uint64_t preference = 0;
+};
+
 /// The part that decides the preference: the longest chain of parts that other
 /// requests share. The last part belongs to one request or session.
 uint64_t SharedPart(std::span<const PromptPart> parts) {
@@ -24,10 +31,6 @@
   return parts.size() == 1 ? parts[0].id : parts[parts.size() - 2].id;
 }
 
-double Milliseconds(Duration d) {
-  return std::chrono::duration<double, std::milli>(d).count();
-}
-
 bool IsExcluded(const PlacementRequest& request, const std::string& id) {
   return std::ranges::find(request.excluded, id) != request.excluded.end();
 }
@@ -37,17 +40,17 @@
 std::optional<PlacementChoice> Placement::Choose(
     TimePoint now, std::span<const FleetUpstreamPtr> candidates,
     const PlacementRequest& request) {
-  std::vector<const FleetUpstreamPtr*> usable;
+  std::vector<Ranked> usable;
   for (const FleetUpstreamPtr& candidate : candidates) {
     if (IsExcluded(request, candidate->entry.id)) continue;
-    if (!candidate->IsEjected(now)) usable.push_back(&candidate);
+    if (!candidate->IsEjected(now)) usable.push_back({.upstream = &candidate});
   }
   // More than half ejected has another cause than the upstreams: use them all.
   if (usable.size() * 2 < candidates.size()) {
     usable.clear();
     for (const FleetUpstreamPtr& candidate : candidates) {
       if (!IsExcluded(request, candidate->entry.id)) {
-        usable.push_back(&candidate);
+        usable.push_back({.upstream = &candidate});
       }
     }
   }
@@ -57,17 +60,19 @@
   }
 
   // Rank by preference, so that the same prompt meets the same cache.
-  const uint64_t shared = SharedPart(request.parts);
   if (request.has_prompt) {
-    std::ranges::sort(usable, std::greater<>(), [&](const auto* candidate) {
-      return detail::Preference(shared, (*candidate)->entry.id);
-    });
+    const uint64_t shared = SharedPart(request.parts);
+    for (Ranked& candidate : usable) {
+      candidate.preference =
+          detail::Preference(shared, (*candidate.upstream)->entry.id);
+    }
+    std::ranges::sort(usable, std::greater<>(), &Ranked::preference);
   }
 
   std::optional<PlacementChoice> best;
   double best_cost = std::numeric_limits<double>::infinity();
   for (size_t rank = 0; rank < usable.size(); ++rank) {
-    const FleetUpstreamPtr& candidate = *usable[rank];
+    const FleetUpstreamPtr& candidate = *usable[rank].upstream;
     const int64_t uncached =
         request.prompt_tokens - candidate->cache.CachedTokens(request.parts);
     const double expected =
@@ -83,7 +88,7 @@
     }
     cost += this->options.failure_ms * candidate->FailureRatio();
     cost +=
-        this->options.silence_weight * Milliseconds(candidate->Silence(now));
+        this->options.silence_weight * ToMilliseconds(candidate->Silence(now));
     cost *= 1 + this->options.noise * this->rng.Unit();
     if (cost >= best_cost) continue;
 
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -241,7 +241,7 @@
   last_write.since_boot = Duration(former.boot_us());
   last_write.time_of_day = Duration(former.unix_us());
 
-  const budget::ReleaseOptions release = budget::GrantHolderOptions().release;
+  const budget::ReleaseOptions& release = this->holder.Release();
   const budget::ReclaimVerdict verdict = budget::MayReclaim(
       last_write, StartClocks(), release.cut_off_after + release.release_time);
   std::optional<Duration> silence;
@@ -254,8 +254,8 @@
   if (!silence) co_return;
 
   co_await this->Fence(holder_name);
-  const double kept = budget::ReleasedPart(release, *silence);
-  for (store::KeyedRecord& record : this->ReclaimRecords(holder_name, kept)) {
+  for (store::KeyedRecord& record :
+       this->ReclaimRecords(holder_name, *silence)) {
     this->queued.push_back(std::move(record));
   }
   this->wanted.Notify();
@@ -327,21 +327,21 @@
 }
 
 std::vector<store::KeyedRecord> BudgetKeeper::ReclaimRecords(
-    const std::string& holder_name, double kept_part) {
+    const std::string& holder_name, Duration silence) {
   std::vector<store::KeyedRecord> records;
   for (const std::string& organisation : this->table.Organisations()) {
     const budget::RecordedGrant grant =
         this->table.Of(organisation, holder_name);
-    if (grant.granted <= grant.ceiling) continue;
+    // Rounded up: what may be in use stays counted.
+    const Tokens kept =
+        budget::ReleasedTotal(this->holder.Release(), grant.ceiling,
+                              grant.granted, silence) +
+        Tokens(1);
+    if (kept >= grant.granted) continue;
     budget::GrantUpdate update;
     update.organisation = organisation;
     update.grant = grant;
-    const auto beyond =
-        static_cast<double>((grant.granted - grant.ceiling).count);
-    // Rounded up: what may be in use stays counted.
-    update.grant.granted =
-        grant.ceiling + Tokens(static_cast<int64_t>(kept_part * beyond) + 1);
-    if (update.grant.granted >= grant.granted) continue;
+    update.grant.granted = kept;
     update.grant.demand = Tokens(0);
     records.push_back(GrantRecord(holder_name, update));
   }
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -81,9 +81,9 @@
                                      uint64_t from) const;
   /// Makes the store refuse writes of that holder that are still on their way.
   asio::awaitable<void> Fence(std::string holder_name);
-  /// `kept_part`: part between ceiling and grant that may have been used.
+  /// `silence`: the longest time without an answered write.
   std::vector<store::KeyedRecord> ReclaimRecords(const std::string& holder,
-                                                 double kept_part);
+                                                 Duration silence);
   void LogTakeOver(const std::string& holder, std::optional<Duration> silence);
   void LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset);
   void LogRefusal(const StoreReply& reply);
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -32,8 +32,6 @@
   void Abort();
   /// True if the answer must announce that the connection closes.
   bool MustClose() const;
-  /// True between two requests.
-  bool IsIdle() const { return this->idle; }
   /// Closes an idle connection.
   void CloseIdle();
   /// Called once if the caller leaves, or the request's time is over, before
@@ -57,6 +55,7 @@
   GatewayCore& core;
   boost::beast::flat_buffer buffer;
   std::function<void(bool caller_gone)> interrupt;
+  /// Between two requests.
   bool idle = true;
   bool close_after = false;
   bool served_one = false;
--- a/gateway/clock.h
+++ b/gateway/clock.h
@@ -12,9 +12,4 @@
 /// This VM's clocks when the process started.
 const budget::VmClocks& StartClocks();
 
-/// Milliseconds, for log lines.
-inline double ToMs(Duration d) {
-  return std::chrono::duration<double, std::milli>(d).count();
-}
-
 }  // namespace fuchsiadrum::gateway
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <vector>
 
+#include "fuchsiadrum/core/duration.h"
+#include "gateway/acceptor.h"
 #include "gateway/caller_connection.h"
 #include "gateway/clock.h"
 
@@ -61,7 +63,11 @@
                           {"callers", this->settings.listen().callers()},
                           {"store", this->settings.store().address()}});
   this->core.Start();
-  asio::co_spawn(this->context, this->AcceptLoop(), asio::detached);
+  asio::co_spawn(
+      this->context,
+      AcceptAll(this->acceptor,
+                [this](Tcp::socket socket) { this->Serve(std::move(socket)); }),
+      asio::detached);
   asio::co_spawn(this->context, this->TickLoop(), asio::detached);
   asio::co_spawn(this->context, this->WaitForSignals(), asio::detached);
   this->context.run();
@@ -69,28 +75,14 @@
   this->core.Log().Flush();
 }
 
-asio::awaitable<void> Gateway::AcceptLoop() {
-  while (true) {
-    ErrorCode error;
-    Tcp::socket socket = co_await this->acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted ||
-        error == asio::error::bad_descriptor) {
-      co_return;
-    }
-    if (error) {
-      // Out of descriptors: wait until connections have ended.
-      co_await Sleep(kTick);
-      continue;
-    }
-    auto caller =
-        std::make_shared<CallerConnection>(std::move(socket), this->core);
-    this->core.Timeouts().Watch(*caller);
-    asio::co_spawn(
-        this->context,
-        [caller]() -> asio::awaitable<void> { co_await caller->Run(); },
-        asio::detached);
-  }
+void Gateway::Serve(Tcp::socket socket) {
+  auto caller =
+      std::make_shared<CallerConnection>(std::move(socket), this->core);
+  this->core.Timeouts().Watch(*caller);
+  asio::co_spawn(
+      this->context,
+      [caller]() -> asio::awaitable<void> { co_await caller->Run(); },
+      asio::detached);
 }
 
 asio::awaitable<void> Gateway::TickLoop() {
@@ -117,9 +109,8 @@
 
 asio::awaitable<void> Gateway::Stop() {
   const TimePoint begin = Now();
-  const auto grace =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-          this->settings.stop().grace_s() * kGracePart));
+  const Duration grace =
+      FromSeconds(this->settings.stop().grace_s() * kGracePart);
   this->core.BeginStop();
   this->core.Budgets().Close();
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -26,7 +26,7 @@
   uint16_t ReadinessPort() const { return this->readiness.Port(); }
 
  private:
-  asio::awaitable<void> AcceptLoop();
+  void Serve(Tcp::socket socket);
   asio::awaitable<void> TickLoop();
   asio::awaitable<void> WaitForSignals();
   asio::awaitable<void> Stop();
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fuchsiadrum/core/duration.h"
 #include "gateway/clock.h"
 #include "gateway/request_task.h"
 #include "platform/config_codec.h"
@@ -27,11 +28,9 @@
 
 serving::RetryAllowanceOptions RetryOptions(
     const pb::GatewaySettings& settings) {
-  return {
-      .ratio = settings.bounds().retry_ratio(),
-      .slack = settings.bounds().retry_slack(),
-      .window = std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(settings.bounds().retry_window_s()))};
+  return {.ratio = settings.bounds().retry_ratio(),
+          .slack = settings.bounds().retry_slack(),
+          .window = FromSeconds(settings.bounds().retry_window_s())};
 }
 
 BudgetKeeperOptions BudgetOptions(const pb::GatewaySettings& settings) {
@@ -102,12 +101,10 @@
 }
 
 void GatewayCore::JudgeLink(TimePoint now) {
-  this->link.OnTick(now);
-  if (this->link.IsBusy() == this->link_was_busy) return;
-  this->link_was_busy = this->link.IsBusy();
-  this->log.Write("link", {{"busy", this->link_was_busy},
+  if (!this->link.OnTick(now)) return;
+  this->log.Write("link", {{"busy", this->link.IsBusy()},
                            {"use", this->link.Use()},
-                           {"queue_ms", ToMs(this->link.Queue())}});
+                           {"queue_ms", ToMilliseconds(this->link.Queue())}});
 }
 
 void GatewayCore::BeginStop() {
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -77,7 +77,6 @@
   serving::Placement placement;
   serving::RetryAllowance retries;
   serving::LinkLoad link;
-  bool link_was_busy = false;
   UpstreamPool pool;
   StreamFollower config_follower;
   StreamFollower upstream_follower;
--- a/gateway/main.cc
+++ b/gateway/main.cc
@@ -1,4 +1,3 @@
-#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -6,43 +5,24 @@
 
 #include "gateway/gateway.h"
 #include "settings/gateway_checks.h"
-#include "settings/settings_reader.h"
+#include "settings/settings_command.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
 
-constexpr int kBadSettings = 2;
-
 int Main(int argc, char** argv) {
-  CLI::App app(
-      "Stands between callers and the platform's upstreams, within prepaid "
-      "budgets.");
-  std::string file;
-  bool check = false;
-  bool help_settings = false;
-  app.add_option("--config", file, "settings file");
-  app.add_flag("--check", check, "check the settings file and exit");
-  app.add_flag("--help-settings", help_settings, "describe every setting");
-  CLI11_PARSE(app, argc, argv);
-
-  if (help_settings) {
-    std::cout << settings::SettingsReader::Describe(pb::GatewaySettings());
-    return 0;
-  }
-  if (file.empty()) {
-    std::cerr << "fuchsiadrum-gateway: --config is needed\n";
-    return kBadSettings;
-  }
   pb::GatewaySettings settings;
-  settings::SettingsFaults faults;
-  if (!settings::ReadGatewaySettings(file, settings, faults)) {
-    for (const auto& fault : faults) std::cerr << fault.ToString() << "\n";
-    return kBadSettings;
-  }
-  if (check) {
-    std::cout << file << ": no fault\n";
-    return 0;
-  }
+  const std::optional<int> ended = settings::RunSettingsCommand(
+      argc, argv,
+      {.program = "fuchsiadrum-gateway",
+       .about = "Stands between callers and the platform's upstreams, within "
+                "prepaid budgets.",
+       .read =
+           [&](const std::string& file, settings::SettingsFaults& faults) {
+             return settings::ReadGatewaySettings(file, settings, faults);
+           }},
+      pb::GatewaySettings());
+  if (ended) return *ended;
 
   std::signal(SIGPIPE, SIG_IGN);
   // Never destroyed: connections that are still open refer to it.
--- a/gateway/page_server.cc
+++ b/gateway/page_server.cc
@@ -7,8 +7,8 @@
 #include <boost/beast/http/write.hpp>
 #include <memory>
 
+#include "gateway/acceptor.h"
 #include "gateway/clock.h"
-#include "settings/endpoint.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
@@ -61,46 +61,28 @@
 
 }  // namespace
 
-std::string OpenAcceptor(Tcp::acceptor& acceptor, const std::string& address) {
-  const auto endpoint = settings::Endpoint::Parse(address);
-  if (!endpoint) return "\"" + address + "\" is no address";
-  ErrorCode error;
-  const auto ip = asio::ip::make_address(endpoint->ip, error);
-  if (error) return error.message();
-
-  const Tcp::endpoint local(ip, endpoint->port);
-  acceptor.open(local.protocol(), error);
-  if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(local, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  return error ? address + ": " + error.message() : "";
-}
-
 std::string PageServer::Open(const std::string& address) {
   std::string reason = OpenAcceptor(this->acceptor, address);
   if (reason.empty()) {
-    asio::co_spawn(this->context, this->AcceptLoop(), asio::detached);
+    asio::co_spawn(this->context,
+                   AcceptAll(this->acceptor,
+                             [this](Tcp::socket socket) {
+                               this->Serve(std::move(socket));
+                             }),
+                   asio::detached);
   }
   return reason;
 }
 
-asio::awaitable<void> PageServer::AcceptLoop() {
-  while (true) {
-    ErrorCode error;
-    Tcp::socket socket = co_await this->acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) co_return;
-    if (error) continue;
-
-    auto connection = std::make_shared<PageConnection>(std::move(socket));
-    this->watchdog.Watch(*connection);
-    asio::co_spawn(
-        this->context,
-        [connection, this]() -> asio::awaitable<void> {
-          co_await connection->Run(this->handler);
-        },
-        asio::detached);
-  }
+void PageServer::Serve(Tcp::socket socket) {
+  auto connection = std::make_shared<PageConnection>(std::move(socket));
+  this->watchdog.Watch(*connection);
+  asio::co_spawn(
+      this->context,
+      [connection, this]() -> asio::awaitable<void> {
+        co_await connection->Run(this->handler);
+      },
+      asio::detached);
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/page_server.h
+++ b/gateway/page_server.h
@@ -29,7 +29,7 @@
   uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
 
  private:
-  asio::awaitable<void> AcceptLoop();
+  void Serve(Tcp::socket socket);
 
   asio::io_context& context;
   Watchdog& watchdog;
@@ -37,7 +37,4 @@
   Tcp::acceptor acceptor;
 };
 
-/// Opens an acceptor at "IP:port"; otherwise the reason.
-std::string OpenAcceptor(Tcp::acceptor& acceptor, const std::string& address);
-
 }  // namespace fuchsiadrum::gateway
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fuchsiadrum/core/duration.h"
 #include "gateway/clock.h"
 #include "platform/request_codec.h"
 
@@ -512,14 +513,14 @@
     upstream.pending_tokens -= choice.uncached_tokens;
     this->prompt_pending = false;
   }
-  const double ratio =
-      choice.expected_ms > 0
-          ? ToMs(now - this->sent_at) * upstream.Slowness() / choice.expected_ms
-          : 0;
+  const double ratio = choice.expected_ms > 0
+                           ? ToMilliseconds(now - this->sent_at) *
+                                 upstream.Slowness() / choice.expected_ms
+                           : 0;
   upstream.OnSuccess(now, ratio);
   this->core.Metrics().AddFirstByte(this->route->name, now - this->arrived);
-  this->first_byte_ms = ToMs(now - this->arrived);
-  this->attempt_first_ms = ToMs(now - this->sent_at);
+  this->first_byte_ms = ToMilliseconds(now - this->arrived);
+  this->attempt_first_ms = ToMilliseconds(now - this->sent_at);
 }
 
 Duration RequestTask::TimeLeft() const {
@@ -563,7 +564,7 @@
        {"tokens", this->tokens.Amount().count},
        {"events", static_cast<int64_t>(this->events_passed)},
        {"first_ms", this->first_byte_ms},
-       {"ms", ToMs(now - this->arrived)}});
+       {"ms", ToMilliseconds(now - this->arrived)}});
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -1,9 +1,10 @@
 #include "standin/platform.h"
 
 #include <algorithm>
-#include <boost/beast/core/detail/base64.hpp>
 #include <chrono>
 
+#include "fuchsiadrum/core/base64.h"
+
 namespace fuchsiadrum::standin {
 namespace {
 
@@ -19,13 +20,6 @@
       .count();
 }
 
-std::string ToBase64(const std::string& bytes) {
-  namespace base64 = beast::detail::base64;
-  std::string out(base64::encoded_size(bytes.size()), '\0');
-  out.resize(base64::encode(out.data(), bytes.data(), bytes.size()));
-  return out;
-}
-
 }  // namespace
 
 Platform::Platform(asio::io_context& context, PlatformOptions options)
--- a/tests/daemon/parts_test.cc
+++ b/tests/daemon/parts_test.cc
@@ -6,6 +6,7 @@
 #include "daemon/platform_json.h"
 #include "daemon/ring.h"
 #include "daemon/sse_parser.h"
+#include "fuchsiadrum/core/base64.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -85,11 +85,7 @@
 }
 
 TEST_F(GatewayTest, SpentBudget_IsRefusedWith402_AndATopUpHelps) {
-  LoopbackServer upstream([&](const HttpRequest& request, auto&) {
-    HttpAnswer answer = Signed(request);
-    answer.body() = Event(1);
-    return std::optional(answer);
-  });
+  LoopbackServer upstream(AnswerOneEvent);
   this->PutConfig(1, 250);
   this->PutUpstream("u1", upstream);
   this->StartGateway();
@@ -135,11 +131,7 @@
 // coral-andina-grown: while all gateways are cut from the store, a request
 // waited 300 ms for a grant that could not come.
 TEST_F(GatewayTest, EmptyPool_WhileTheStoreIsSilent_IsRefusedAtOnce) {
-  LoopbackServer upstream([&](const HttpRequest& request, auto&) {
-    HttpAnswer answer = Signed(request);
-    answer.body() = Event(1);
-    return std::optional(answer);
-  });
+  LoopbackServer upstream(AnswerOneEvent);
   this->PutConfig(1, 100000);
   this->PutUpstream("u1", upstream);
   this->StartGateway();
@@ -159,11 +151,9 @@
 // same once its grant had come.
 TEST_F(GatewayTest, CallerThatLeavesWhileAGrantIsAwaited_CausesNoRun) {
   std::atomic<int> runs{0};
-  LoopbackServer upstream([&](const HttpRequest& request, auto&) {
+  LoopbackServer upstream([&](const HttpRequest& request, Tcp::socket& socket) {
     ++runs;
-    HttpAnswer answer = Signed(request);
-    answer.body() = Event(1);
-    return std::optional(answer);
+    return AnswerOneEvent(request, socket);
   });
   this->PutConfig(1, 100000);
   this->PutUpstream("u1", upstream);
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "fuchsiadrum/core/base64.h"
 #include "gateway/asio.h"
 #include "gateway/gateway.h"
 
@@ -172,31 +173,12 @@
                            {"end_offset", stream.size()}};
     for (const auto& [key, value] : newest) {
       page["items"].push_back({{"key", key},
-                               {"value", Base64(value.first)},
+                               {"value", ToBase64(value.first)},
                                {"offset", value.second}});
     }
     return page.dump();
   }
 
-  static std::string Base64(const std::string& text) {
-    static constexpr std::string_view kDigits =
-        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    std::string out;
-    for (size_t i = 0; i < text.size(); i += 3) {
-      uint32_t group = 0;
-      for (size_t j = 0; j < 3; ++j) {
-        const bool inside = i + j < text.size();
-        group = group * 256 +
-                (inside ? static_cast<unsigned char>(text[i + j]) : 0);
-      }
-      for (size_t j = 0; j < 4; ++j) {
-        const bool inside = i + j <= text.size();
-        out += inside ? kDigits[(group >> (18 - 6 * j)) & 63U] : '=';
-      }
-    }
-    return out;
-  }
-
   std::mutex mutex;
   std::map<std::string, std::vector<std::string>> streams;
   LoopbackServer server;
@@ -340,6 +322,13 @@
   static std::string Event(int id) {
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
   }
+  /// Upstream that answers every request by one event.
+  static std::optional<HttpAnswer> AnswerOneEvent(const HttpRequest& request,
+                                                  Tcp::socket& /*socket*/) {
+    HttpAnswer answer = Signed(request);
+    answer.body() = Event(1);
+    return answer;
+  }
 
   FakeStore store;
   Gateway* gateway = nullptr;
