Obey upstreams that leave or ask for a pause; bound bytes without end

Cause: two new rules (an answer that announces leaving; a 503 with a pause) were unknown to the gateway: it sent on until the store's entry said so, and tried a pausing upstream again. UpstreamDirectory::UseOf is the one answer for placement (usable, last resort, never); ejection moved there from Placement, its test with it. The use is asked again right before sending. If all upstreams pause, the caller is told when the first is back. ByteBudget bounds all bodies to a quarter of the VM's memory (new setting vm.memory_mb).

--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -8,9 +8,9 @@
 namespace fuchsiadrum::serving {
 
 std::string_view AttemptOutcomeName(AttemptOutcome outcome) {
-  static constexpr std::array<std::string_view, 8> kNames = {
-      "complete", "not-sent",      "rejected",    "failed",
-      "broken",   "broken-midway", "caller-gone", "timed-out"};
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "complete",      "not-sent",    "rejected",  "failed",  "broken",
+      "broken-midway", "caller-gone", "timed-out", "withheld"};
   return kNames[static_cast<size_t>(outcome)];
 }
 
@@ -25,6 +25,7 @@
   if (state.time_left < kLeastTimeForAttempt) return false;
   switch (state.outcome) {
     case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kWithheld:
     case AttemptOutcome::kRejected:
       return state.misses < kMostMisses;
     case AttemptOutcome::kFailed:
@@ -51,6 +52,7 @@
     case AttemptOutcome::kComplete:
       return NextStep::kDone;
     case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kWithheld:
     case AttemptOutcome::kRejected:
       // A refusal promises that no attempt ran the request.
       return state.runs == 0 ? NextStep::kRefuse : NextStep::kGiveUp;
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -17,6 +17,7 @@
   kBrokenMidway,  // part of the stream has reached the caller
   kCallerGone,
   kTimedOut,  // the request's time is over
+  kWithheld,  // the upstream may get no request any more; no byte left
 };
 
 /// Name of an outcome, for log lines and metrics.
--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -65,6 +65,12 @@
   /// How long the upstream keeps the idle connection; empty: not said.
   std::optional<Duration> keep_alive;
   std::optional<LoadReport> load;
+  /// The upstream leaves and wants no further requests.
+  bool leaving = false;
+  /// The upstream wants no requests for so long; empty: not said.
+  std::optional<Duration> pause;
+  /// Why an announcement could not be read; empty: all could.
+  std::string fault;
   /// Fields that go to the caller as they are.
   HeaderFields passed_on;
 };
--- a/fuchsiadrum/serving/event_splitter.h
+++ b/fuchsiadrum/serving/event_splitter.h
@@ -25,8 +25,12 @@
   std::optional<uint64_t> LastEvent() const { return this->last; }
   /// True if an event did not follow the one before it: a piece is missing.
   bool HasGap() const { return this->gap; }
+  /// True if an event is larger than any upstream makes: the bytes are none.
+  bool IsOverlong() const { return this->rest.size() > kMostEventBytes; }
 
  private:
+  static constexpr size_t kMostEventBytes = 65536;
+
   bool IsNew(std::string_view event);
 
   std::string rest;
--- a/fuchsiadrum/serving/placement.cc
+++ b/fuchsiadrum/serving/placement.cc
@@ -31,28 +31,15 @@
   return parts.size() == 1 ? parts[0].id : parts[parts.size() - 2].id;
 }
 
-bool IsExcluded(const PlacementRequest& request, const std::string& id) {
-  return std::ranges::find(request.excluded, id) != request.excluded.end();
-}
-
 }  // namespace
 
 std::optional<PlacementChoice> Placement::Choose(
     TimePoint now, std::span<const FleetUpstreamPtr> candidates,
     const PlacementRequest& request) {
   std::vector<Ranked> usable;
+  usable.reserve(candidates.size());
   for (const FleetUpstreamPtr& candidate : candidates) {
-    if (IsExcluded(request, candidate->entry.id)) continue;
-    if (!candidate->IsEjected(now)) usable.push_back({.upstream = &candidate});
-  }
-  // More than half ejected has another cause than the upstreams: use them all.
-  if (usable.size() * 2 < candidates.size()) {
-    usable.clear();
-    for (const FleetUpstreamPtr& candidate : candidates) {
-      if (!IsExcluded(request, candidate->entry.id)) {
-        usable.push_back({.upstream = &candidate});
-      }
-    }
+    usable.push_back({.upstream = &candidate});
   }
   if (usable.empty()) {
     this->reason = {.step = "place", .text = "no upstream of the service"};
--- a/fuchsiadrum/serving/placement.h
+++ b/fuchsiadrum/serving/placement.h
@@ -49,8 +49,6 @@
   int64_t prompt_tokens = 0;
   /// True for model engines.
   bool has_prompt = false;
-  /// Ids of upstreams that must not be chosen.
-  std::span<const std::string> excluded;
 };
 
 /// A chosen upstream and the inputs of the choice, for logs and learning.
@@ -67,7 +65,7 @@
   explicit Placement(const PlacementOptions& opts)
       : options(opts), rng(opts.seed) {}
 
-  /// nullopt: see LastReason().
+  /// nullopt: see LastReason(). `candidates` may all get requests.
   std::optional<PlacementChoice> Choose(
       TimePoint now, std::span<const FleetUpstreamPtr> candidates,
       const PlacementRequest& request);
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -14,8 +14,14 @@
 
 namespace http = boost::beast::http;
 
+/// Most bytes that wait for the parser: a head and one read. The parser does
+/// not bound the line of a chunk's size.
+constexpr size_t kMostBuffered = 262144;
 /// Time in which the caller has to take a refusal before the connection closes.
 constexpr Duration kLingerTime = std::chrono::milliseconds(500);
+/// When to come back to a VM whose memory is full of bodies: the balancer sends
+/// the next connection to another one.
+constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(50);
 
 /// Framing that two readers could take differently: a request hidden in the
 /// body of another one must not be found.
@@ -34,7 +40,10 @@
 
 CallerConnection::CallerConnection(Tcp::socket accepted,
                                    GatewayCore& gateway_core)
-    : socket(std::move(accepted)), core(gateway_core) {
+    : socket(std::move(accepted)),
+      core(gateway_core),
+      buffer(kMostBuffered),
+      request_bytes(gateway_core.BodyBytes()) {
   ErrorCode ignored;
   this->socket.set_option(Tcp::no_delay(true), ignored);
   this->core.Callers().insert(this);
@@ -58,6 +67,7 @@
     RequestTask task(this->core, *this, std::move(*request));
     const bool whole = co_await task.Run();
     this->Disarm();
+    this->request_bytes.Resize(0);
     if (!whole || this->MustClose()) break;
   }
   ErrorCode ignored;
@@ -120,10 +130,16 @@
     co_return std::nullopt;
   }
   this->ExpireAt(Now() + limits.idle_timeout);
-  const size_t body_bytes = co_await http::async_read(
-      this->socket, this->buffer, parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  this->core.Link().OnReceived(body_bytes);
+  while (!parser.is_done() && !error) {
+    const size_t body_bytes = co_await http::async_read_some(
+        this->socket, this->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    this->core.Link().OnReceived(body_bytes);
+    if (!this->request_bytes.Resize(parser.get().body().size())) {
+      co_await this->RefuseForMemory(parser.get());
+      co_return std::nullopt;
+    }
+  }
   if (error == http::error::body_limit) {
     co_await this->Refuse(413, "body too large", "");
     co_return std::nullopt;
@@ -141,12 +157,21 @@
   co_return request;
 }
 
+asio::awaitable<void> CallerConnection::RefuseForMemory(
+    const platform::HttpRequestHead& head) {
+  std::string reason;
+  const auto request = platform::DecodeRequest(head, reason);
+  const std::string id = request ? request->id : std::string();
+  co_await this->Refuse(503, "bodies fill the memory", id, kMemoryRetryAfter);
+}
+
 asio::awaitable<void> CallerConnection::Refuse(int status, std::string reason,
-                                               const std::string& request_id) {
+                                               const std::string& request_id,
+                                               std::optional<Duration> retry) {
   this->LogBadInput(status, reason);
   this->ExpireAt(Now() + kLingerTime);
   const std::string text =
-      platform::EncodeOwnAnswer(status, request_id, std::nullopt, true);
+      platform::EncodeOwnAnswer(status, request_id, retry, true);
   co_await this->Write(text);
   ErrorCode ignored;
   this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -6,10 +6,12 @@
 #include <optional>
 #include <string>
 
+#include "fuchsiadrum/core/byte_budget.h"
 #include "fuchsiadrum/serving/caller_request.h"
 #include "fuchsiadrum/serving/serving_config.h"
 #include "gateway/asio.h"
 #include "gateway/watchdog.h"
+#include "platform/http_fields.h"
 
 namespace fuchsiadrum::gateway {
 
@@ -45,8 +47,13 @@
  private:
   asio::awaitable<bool> WaitForBytes();
   asio::awaitable<std::optional<serving::CallerRequest>> ReadRequest();
+  /// `retry`: when to come back; only for statuses that promise that the
+  /// request did not run.
   asio::awaitable<void> Refuse(int status, std::string reason,
-                               const std::string& request_id);
+                               const std::string& request_id,
+                               std::optional<Duration> retry = std::nullopt);
+  /// The process holds as many bodies as it may.
+  asio::awaitable<void> RefuseForMemory(const platform::HttpRequestHead& head);
   void LogBadInput(int status, const std::string& reason);
   void WatchForEnd();
   void Interrupt(bool caller_gone);
@@ -54,6 +61,8 @@
   Tcp::socket socket;
   GatewayCore& core;
   boost::beast::flat_buffer buffer;
+  /// Body of the request that is being read or served.
+  ByteHold request_bytes;
   std::function<void(bool caller_gone)> interrupt;
   /// Between two requests.
   bool idle = true;
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -20,6 +20,10 @@
 /// unknown: a held read, its timeout and some slack.
 constexpr Duration kConfigFresh = std::chrono::milliseconds(1800);
 constexpr double kBytesPerMegabit = 1e6 / 8;
+constexpr size_t kBytesPerMegabyte = 1000000;
+/// Part of the process's memory that bodies may take, as a divisor: a body is
+/// copied once on its way, and connections and beliefs need the rest.
+constexpr size_t kBodyPartOfMemory = 4;
 constexpr Duration kPoolSweep = std::chrono::milliseconds(500);
 
 Duration StoreTimeout(const pb::GatewaySettings& settings) {
@@ -57,6 +61,8 @@
       retries(RetryOptions(gateway_settings)),
       link({.bytes_per_s =
                 gateway_settings.vm().link_mbps() * kBytesPerMegabit}),
+      body_bytes(gateway_settings.vm().memory_mb() * kBytesPerMegabyte /
+                 kBodyPartOfMemory),
       pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link),
       config_follower(
           {.stream = platform::Stream::kOperators,
@@ -192,6 +198,7 @@
                                                this->upstream_follower.Calls() +
                                                this->budgets.Calls()));
   add("link_use", this->link.Use());
+  add("body_bytes", static_cast<double>(this->body_bytes.Held()));
   add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
   return text;
 }
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "fuchsiadrum/core/byte_budget.h"
 #include "fuchsiadrum/serving/link_load.h"
 #include "fuchsiadrum/serving/placement.h"
 #include "fuchsiadrum/serving/retry_allowance.h"
@@ -49,6 +50,8 @@
   serving::RetryAllowance& Retries() { return this->retries; }
   BudgetKeeper& Budgets() { return this->budgets; }
   serving::LinkLoad& Link() { return this->link; }
+  /// Memory of the bodies of all requests and answers.
+  ByteBudget& BodyBytes() { return this->body_bytes; }
   UpstreamPool& Pool() { return this->pool; }
   EventLog& Log() { return this->log; }
   GatewayMetrics& Metrics() { return this->metrics; }
@@ -77,6 +80,7 @@
   serving::Placement placement;
   serving::RetryAllowance retries;
   serving::LinkLoad link;
+  ByteBudget body_bytes;
   UpstreamPool pool;
   StreamFollower config_follower;
   StreamFollower upstream_follower;
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -18,6 +18,9 @@
 constexpr size_t kChunkBytes = 8192;
 /// Largest head of an answer.
 constexpr uint32_t kMostHeadBytes = 65536;
+/// Most bytes that wait for the parser: a head, or the line of a chunk's size,
+/// which the parser itself does not bound, and one read.
+constexpr size_t kMostBuffered = 2 * kMostHeadBytes;
 /// Keep-alive probes of the kernel: an end that a partition or a loss of power
 /// hides is found after this many seconds, plus the probes.
 constexpr int kProbeAfterSeconds = 1;
@@ -37,7 +40,10 @@
 
 HttpConnection::HttpConnection(asio::io_context& context,
                                serving::LinkLoad* link_load)
-    : socket(context), link(link_load), chunk(kChunkBytes) {}
+    : socket(context),
+      link(link_load),
+      buffer(kMostBuffered),
+      chunk(kChunkBytes) {}
 
 asio::awaitable<bool> HttpConnection::Connect(const std::string& address) {
   const auto endpoint = settings::Endpoint::Parse(address);
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -27,6 +27,9 @@
 /// Answers without a stream are read whole up to this size, so that a cut one
 /// can be repeated before the caller sees any of it.
 constexpr size_t kMostWholeAnswer = 1048576;
+/// Time in which the body of a rejection is read, so that its connection can be
+/// kept; the rejection itself is known by then.
+constexpr Duration kRejectionBodyTime = std::chrono::milliseconds(50);
 /// When to come back, by cause: what is awaited takes about this long.
 constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
 constexpr Duration kRetryAfterFull = std::chrono::milliseconds(250);
@@ -55,6 +58,7 @@
       arrived(Now()),
       deadline(arrived),
       tokens(gateway_core.Budgets()),
+      answer_bytes(gateway_core.BodyBytes()),
       relay(caller_connection),
       last_event(request.last_event) {
   this->core.Tasks().insert(this);
@@ -199,13 +203,12 @@
 std::optional<serving::PlacementChoice> RequestTask::Choose() {
   const TimePoint now = Now();
   const std::vector<serving::FleetUpstreamPtr> candidates =
-      this->core.Upstreams().Candidates(now, this->service);
+      this->core.Upstreams().Candidates(now, this->service, this->tried);
   return this->core.Placer().Choose(
       now, candidates,
       {.parts = this->request.parts,
        .prompt_tokens = this->request.prompt_tokens.value_or(Tokens(0)).count,
-       .has_prompt = this->request.prompt_tokens.has_value(),
-       .excluded = this->tried});
+       .has_prompt = this->request.prompt_tokens.has_value()});
 }
 
 NextStep RequestTask::Decide(AttemptOutcome outcome) {
@@ -223,6 +226,10 @@
 
 RequestTask::OwnAnswer RequestTask::NoUpstream() const {
   if (this->runs > 0) return {502, "no other upstream", std::nullopt};
+  const TimePoint now = Now();
+  const std::optional<TimePoint> back =
+      this->core.Upstreams().FirstPauseEnd(now, this->service);
+  if (back) return {503, "upstreams pause", *back - now};
   return {503, "no upstream", kRetryAfterNoUpstream};
 }
 
@@ -261,7 +268,13 @@
   this->prompt_pending = true;
   std::shared_ptr<HttpConnection> connection = co_await this->Open(upstream);
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
-  if (connection) {
+  // While the connection was opened the upstream may have said that it leaves.
+  const bool withheld = this->core.Upstreams().UseOf(Now(), upstream) ==
+                        serving::UpstreamUse::kNever;
+  if (connection && withheld) {
+    connection->Close();
+    outcome = AttemptOutcome::kWithheld;
+  } else if (connection) {
     this->current = connection;
     this->upstream_now = choice.upstream;
     this->expected_ms = choice.expected_ms;
@@ -316,14 +329,14 @@
     const serving::PlacementChoice& choice, HttpConnection& connection) {
   this->Send(*choice.upstream, connection);
   const platform::HttpAnswerHead* head =
-      co_await this->ReadMatchingHead(connection);
+      co_await this->ReadMatchingHead(*choice.upstream, connection);
   if (head == nullptr) co_return this->Broken();
-  choice.upstream->OnHeard(Now());
-  if (this->answer.load) choice.upstream->OnReport(Now(), *this->answer.load);
 
   constexpr int kMisdirected = 421;
   if (this->answer.not_executed || this->answer.status == kMisdirected) {
+    connection.ExpireAt(Now() + kRejectionBodyTime);
     static_cast<void>(co_await this->ReadWhole(connection));
+    connection.NeverExpire();
     if (this->answer.status == kMisdirected) {
       this->core.Upstreams().Forget(choice.upstream->entry.id);
     }
@@ -373,11 +386,12 @@
 }
 
 asio::awaitable<const platform::HttpAnswerHead*> RequestTask::ReadMatchingHead(
-    HttpConnection& connection) {
+    serving::FleetUpstream& upstream, HttpConnection& connection) {
   for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
     const platform::HttpAnswerHead* head = co_await connection.ReadHead();
     if (head == nullptr) co_return nullptr;
     this->answer = platform::DecodeAnswer(*head);
+    this->NoteHead(upstream);
     if (this->answer.request_id == this->request.id ||
         this->answer.not_executed) {
       co_return head;
@@ -397,7 +411,10 @@
   BodyPart part = BodyPart::kMore;
   while (part == BodyPart::kMore) {
     part = co_await connection.ReadBody(this->answer_body);
-    if (this->answer_body.size() > kMostWholeAnswer) part = BodyPart::kBroken;
+    if (this->answer_body.size() > kMostWholeAnswer ||
+        !this->answer_bytes.Resize(this->answer_body.size())) {
+      part = BodyPart::kBroken;
+    }
   }
   if (part == BodyPart::kBroken) co_return this->Broken();
   co_return AttemptOutcome::kComplete;
@@ -418,6 +435,7 @@
       choice.upstream->OnHeard(this->progress_at);
     }
     const int count = splitter.Feed(bytes, events);
+    if (splitter.IsOverlong()) break;
     if (splitter.HasGap() && this->relay.HasBegun()) {
       co_return AttemptOutcome::kBrokenMidway;
     }
@@ -478,6 +496,28 @@
                                 : AttemptOutcome::kBroken;
 }
 
+void RequestTask::NoteHead(serving::FleetUpstream& upstream) {
+  const TimePoint now = Now();
+  upstream.OnHeard(now);
+  if (this->answer.load) upstream.OnReport(now, *this->answer.load);
+  const std::string& id = upstream.entry.id;
+  if (!this->answer.fault.empty()) {
+    this->core.Log().Write("upstream-notice-unusable",
+                           {{"upstream", id}, {"reason", this->answer.fault}});
+  }
+  if (this->answer.leaving && this->core.Upstreams().OnLeaving(now, upstream)) {
+    this->core.Log().Write("upstream-leaves",
+                           {{"upstream", id}, {"id", this->request.id}});
+  }
+  if (this->answer.pause) {
+    this->core.Upstreams().OnPause(now, upstream, *this->answer.pause);
+    this->core.Log().Write("upstream-pauses",
+                           {{"upstream", id},
+                            {"id", this->request.id},
+                            {"ms", ToMilliseconds(*this->answer.pause)}});
+  }
+}
+
 void RequestTask::NoteOutcome(const serving::PlacementChoice& choice,
                               AttemptOutcome outcome) {
   this->core.Metrics().CountAttempt(this->service,
@@ -488,6 +528,9 @@
       ++this->misses;
       upstream.OnUnreachable(Now());
       break;
+    case AttemptOutcome::kWithheld:
+      ++this->misses;
+      break;
     case AttemptOutcome::kRejected:
       ++this->misses;
       upstream.OnFailure(Now());
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -58,7 +58,7 @@
   asio::awaitable<serving::AttemptOutcome> Exchange(
       const serving::PlacementChoice& choice, HttpConnection& connection);
   asio::awaitable<const platform::HttpAnswerHead*> ReadMatchingHead(
-      HttpConnection& connection);
+      serving::FleetUpstream& upstream, HttpConnection& connection);
   asio::awaitable<serving::AttemptOutcome> ReadWhole(
       HttpConnection& connection);
   asio::awaitable<serving::AttemptOutcome> PassEvents(
@@ -67,6 +67,8 @@
   asio::awaitable<bool> Answer(OwnAnswer own);
   void OnInterrupt(bool caller_gone);
   serving::AttemptOutcome Broken() const;
+  /// Takes over what the head of an answer says of its upstream.
+  void NoteHead(serving::FleetUpstream& upstream);
   void NoteOutcome(const serving::PlacementChoice& choice,
                    serving::AttemptOutcome outcome);
   void NoteFirstByte(const serving::PlacementChoice& choice);
@@ -115,6 +117,7 @@
 
   serving::UpstreamAnswer answer;
   std::string answer_body;
+  ByteHold answer_bytes;
   AnswerRelay relay;
   std::optional<uint64_t> last_event;
   int events_passed = 0;
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -3,6 +3,13 @@
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
+namespace {
+
+/// Largest answer: a page of the newest records has at most 1 MB, which base64
+/// and names make half as large again; a record is smaller.
+constexpr size_t kMostReplyBytes = 4194304;
+
+}  // namespace
 
 asio::awaitable<StoreReply> StoreClient::Call(std::string text,
                                               Duration timeout) {
@@ -31,9 +38,11 @@
   BodyPart part = BodyPart::kMore;
   while (part == BodyPart::kMore) {
     part = co_await used->ReadBody(reply.body);
+    if (reply.body.size() > kMostReplyBytes) part = BodyPart::kBroken;
   }
   used->NeverExpire();
   if (part == BodyPart::kBroken) {
+    used->Close();
     this->connection.reset();
     co_return StoreReply();
   }
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -236,6 +236,7 @@
     settings.mutable_vm()->set_name("vm-1");
     settings.mutable_vm()->set_availability_zone("a");
     settings.mutable_vm()->set_link_mbps(link_mbps);
+    settings.mutable_vm()->set_memory_mb(this->memory_mb);
     settings.mutable_listen()->set_callers("127.0.0.1:0");
     settings.mutable_listen()->set_readiness("127.0.0.1:0");
     settings.mutable_listen()->set_metrics("127.0.0.1:0");
@@ -331,6 +332,8 @@
   }
 
   FakeStore store;
+  /// Memory of the VM; 0: not known.
+  uint32_t memory_mb = 0;
   Gateway* gateway = nullptr;
   std::thread runner;
 };
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -112,6 +112,59 @@
   EXPECT_EQ(decoded.load->waiting, 2);
 }
 
+TEST_F(RequestCodecTest, Notices_AreDecodedAndKeptFromTheCaller) {
+  HttpAnswerHead answer;
+  answer.result(503);
+  answer.set("Server-Leaving", "1");
+  answer.set("Retry-After", "2.5");
+  const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+
+  EXPECT_TRUE(decoded.leaving);
+  EXPECT_EQ(decoded.pause, std::chrono::milliseconds(2500));
+  EXPECT_TRUE(decoded.fault.empty());
+  for (const auto& [name, value] : decoded.passed_on) {
+    EXPECT_NE(name, "Server-Leaving");
+  }
+}
+
+TEST_F(RequestCodecTest, PauseOfAnotherStatus_IsNone) {
+  HttpAnswerHead answer;
+  answer.result(429);
+  answer.set("Retry-After", "2");
+  EXPECT_FALSE(DecodeAnswer(answer).pause);
+}
+
+TEST_F(RequestCodecTest, MalformedNotices_AreNamedAndChangeNothing) {
+  for (const char* value :
+       {"", "-1", "nan", "2 s", "Fri, 04 Dec 2026 10:00:00 GMT", "1,5"}) {
+    HttpAnswerHead answer;
+    answer.result(503);
+    answer.set("Retry-After", value);
+    const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+    EXPECT_FALSE(decoded.pause) << value;
+    EXPECT_FALSE(decoded.fault.empty()) << value;
+  }
+  for (const char* value : {"", "yes", "2", "-1"}) {
+    HttpAnswerHead answer;
+    answer.result(200);
+    answer.set("Server-Leaving", value);
+    const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+    EXPECT_FALSE(decoded.leaving) << value;
+    EXPECT_FALSE(decoded.fault.empty()) << value;
+  }
+}
+
+TEST_F(RequestCodecTest, RepeatedPause_TheLongestCounts) {
+  HttpAnswerHead answer;
+  answer.result(503);
+  answer.insert("Retry-After", "1e300");
+  answer.insert("Retry-After", "1");
+  const auto pause = DecodeAnswer(answer).pause;
+  ASSERT_TRUE(pause);
+  EXPECT_GT(*pause, std::chrono::hours(1));
+  EXPECT_LT(*pause, std::chrono::hours(10000));
+}
+
 TEST_F(RequestCodecTest, OwnAnswer_CarriesRetryAfterInSeconds) {
   const std::string text =
       EncodeOwnAnswer(503, "a1", std::chrono::milliseconds(250), true);
--- a/tests/serving/event_splitter_test.cc
+++ b/tests/serving/event_splitter_test.cc
@@ -37,6 +37,17 @@
   EXPECT_TRUE(splitter.HasGap());
 }
 
+// An upstream in trouble may send bytes without end.
+TEST_F(EventSplitterTest, EventWithoutEnd_IsSeenAsOverlong) {
+  EventSplitter splitter(std::nullopt);
+  for (int i = 0; i < 60; ++i) splitter.Feed(std::string(1000, 'x'), this->out);
+  EXPECT_FALSE(splitter.IsOverlong());
+
+  for (int i = 0; i < 10; ++i) splitter.Feed(std::string(1000, 'x'), this->out);
+  EXPECT_TRUE(splitter.IsOverlong());
+  EXPECT_TRUE(this->out.empty());
+}
+
 TEST_F(EventSplitterTest, CarriageReturns_EndAnEventToo) {
   EventSplitter splitter(std::nullopt);
 
--- a/tests/serving/placement_test.cc
+++ b/tests/serving/placement_test.cc
@@ -20,16 +20,13 @@
     }
   }
 
-  std::optional<PlacementChoice> Choose(
-      std::span<const PromptPart> parts,
-      std::vector<std::string> excluded = {}) {
+  std::optional<PlacementChoice> Choose(std::span<const PromptPart> parts) {
     int64_t tokens = 0;
     for (const PromptPart& part : parts) tokens += part.tokens;
     return this->placement.Choose(this->now, this->upstreams,
                                   {.parts = parts,
                                    .prompt_tokens = tokens,
-                                   .has_prompt = !parts.empty(),
-                                   .excluded = excluded});
+                                   .has_prompt = !parts.empty()});
   }
 
   Placement placement{{.availability_zone = "a", .noise = 0}};
@@ -67,17 +64,6 @@
   EXPECT_NE(this->Choose(this->parts)->upstream, first->upstream);
 }
 
-TEST_F(PlacementTest, EjectedUpstream_IsLeftOut_UnlessMostAre) {
-  const auto first = this->Choose(this->parts);
-  first->upstream->OnUnreachable(this->now);
-  EXPECT_NE(this->Choose(this->parts)->upstream, first->upstream);
-
-  for (const auto& upstream : this->upstreams) {
-    upstream->OnUnreachable(this->now);
-  }
-  EXPECT_TRUE(this->Choose(this->parts));
-}
-
 TEST_F(PlacementTest, SilentUpstream_IsChosenLess) {
   const auto first = this->Choose(this->parts);
   first->upstream->OnDispatch(this->now);
@@ -86,13 +72,10 @@
   EXPECT_NE(this->Choose(this->parts)->upstream, first->upstream);
 }
 
-TEST_F(PlacementTest, AllExcluded_GivesAReason) {
-  std::vector<std::string> all;
-  for (const auto& upstream : this->upstreams) {
-    all.push_back(upstream->entry.id);
-  }
+TEST_F(PlacementTest, NoCandidate_GivesAReason) {
+  this->upstreams.clear();
 
-  EXPECT_FALSE(this->Choose(this->parts, all));
+  EXPECT_FALSE(this->Choose(this->parts));
   EXPECT_FALSE(this->placement.LastReason().text.empty());
 }
 
--- a/tests/serving/upstream_directory_test.cc
+++ b/tests/serving/upstream_directory_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace fuchsiadrum::serving {
 namespace {
 
@@ -17,14 +20,22 @@
             .started_unix_ms = 7,
             .draining = draining};
   }
-  std::vector<std::string> Usable() const {
+  std::vector<std::string> Usable(
+      const std::vector<std::string>& excluded = {}) const {
     std::vector<std::string> ids;
     for (const auto& upstream :
-         this->directory.Candidates(this->now, "draft")) {
+         this->directory.Candidates(this->now, "draft", excluded)) {
       ids.push_back(upstream->entry.id);
     }
     return ids;
   }
+  FleetUpstreamPtr Find(const std::string& id) const {
+    for (const auto& upstream :
+         this->directory.Candidates(this->now, "draft")) {
+      if (upstream->entry.id == id) return upstream;
+    }
+    return nullptr;
+  }
 };
 
 TEST_F(UpstreamDirectoryTest, DrainingUpstream_GetsNoRequest) {
@@ -98,5 +109,74 @@
       0);
 }
 
+TEST_F(UpstreamDirectoryTest, EjectedUpstream_IsLeftOut_UnlessMostAre) {
+  for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+    this->directory.Put(Entry(id));
+  }
+  this->Find("a")->OnUnreachable(this->now);
+  EXPECT_EQ(this->Usable(),
+            (std::vector<std::string>{"b", "c", "d", "e", "f"}));
+
+  for (const char* id : {"b", "c", "d", "e", "f"}) {
+    this->Find(id)->OnUnreachable(this->now);
+  }
+  EXPECT_EQ(this->Usable().size(), 6U);
+}
+
+// A request that was rejected by one of two upstreams must reach the other one,
+// even if that one has failed lately.
+TEST_F(UpstreamDirectoryTest, ExcludedUpstream_LeavesTheFailingOne) {
+  this->directory.Put(Entry("a"));
+  this->directory.Put(Entry("b"));
+  this->Find("b")->OnUnreachable(this->now);
+  EXPECT_EQ(this->Usable(), std::vector<std::string>{"a"});
+  EXPECT_EQ(this->Usable({"a"}), std::vector<std::string>{"b"});
+  EXPECT_TRUE(this->Usable({"a", "b"}).empty());
+}
+
+// DRAIN: the store may still list the upstream as ready, and its entry may go
+// and come back.
+TEST_F(UpstreamDirectoryTest, AnnouncedLeaving_OutlivesTheEntry) {
+  this->directory.Put(Entry("a"));
+  EXPECT_TRUE(this->directory.OnLeaving(this->now, *this->Find("a")));
+  this->directory.Put(Entry("a"));
+  EXPECT_TRUE(this->Usable().empty());
+
+  this->directory.Remove(this->now, "a");
+  this->directory.Put(Entry("a"));
+  EXPECT_TRUE(this->Usable().empty());
+
+  UpstreamEntry reborn = Entry("a");
+  reborn.started_unix_ms = 8;
+  this->directory.Put(reborn);
+  EXPECT_EQ(this->Usable().size(), 1U);
+}
+
+// BUDGET: a pause binds also when no other upstream is left.
+TEST_F(UpstreamDirectoryTest, PausingUpstream_GetsNothingUntilThen) {
+  this->directory.Put(Entry("a"));
+  this->directory.Put(Entry("b"));
+  const FleetUpstreamPtr first = this->Find("a");
+  const FleetUpstreamPtr second = this->Find("b");
+  this->directory.OnPause(this->now, *first, std::chrono::seconds(2));
+  this->directory.OnPause(this->now, *first, std::chrono::seconds(1));
+  this->directory.OnPause(this->now, *second, std::chrono::seconds(3));
+  EXPECT_TRUE(this->Usable().empty());
+  EXPECT_EQ(this->directory.FirstPauseEnd(this->now, "draft"),
+            this->now + std::chrono::seconds(2));
+
+  this->now = this->now + std::chrono::seconds(2);
+  EXPECT_EQ(this->Usable(), std::vector<std::string>{"a"});
+}
+
+TEST_F(UpstreamDirectoryTest, PauseWithoutEnd_IsBounded) {
+  this->directory.Put(Entry("a"));
+  this->directory.OnPause(this->now, *this->Find("a"), std::chrono::hours(500));
+
+  this->now = this->now + std::chrono::minutes(10);
+  this->directory.OnTick(this->now);
+  EXPECT_EQ(this->Usable().size(), 1U);
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::serving
