Keep budgets as accounts that are changed on condition, so that their cost does not grow with the fleet

Change: an organisation's account lies in one of 24 or more partitions. Each change appends the changed grant and the book of the partition's accounts on condition that the partition still ends where the book was read; so a gateway reads the last record only, and the sum of grants never exceeds the budget at any offset. Tokens are fetched for the request at hand (two or three calls of 4 ms); pools are kept where own demand is steady.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -1,33 +1,42 @@
 #include "fuchsiadrum/budget/grant_holder.h"
 
-#include <algorithm>
 #include <cmath>
 
 #include "fuchsiadrum/core/assert.h"
 #include "fuchsiadrum/core/duration.h"
 
 namespace fuchsiadrum::budget {
-GrantHolder::GrantHolder(const GrantHolderOptions& holder_options,
-                         const GrantTable& grant_table)
-    : options(holder_options), table(grant_table), rng(holder_options.seed) {}
+namespace {
+
+Tokens Part(double part, Tokens whole) {
+  return Tokens(static_cast<int64_t>(part * static_cast<double>(whole.count)));
+}
+
+}  // namespace
+
+GrantHolder::GrantHolder(const GrantHolderOptions& holder_options)
+    : options(holder_options) {}
 
 void GrantHolder::SetLimit(const std::string& organisation,
-                           std::optional<Tokens> limit) {
+                           std::optional<Tokens> limit, uint64_t version) {
   Pool& pool = this->PoolOf(organisation);
   const std::optional<Tokens> before = pool.limit;
   pool.limit = limit;
+  pool.limit_version = version;
   if (!limit || !before || *limit >= *before) return;
 
   // The recorded totals were within the old limit only. What is not in use is
   // given back, and asked for again under the new one.
-  if (this->table.SumsOf(organisation).granted > *limit) {
-    pool.usable = std::min(pool.usable, this->InUse(pool));
+  if (pool.account.granted > *limit) {
+    pool.usable = std::min(pool.usable, pool.InUse());
   }
 }
 
 void GrantHolder::OnRequest(TimePoint now, const std::string& organisation,
                             Tokens amount) {
-  this->PoolOf(organisation).demand.Add(now, amount);
+  Pool& pool = this->PoolOf(organisation);
+  pool.demand.Add(now, amount);
+  pool.usual_demand.Add(now, amount);
   const auto size = static_cast<double>(amount.count);
   const double weight =
       this->typical_request > 0 ? this->options.typical_weight : 1;
@@ -44,31 +53,41 @@
   }
   if (this->closed) return ReserveResult::kHeldElsewhere;
 
-  if (this->InUse(pool) + amount <= this->Bound(now, pool)) {
+  if (pool.InUse() + amount <= this->Bound(now, pool)) {
     pool.reserved += amount;
     return ReserveResult::kReserved;
   }
 
   // Others' spend as recorded, the own one as it is.
-  const GrantTable::Sums sums = this->table.SumsOf(organisation);
-  const RecordedGrant own = this->table.Of(organisation, this->options.holder);
-  const Tokens others_spent = sums.spent - own.spent;
-  if (others_spent + this->InUse(pool) + amount > *pool.limit) {
+  const Tokens others_spent = pool.account.spent - pool.recorded.spent;
+  if (others_spent + pool.InUse() + amount > LimitOf(pool, pool.account)) {
     return ReserveResult::kExhausted;
   }
 
   pool.wanted = std::max(pool.wanted, amount);
-  const Tokens free = *pool.limit - (sums.granted - own.granted);
-  if (this->InUse(pool) + amount > free) return ReserveResult::kHeldElsewhere;
+  const bool is_fresh = pool.account_at.us != 0 &&
+                        now - pool.account_at < this->options.account_fresh;
+  if (is_fresh && pool.InUse() + amount > FreeFor(pool, pool.account)) {
+    return ReserveResult::kHeldElsewhere;
+  }
   return ReserveResult::kNotYet;
 }
 
+Tokens GrantHolder::LimitOf(const Pool& pool, const FleetAccount& account) {
+  // Another gateway may know a newer configuration than this one.
+  return account.limit_version > pool.limit_version ? account.limit
+                                                    : *pool.limit;
+}
+
+Tokens GrantHolder::FreeFor(const Pool& pool, const FleetAccount& account) {
+  return LimitOf(pool, account) - (account.granted - pool.recorded.granted);
+}
+
 Tokens GrantHolder::Bound(TimePoint now, const Pool& pool) const {
-  // A recorded write is never older than its answer or, while that is missing,
+  // A recorded sign is never older than its answer or, while that is missing,
   // its begin: a successor knows as much of the silence.
-  const Duration silence =
-      now - std::max(this->answered_at, this->write_begun_at);
-  return ReleasedTotal(this->options.release, pool.ceiling, pool.usable,
+  const Duration silence = now - std::max(this->signed_at, this->sign_begun_at);
+  return ReleasedTotal(this->options.release, pool.Ceiling(), pool.usable,
                        silence);
 }
 
@@ -81,160 +100,180 @@
   pool.spent += spent;
 }
 
-std::vector<GrantUpdate> GrantHolder::PlanWrite(TimePoint now) {
-  if (!this->in_flight.empty()) return {};
-
-  for (auto& [name, pool] : this->pools) {
-    if (!pool.limit) continue;
-    const GrantTable::Sums sums = this->table.SumsOf(name);
-    pool.unspent_part = UnspentPart(pool, sums);
-    const std::optional<Tokens> total = this->NextTotal(now, name, pool, sums);
-    if (!total && !this->IsCeilingDue(pool)) continue;
-
-    // Lower totals bind at once, a higher ceiling when the write is answered, a
-    // higher grant when it was read back.
-    if (total) {
-      pool.asked = *total;
-      pool.usable = std::min(pool.usable, *total);
-      pool.pending = true;
-    }
-    pool.ceiling_asked = this->NextCeiling(pool, pool.asked);
-    pool.ceiling = std::min(pool.ceiling, pool.ceiling_asked);
-    pool.recorded_at = now;
-    pool.recorded_spent = pool.spent;
-    this->in_flight.push_back(
-        {.organisation = name,
-         .grant = {.granted = pool.asked,
-                   .spent = pool.spent,
-                   .demand = Tokens(static_cast<int64_t>(pool.demand.Rate())),
-                   .ceiling = pool.ceiling_asked}});
+bool GrantHolder::IsDue(TimePoint now, const std::string& organisation) {
+  Pool& pool = this->PoolOf(organisation);
+  if (!pool.limit || pool.in_flight) return false;
+  // A ceiling is raised by the next sign of life.
+  if (this->IsWanting(organisation)) return true;
+  if (!this->closed && now - pool.looked_at < this->options.look_interval) {
+    return false;
   }
-  return this->in_flight;
-}
-
-void GrantHolder::OnWritten(TimePoint now) {
-  this->answered_at = now;
-  for (const GrantUpdate& update : this->in_flight) {
-    Pool& pool = this->pools[update.organisation];
-    pool.ceiling = pool.ceiling_asked;
-    this->ForgetWantIfMet(pool);
+  pool.looked_at = now;
+  if (this->SpreadsPool(pool) &&
+      now - pool.account_at > this->options.spread_refresh) {
+    return true;
   }
-  this->in_flight.clear();
+  if (this->IsScarce(pool) && !this->IsKept(pool) &&
+      pool.recorded.granted > pool.InUse() &&
+      now - pool.account_at > this->options.scarce_refresh) {
+    return true;
+  }
+  return this->NextTotal(now, pool, pool.account).has_value();
 }
 
-void GrantHolder::ForgetWantIfMet(Pool& pool) {
-  const Tokens bound = std::min(pool.usable, pool.ceiling);
-  if (this->InUse(pool) + pool.wanted <= bound) pool.wanted = Tokens(0);
+bool GrantHolder::IsScarce(const Pool& pool) const {
+  return pool.account.granted >
+         Part(this->options.scarce_part, LimitOf(pool, pool.account));
 }
 
-Tokens GrantHolder::CeilingReserve(const Pool& pool) const {
-  const double part = std::clamp(pool.unspent_part / this->options.ample_part,
-                                 this->options.least_ceiling_part, 1.0);
-  const double ahead =
-      part * pool.expected_rate * ToSeconds(this->options.ceiling_ahead);
-  return std::max(pool.wanted, Tokens(static_cast<int64_t>(ahead)));
+bool GrantHolder::IsWanting(const std::string& organisation) const {
+  const auto found = this->pools.find(organisation);
+  if (found == this->pools.end() || !found->second.limit) return false;
+  const Pool& pool = found->second;
+  return !pool.in_flight && pool.InUse() + pool.wanted > pool.usable;
 }
 
-Tokens GrantHolder::NextCeiling(const Pool& pool, Tokens total) const {
-  const Tokens in_use = this->InUse(pool);
-  if (this->closed) return in_use;
-  return std::max(in_use, std::min(total, in_use + this->CeilingReserve(pool)));
+std::optional<GrantUpdate> GrantHolder::PlanWrite(
+    TimePoint now, const std::string& organisation,
+    const FleetAccount& account) {
+  Pool& pool = this->PoolOf(organisation);
+  if (!pool.limit || pool.in_flight) return std::nullopt;
+  pool.account = account;
+  pool.account_at = now;
+  pool.looked_at = now;
+  const std::optional<Tokens> total = this->NextTotal(now, pool, account);
+  // Not enough is free: whoever waits asks again when it is.
+  if (!total || pool.InUse() + pool.wanted > *total) pool.wanted = Tokens(0);
+  if (!total) return std::nullopt;
+
+  pool.in_flight = true;
+  pool.usable = std::min(pool.usable, *total);
+  pool.asked = {
+      .granted = *total,
+      .spent = pool.spent,
+      .demand = this->closed ? Tokens(0)
+                             : Tokens(static_cast<int64_t>(pool.demand.Rate())),
+      .ceiling = this->NextCeiling(pool, *total)};
+  pool.grant_ceiling = std::min(pool.grant_ceiling, pool.asked.ceiling);
+  pool.account_asked = account;
+  pool.account_asked.limit = LimitOf(pool, account);
+  pool.account_asked.limit_version =
+      std::max(account.limit_version, pool.limit_version);
+  pool.account_asked.Replace(pool.recorded, pool.asked);
+  FD_ASSERT(pool.asked.granted <= pool.recorded.granted ||
+                pool.account_asked.granted <= pool.account_asked.limit,
+            "a grant goes beyond the budget");
+  return GrantUpdate{.organisation = organisation,
+                     .grant = pool.asked,
+                     .account = pool.account_asked};
 }
 
-double GrantHolder::UnspentPart(const Pool& pool,
-                                const GrantTable::Sums& sums) {
-  if (pool.limit->count <= 0) return 0;
-  const Tokens unspent = *pool.limit - sums.spent;
-  return static_cast<double>(unspent.count) /
-         static_cast<double>(pool.limit->count);
+void GrantHolder::OnWritten(TimePoint now, const std::string& organisation) {
+  Pool& pool = this->PoolOf(organisation);
+  FD_ASSERT(pool.in_flight, "no write was planned");
+  pool.in_flight = false;
+  pool.recorded = pool.asked;
+  pool.recorded_at = now;
+  pool.account = pool.account_asked;
+  pool.account_at = now;
+  pool.usable = pool.asked.granted;
+  pool.grant_ceiling = pool.asked.ceiling;
+  ForgetWantIfMet(pool);
 }
 
-bool GrantHolder::IsCeilingDue(const Pool& pool) const {
-  const Tokens next = this->NextCeiling(pool, pool.asked);
-  const Tokens reserve = this->CeilingReserve(pool);
-  const auto low = static_cast<int64_t>(this->options.ceiling_low_water *
-                                        static_cast<double>(reserve.count));
-  const auto high = static_cast<int64_t>(this->options.high_water *
-                                         static_cast<double>(reserve.count));
-  const Tokens left = pool.ceiling - this->InUse(pool);
-  if (left.count < low || left < pool.wanted) return next > pool.ceiling;
-  return left.count > high && next < pool.ceiling;
-}
-
-void GrantHolder::OnRefused() {
-  for (const GrantUpdate& update : this->in_flight) {
-    Pool& pool = this->pools[update.organisation];
-    const RecordedGrant recorded =
-        this->table.Of(update.organisation, this->options.holder);
-    pool.asked = recorded.granted;
-    pool.usable = std::min(pool.usable, pool.asked);
-    pool.pending = false;
-  }
-  this->in_flight.clear();
+void GrantHolder::OnRefused(const std::string& organisation) {
+  Pool& pool = this->PoolOf(organisation);
+  pool.in_flight = false;
+  pool.usable = pool.recorded.granted;
+  pool.grant_ceiling = pool.recorded.ceiling;
 }
 
-void GrantHolder::OnOwnRecord(TimePoint now, const std::string& organisation,
-                              bool consistent) {
-  const auto found = this->pools.find(organisation);
-  if (found == this->pools.end() || !consistent) return;
-  this->Judge(now, organisation, found->second);
+void GrantHolder::OnUnknown(const std::string& organisation) {
+  Pool& pool = this->PoolOf(organisation);
+  if (pool.asked.granted < pool.recorded.granted) pool.recorded = pool.asked;
+  this->OnRefused(organisation);
 }
 
-void GrantHolder::OnConsistent(TimePoint now) {
-  for (auto& [name, pool] : this->pools) this->Judge(now, name, pool);
+void GrantHolder::ForgetWantIfMet(Pool& pool) {
+  const Tokens bound = std::min(pool.usable, pool.Ceiling());
+  if (pool.InUse() + pool.wanted <= bound) pool.wanted = Tokens(0);
 }
 
-void GrantHolder::Judge(TimePoint now, const std::string& name, Pool& pool) {
-  if (!pool.pending || !pool.limit) return;
-  const RecordedGrant own = this->table.Of(name, this->options.holder);
-  if (own.granted != pool.asked) return;
+std::vector<HeldCeiling> GrantHolder::PlanSign(TimePoint /*now*/) {
+  std::vector<HeldCeiling> ceilings;
+  for (auto& [name, pool] : this->pools) {
+    if (!pool.limit || pool.recorded.granted.count == 0) continue;
+    pool.sign_asked = this->NextCeiling(pool, pool.usable);
+    pool.sign_ceiling = std::min(pool.sign_ceiling, pool.sign_asked);
+    if (pool.sign_asked >= pool.recorded.granted) continue;
+    ceilings.push_back({.organisation = name, .ceiling = pool.sign_asked});
+  }
+  return ceilings;
+}
 
-  pool.pending = false;
-  if (pool.asked <= pool.usable) return;
-  if (this->table.SumsOf(name).granted <= *pool.limit) {
-    pool.usable = pool.asked;
-    this->ForgetWantIfMet(pool);
-    return;
+void GrantHolder::OnSigned(TimePoint now) {
+  this->signed_at = now;
+  for (auto& [name, pool] : this->pools) {
+    pool.sign_ceiling = pool.sign_asked;
+    ForgetWantIfMet(pool);
   }
-  const auto pause = static_cast<int64_t>(
-      this->rng.Unit() *
-      static_cast<double>(this->options.collision_pause.count()));
-  pool.pause_until = now + Duration(pause);
 }
 
-bool GrantHolder::IsWanting() const {
+bool GrantHolder::IsSignUrgent() const {
   return std::ranges::any_of(this->pools, [](const auto& entry) {
-    return entry.second.wanted.count > 0;
+    const Pool& pool = entry.second;
+    return pool.wanted.count > 0 && pool.InUse() + pool.wanted <= pool.usable &&
+           pool.InUse() + pool.wanted > pool.Ceiling();
   });
 }
 
-Tokens GrantHolder::Available(TimePoint now,
-                              const std::string& organisation) const {
-  const auto found = this->pools.find(organisation);
-  if (found == this->pools.end()) return Tokens(0);
-  return this->Bound(now, found->second) - this->InUse(found->second);
+Tokens GrantHolder::CeilingReserve(const Pool& pool) const {
+  const double part = std::clamp(UnspentPart(pool) / this->options.ample_part,
+                                 this->options.least_ceiling_part, 1.0);
+  const double ahead =
+      std::max(pool.expected_rate * ToSeconds(this->options.ceiling_ahead),
+               this->options.ceiling_requests * this->typical_request);
+  return std::max(pool.wanted, Tokens(static_cast<int64_t>(part * ahead)));
+}
+
+Tokens GrantHolder::NextCeiling(const Pool& pool, Tokens total) const {
+  const Tokens in_use = pool.InUse();
+  if (this->closed) return in_use;
+  return std::max(in_use, std::min(total, in_use + this->CeilingReserve(pool)));
 }
 
-Tokens GrantHolder::LimitOf(const std::string& organisation) const {
+double GrantHolder::UnspentPart(const Pool& pool) {
+  if (pool.limit->count <= 0) return 0;
+  const Tokens unspent = *pool.limit - pool.account.spent;
+  return static_cast<double>(unspent.count) /
+         static_cast<double>(pool.limit->count);
+}
+
+Tokens GrantHolder::Available(TimePoint now,
+                              const std::string& organisation) const {
   const auto found = this->pools.find(organisation);
   if (found == this->pools.end()) return Tokens(0);
-  return found->second.limit.value_or(Tokens(0));
+  return this->Bound(now, found->second) - found->second.InUse();
 }
 
-bool GrantHolder::SpreadsPools() const {
-  return this->fleet_size > 0 && this->fleet_size * this->pools.size() <=
-                                     this->options.most_spread_grants;
+bool GrantHolder::SpreadsPool(const Pool& pool) const {
+  if (this->fleet_size == 0 || !pool.limit) return false;
+  const auto size = static_cast<double>(this->fleet_size);
+  const double request = this->typical_request > 0
+                             ? this->typical_request
+                             : this->options.assumed_request;
+  return this->fleet_size * this->pools.size() <=
+             this->options.most_spread_grants &&
+         size * request <= this->options.most_spread_part *
+                               static_cast<double>(pool.limit->count);
 }
 
-double GrantHolder::ExpectRate(TimePoint now, const std::string& name,
-                               Pool& pool) const {
+double GrantHolder::ExpectRate(TimePoint now, Pool& pool) const {
   const double own = pool.demand.Rate();
-  const double fleet =
-      own +
-      static_cast<double>(
-          this->table.DemandOfOthers(now, name, this->options.holder).count);
+  const Tokens others = pool.account.demand - pool.recorded.demand;
+  const double fleet = own + std::max(0.0, static_cast<double>(others.count));
   if (fleet > 0 && pool.demanded_since.us == 0) pool.demanded_since = now;
-  if (!this->SpreadsPools() || fleet <= 0) {
+  if (!this->SpreadsPool(pool) || fleet <= 0) {
     pool.expected_rate = own;
     return fleet;
   }
@@ -251,7 +290,7 @@
 }
 
 double GrantHolder::InitialShare(TimePoint now, const Pool& pool) const {
-  if (!this->SpreadsPools()) return 0;
+  if (!this->SpreadsPool(pool)) return 0;
   // Fades while the demand becomes known.
   double part = 1;
   if (pool.demanded_since.us != 0) {
@@ -263,76 +302,93 @@
          static_cast<double>(this->fleet_size);
 }
 
-Tokens GrantHolder::Target(TimePoint now, const std::string& name, Pool& pool,
-                           const GrantTable::Sums& sums) const {
-  const double fleet = this->ExpectRate(now, name, pool);
-  const double expected = pool.expected_rate * ToSeconds(this->options.horizon);
-  const double by_demand =
-      std::max({expected + this->options.deviations *
-                               std::sqrt(expected * this->typical_request),
-                this->options.largest_requests * pool.demand.Largest(),
-                this->InitialShare(now, pool)});
+bool GrantHolder::IsKept(const Pool& pool) const {
+  return this->SpreadsPool(pool) ||
+         pool.expected_rate * ToSeconds(this->options.horizon) >=
+             this->options.steady_requests * this->typical_request;
+}
 
+double GrantHolder::UnsteadyDemand(const Pool& pool) const {
+  const double horizon = ToSeconds(this->options.horizon);
+  const double usual = pool.usual_demand.Rate() * horizon;
+  const double recent = pool.expected_rate * horizon;
+  // A single request of strangers' callers says nothing of the next one.
+  if (usual < this->options.usual_requests * this->typical_request) {
+    return recent;
+  }
+  return std::max(recent, usual + std::sqrt(usual * this->typical_request));
+}
+
+Tokens GrantHolder::Target(TimePoint now, Pool& pool,
+                           const FleetAccount& account) const {
+  const double fleet = this->ExpectRate(now, pool);
+  const double expected = pool.expected_rate * ToSeconds(this->options.horizon);
   double part = this->options.least_part;
-  if (this->SpreadsPools()) {
+  if (this->SpreadsPool(pool)) {
     part = std::max(part, 1.0 / static_cast<double>(this->fleet_size));
   }
   if (fleet > 0) part = std::max(part, pool.expected_rate / fleet);
 
+  double by_demand = 0;
+  double share = this->options.pooled_share;
+  if (this->IsKept(pool)) {
+    const double deviation = std::sqrt(expected * this->typical_request);
+    by_demand =
+        std::max({expected + this->options.deviations * deviation,
+                  this->options.largest_requests * pool.demand.Largest(),
+                  this->InitialShare(now, pool)});
+  } else {
+    // Tokens that wait for a request which may come anywhere are missing where
+    // it does come.
+    by_demand = this->UnsteadyDemand(pool);
+    share = this->options.unsteady_share;
+  }
+
   // The own pool counts as free: it is what the target decides about.
-  const Tokens left = pool.usable - this->InUse(pool);
-  const auto free = static_cast<double>(
-      std::max<int64_t>(0, (*pool.limit - sums.granted + left).count));
-  const double by_rest = free * this->options.pooled_share * part;
-  return Tokens(static_cast<int64_t>(std::min(by_demand, by_rest)));
+  const Tokens free = FreeFor(pool, account) - pool.InUse();
+  const double by_rest =
+      static_cast<double>(std::max<int64_t>(0, free.count)) * share * part;
+  const double target = std::min(by_demand, by_rest);
+  // Less than a request serves nobody here.
+  if (!this->IsKept(pool) && target < this->typical_request) return Tokens(0);
+  return Tokens(static_cast<int64_t>(target));
 }
 
-std::optional<Tokens> GrantHolder::NextTotal(TimePoint now,
-                                             const std::string& name,
-                                             Pool& pool,
-                                             const GrantTable::Sums& sums) {
+std::optional<Tokens> GrantHolder::NextTotal(
+    TimePoint now, Pool& pool, const FleetAccount& account) const {
   pool.demand.Advance(now);
-  const RecordedGrant own = this->table.Of(name, this->options.holder);
-  const Tokens in_use = this->InUse(pool);
-  if (this->closed) {
-    if (pool.asked == in_use) return std::nullopt;
-    return in_use;
+  pool.usual_demand.Advance(now);
+  const Tokens recorded = pool.recorded.granted;
+  const Tokens in_use = pool.InUse();
+  const bool over_limit = account.granted > LimitOf(pool, account);
+  if (this->closed || over_limit) {
+    if (recorded == in_use) return std::nullopt;
+    return std::min(recorded, in_use);
   }
 
-  // A grant beyond the budget is taken back before another one is asked for.
-  if (!pool.pending && pool.asked > pool.usable) return pool.usable;
-
-  const Tokens target = this->Target(now, name, pool, sums);
-  const Tokens left = pool.usable - in_use;
-  const auto low = static_cast<int64_t>(this->options.low_water *
-                                        static_cast<double>(target.count));
-  if (left < pool.wanted || left.count < low) {
-    if (pool.pending || now < pool.pause_until) return std::nullopt;
-    const Tokens free = *pool.limit - (sums.granted - own.granted);
+  const Tokens target = this->Target(now, pool, account);
+  const Tokens left = recorded - in_use;
+  if (left < pool.wanted || left < Part(this->options.low_water, target)) {
+    const Tokens free = FreeFor(pool, account);
     const Tokens total = std::min(in_use + std::max(target, pool.wanted), free);
-    if (total > pool.asked && total >= in_use + pool.wanted) return total;
-    // Not enough is free: whoever waits asks again when it is.
-    pool.wanted = Tokens(0);
+    if (total > recorded && total >= in_use + pool.wanted) return total;
     return std::nullopt;
   }
-
-  const auto high = static_cast<int64_t>(this->options.high_water *
-                                         static_cast<double>(target.count));
-  if (!pool.pending && left.count > high && left > pool.wanted) {
+  if (left > Part(this->options.high_water, target) && left > pool.wanted) {
     const Tokens total = in_use + std::max(target, pool.wanted);
-    if (total < pool.asked) return total;
+    if (total < recorded) return total;
   }
-  if (!pool.pending && this->IsSpendStale(now, pool, sums)) return pool.asked;
+  if (this->IsSpendStale(now, pool, account)) return recorded;
   return std::nullopt;
 }
 
 bool GrantHolder::IsSpendStale(TimePoint now, const Pool& pool,
-                               const GrantTable::Sums& sums) const {
-  if (pool.spent == pool.recorded_spent) return false;
+                               const FleetAccount& account) const {
+  if (pool.spent == pool.recorded.spent) return false;
   if (now - pool.recorded_at < this->options.refresh_interval) return false;
-  const auto rest = static_cast<double>(pool.limit->count - sums.granted.count);
-  return rest <
-         this->options.refresh_below * static_cast<double>(pool.limit->count);
+  const auto limit = static_cast<double>(pool.limit->count);
+  const auto rest = static_cast<double>((*pool.limit - account.granted).count);
+  return rest < this->options.refresh_below * limit;
 }
 
 GrantHolder::Pool& GrantHolder::PoolOf(const std::string& organisation) {
@@ -341,6 +397,8 @@
   Pool& pool = this->pools[organisation];
   pool.demand =
       DemandMeter(this->options.demand_memory, this->options.largest_memory);
+  pool.usual_demand =
+      DemandMeter(this->options.usual_memory, this->options.largest_memory);
   return pool;
 }
 
--- a/fuchsiadrum/budget/reclaim.cc
+++ b/fuchsiadrum/budget/reclaim.cc
@@ -15,9 +15,10 @@
 constexpr Duration kClockTolerance = std::chrono::milliseconds(100);
 /// Margin for a span that only the time of day measures.
 constexpr Duration kDayMargin = std::chrono::milliseconds(400);
-/// Gateways write every half second: other VMs' spans are longer by the age of
-/// the record before and the wait for the one after.
-constexpr Duration kSignSlack = std::chrono::milliseconds(1100);
+/// Other VMs' spans are longer by the age of the record before and the wait for
+/// the one after, and by the time of both writes.
+constexpr int kSignsAround = 2;
+constexpr Duration kWriteTime = std::chrono::milliseconds(100);
 /// Other VMs whose clocks must have measured the span.
 constexpr size_t kLeastPeers = 3;
 
@@ -80,11 +81,13 @@
   return start.since_boot - last_write.since_boot + kClockTolerance;
 }
 
-bool PeersConfirm(const ReclaimSpan& span, std::span<const FleetSign> signs) {
+bool PeersConfirm(const ReclaimSpan& span, std::span<const FleetSign> signs,
+                  Duration sign_interval) {
+  const Duration slack = kSignsAround * sign_interval + kWriteTime;
   const Duration own = span.first.time_of_day - span.last.time_of_day;
   const std::vector<Duration> spans = PeerSpans(span, signs);
   const auto agree = static_cast<size_t>(std::ranges::count_if(
-      spans, [own](Duration peer) { return peer <= own + kSignSlack; }));
+      spans, [own, slack](Duration peer) { return peer <= own + slack; }));
   return spans.size() >= kLeastPeers && agree * 3 > spans.size() * 2;
 }
 
--- a/fuchsiadrum/budget/reclaim.h
+++ b/fuchsiadrum/budget/reclaim.h
@@ -75,8 +75,10 @@
 
 /// Compares the span on the clocks of the other VMs, which wrote before and
 /// after it: true if enough of them measured about the same time. A step of the
-/// time of day on the own VM would show as a difference.
-bool PeersConfirm(const ReclaimSpan& span, std::span<const FleetSign> signs);
+/// time of day on the own VM would show as a difference. `sign_interval`: how
+/// often gateways write.
+bool PeersConfirm(const ReclaimSpan& span, std::span<const FleetSign> signs,
+                  Duration sign_interval);
 
 /// Longest time for which the process can have been without an answered write,
 /// if PeersConfirm: the median of the other VMs' spans. Each of them contains
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -1,16 +1,17 @@
 #pragma once
 
+#include <list>
 #include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <utility>
+#include <vector>
 
 #include "fuchsiadrum/budget/grant_holder.h"
-#include "fuchsiadrum/budget/reclaim.h"
 #include "fuchsiadrum/serving/serving_config.h"
-#include "gateway/stream_follower.h"
-#include "schema/fleet.pb.h"
+#include "fuchsiadrum/store/call_pacer.h"
+#include "gateway/account_shard.h"
+#include "gateway/fleet_signs.h"
 
 namespace fuchsiadrum::gateway {
 
@@ -20,109 +21,81 @@
   uint64_t incarnation = 0;
   std::string store_address;
   Duration store_timeout = std::chrono::milliseconds(600);
-  /// How often the fleet's stream is read. Others' grants are known this late.
-  Duration read_interval = std::chrono::milliseconds(500);
-  /// Time between two writes. The last one shows a successor of this process
-  /// how long it may have been cut off.
-  Duration write_interval = std::chrono::milliseconds(500);
-  /// The same while a request waits for a grant. All gateways together may make
-  /// about 500 writes a second to the stream.
-  Duration urgent_interval = std::chrono::milliseconds(80);
+  /// Partitions of a topic of the store, and topics with accounts. Equal in the
+  /// whole fleet: they decide where an organisation's account is.
+  uint32_t parts = 12;
+  uint32_t topics = 2;
+  /// Writes that the whole fleet may make each second.
+  double writes_per_s = 800;
+  /// Least time between two signs of life while a request waits for a higher
+  /// ceiling.
+  Duration urgent_sign_interval = std::chrono::milliseconds(100);
+  /// How often the accounts are compared with the demand.
+  Duration look_interval = std::chrono::milliseconds(100);
+  /// Accounts that are read or written at the same time.
+  size_t store_connections = 4;
+  /// How often the size of the fleet is read again.
+  Duration census_interval = std::chrono::seconds(20);
 };
 
-/// Carries the decisions of a budget::GrantHolder to and from the fleet's
-/// stream in the store, and keeps this gateway listed there.
+/// Carries the decisions of a budget::GrantHolder to and from the accounts in
+/// the store, and shows this gateway's signs of life there.
 class BudgetKeeper {
  public:
   BudgetKeeper(const BudgetKeeperOptions& opts, asio::io_context& context,
                Watchdog& watchdog, EventLog& log);
 
-  /// Runs reader and writer for good.
+  /// Runs for good.
   void Start();
   /// Takes over the budgets of a configuration.
   void OnConfig(const serving::ServingConfig& config);
 
-  /// Reserves tokens, waiting for a grant up to `patience` if others hold
-  /// enough that may come back.
+  /// Reserves tokens, waiting for a grant up to `patience` if enough is free.
   asio::awaitable<budget::ReserveResult> Reserve(std::string organisation,
                                                  Tokens amount,
                                                  Duration patience);
   void Settle(const std::string& organisation, Tokens amount, Tokens spent);
-  /// Call every few milliseconds: looks for an append whose answer is late.
-  void OnTick(TimePoint now);
   /// Gives unused tokens back.
   void Close();
   /// True once nothing is left to be written.
   bool IsFlushed() const { return this->flushed; }
 
-  /// False while the store cannot be reached, or its answer is late: grants do
-  /// not come soon.
-  bool IsStoreAnswering(TimePoint now) const;
-  uint64_t Calls() const {
-    return this->follower.Calls() + this->writer_client.Calls();
-  }
-  /// Gateways of the fleet that have ever shown themselves, this one included.
-  size_t FleetSize() const { return this->other_vms.size() + 1; }
+  uint64_t Calls() const;
+  /// Gateways that have ever shown themselves, this one included; 0: not known.
+  size_t FleetSize() const { return this->signs.FleetSize(); }
 
  private:
-  void OnRecord(const store::KeyedRecord& record);
-  void OnOwnSign(const pb::FleetMember& member, uint64_t offset);
-  void OnRead();
-  asio::awaitable<void> WriteLoop();
-  asio::awaitable<void> Append(std::vector<store::KeyedRecord> records);
-  void FinishAppend();
-  std::vector<store::KeyedRecord> PlanRecords();
+  /// False while the store's answer is late: a grant does not come soon.
+  bool IsStoreAnswering(TimePoint now, const std::string& organisation);
+  AccountShard& ShardOf(const std::string& organisation);
+  /// A connection to the store that no visit uses.
+  std::unique_ptr<StoreClient> TakeClient();
+  asio::awaitable<void> VisitLoop();
+  /// Begins the visits that are due; false: none is due or under way.
+  bool BeginVisits(TimePoint now, bool urgent);
+  asio::awaitable<void> Visit(AccountShard* shard,
+                              std::unique_ptr<StoreClient> client);
+  asio::awaitable<void> SignLoop();
+  asio::awaitable<void> CensusLoop();
   /// Gives back what the former process of this VM cannot have used.
   asio::awaitable<void> TakeOver();
-  /// How long other gateways' signs say that the former process can have been
-  /// without an answer of the store; nullopt: they do not confirm a time.
-  asio::awaitable<std::optional<Duration>> AskPeers();
-  std::optional<Duration> JudgeSigns(const std::string& tail_body,
-                                     uint64_t from) const;
-  /// Makes the store refuse writes of that holder that are still on their way.
-  asio::awaitable<void> Fence(std::string holder_name);
-  /// `silence`: the longest time without an answered write.
-  std::vector<store::KeyedRecord> ReclaimRecords(const std::string& holder,
-                                                 Duration silence);
-  void LogTakeOver(const std::string& holder, std::optional<Duration> silence);
-  void LogOwnGrant(const pb::BudgetGrant& grant, uint64_t offset);
-  void LogRefusal(const StoreReply& reply);
-  store::KeyedRecord MemberRecord() const;
-  static store::KeyedRecord GrantRecord(const std::string& holder,
-                                        const budget::GrantUpdate& update);
 
   BudgetKeeperOptions options;
   std::string name;
   asio::io_context& context;
+  Watchdog& watchdog;
   EventLog& event_log;
-  budget::GrantTable table;
   budget::GrantHolder holder;
-  StreamFollower follower;
-  StoreClient writer_client;
-  platform::Writer writer;
+  store::CallPacer pacer;
+  FleetSigns signs;
   SignalGate granted;
   SignalGate wanted;
-  std::set<std::string> other_vms;
-  /// Organisation and holder of each grant's key, for its deletion.
-  std::map<std::string, std::pair<std::string, std::string>> grant_keys;
-  /// The former process of this VM, as the stream shows it.
-  std::optional<pb::FleetMember> predecessor;
-  uint64_t predecessor_offset = 0;
-  /// This process's first own record.
-  std::optional<budget::FleetSign> first_sign;
-  /// Records to be written with the next ones.
-  std::vector<store::KeyedRecord> queued;
-  StoreClient history_client;
-  TimePoint started_at;
-  TimePoint planned_at;
-  TimePoint written_at;
-  /// Start of the append under way; us 0: none.
-  TimePoint append_begun;
-  /// Start of its last try, or of the last look for it; us 0: none.
-  TimePoint append_since;
-  /// The append under way was read back.
-  bool append_seen = false;
-  bool was_consistent = false;
+  /// By topic and partition.
+  std::map<uint32_t, std::unique_ptr<AccountShard>> shards;
+  std::vector<std::unique_ptr<StoreClient>> clients;
+  size_t visits = 0;
+  uint64_t calls = 0;
+  TimePoint signed_at;
   bool flushed = false;
   bool closed = false;
 };
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -199,8 +199,16 @@
 bool CallerConnection::MustClose() const {
   // Callers of a busy VM come back by a new connection, which the balancer
   // sends elsewhere.
-  return this->close_after || this->core.IsStopping() ||
-         this->core.Link().IsBusy();
+  return this->close_after || this->core.IsStopping() || this->core.IsBusy();
+}
+
+bool CallerConnection::HasLeft() {
+  if (!this->socket.is_open()) return true;
+  char byte = 0;
+  const ssize_t got =
+      recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // Bytes are the next request, which waits for its turn.
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 void CallerConnection::CloseIdle() {
@@ -230,19 +238,12 @@
 void CallerConnection::WatchForEnd() {
   if (this->watching) return;
   this->watching = true;
-  this->socket.async_wait(
-      Tcp::socket::wait_read,
-      [self = this->shared_from_this()](ErrorCode error) {
-        self->watching = false;
-        if (error || !self->interrupt) return;
-        char byte = 0;
-        const ssize_t got = recv(self->socket.native_handle(), &byte, 1,
-                                 MSG_PEEK | MSG_DONTWAIT);
-        // Bytes are the next request, which waits for its turn.
-        const bool gone =
-            got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        if (gone) self->Interrupt(true);
-      });
+  this->socket.async_wait(Tcp::socket::wait_read,
+                          [self = this->shared_from_this()](ErrorCode error) {
+                            self->watching = false;
+                            if (error || !self->interrupt) return;
+                            if (self->HasLeft()) self->Interrupt(true);
+                          });
 }
 
 void CallerConnection::Interrupt(bool caller_gone) {
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -34,6 +34,9 @@
   void Abort();
   /// True if the answer must announce that the connection closes.
   bool MustClose() const;
+  /// True if the caller has closed the connection, also if that was not handled
+  /// yet.
+  bool HasLeft();
   /// Closes an idle connection.
   void CloseIdle();
   /// Called once if the caller leaves, or the request's time is over, before
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -41,7 +41,9 @@
   return {.vm = settings.vm().name(),
           .incarnation = daemon::StartIncarnation(),
           .store_address = settings.store().address(),
-          .store_timeout = StoreTimeout(settings)};
+          .store_timeout = StoreTimeout(settings),
+          .parts = settings.store().parts(),
+          .writes_per_s = settings.store().writes_per_s()};
 }
 
 }  // namespace
@@ -61,6 +63,7 @@
       retries(RetryOptions(gateway_settings)),
       link({.bytes_per_s =
                 gateway_settings.vm().link_mbps() * kBytesPerMegabit}),
+      delay(serving::LoopDelayOptions()),
       body_bytes(gateway_settings.vm().memory_mb() * kBytesPerMegabyte /
                  kBodyPartOfMemory),
       pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link),
@@ -94,19 +97,25 @@
 
 void GatewayCore::OnTick(TimePoint now) {
   this->watchdog.Check(now);
-  this->JudgeLink(now);
-  this->budgets.OnTick(now);
+  this->JudgeLoad(now);
   for (RequestTask* task : this->tasks) task->CheckStall(now);
   if (now - this->pool_swept >= kPoolSweep) {
     this->pool_swept = now;
     this->pool.OnTick(now);
     this->directory.OnTick(now);
-    this->retries.SetFleetSize(this->budgets.FleetSize());
+    if (this->budgets.FleetSize() > 0) {
+      this->retries.SetFleetSize(this->budgets.FleetSize());
+    }
   }
   this->log.Flush();
 }
 
-void GatewayCore::JudgeLink(TimePoint now) {
+void GatewayCore::JudgeLoad(TimePoint now) {
+  if (this->delay.OnTick(now)) {
+    this->log.Write("processor",
+                    {{"busy", this->delay.IsBusy()},
+                     {"late_ms", ToMilliseconds(this->delay.Mean())}});
+  }
   if (!this->link.OnTick(now)) return;
   this->log.Write("link", {{"busy", this->link.IsBusy()},
                            {"use", this->link.Use()},
@@ -120,8 +129,7 @@
 }
 
 bool GatewayCore::IsReady() const {
-  return !this->stopping && !this->link.IsBusy() &&
-         this->config.Get() != nullptr &&
+  return !this->stopping && !this->IsBusy() && this->config.Get() != nullptr &&
          this->upstream_follower.LastRead().us != 0;
 }
 
@@ -198,6 +206,7 @@
                                                this->upstream_follower.Calls() +
                                                this->budgets.Calls()));
   add("link_use", this->link.Use());
+  add("loop_delay_ms", ToMilliseconds(this->delay.Mean()));
   add("body_bytes", static_cast<double>(this->body_bytes.Held()));
   add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
   return text;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -6,6 +6,7 @@
 
 #include "fuchsiadrum/core/byte_budget.h"
 #include "fuchsiadrum/serving/link_load.h"
+#include "fuchsiadrum/serving/loop_delay.h"
 #include "fuchsiadrum/serving/placement.h"
 #include "fuchsiadrum/serving/retry_allowance.h"
 #include "fuchsiadrum/serving/serving_config.h"
@@ -39,6 +40,8 @@
   bool IsStopping() const { return this->stopping; }
   /// True while new callers can be served as well as elsewhere.
   bool IsReady() const;
+  /// Link or processor are so busy that callers are better served elsewhere.
+  bool IsBusy() const { return this->link.IsBusy() || this->delay.IsBusy(); }
   /// The configuration may have changed unseen: a key or route that it does not
   /// name may be new.
   bool IsConfigStale(TimePoint now) const;
@@ -50,6 +53,7 @@
   serving::RetryAllowance& Retries() { return this->retries; }
   BudgetKeeper& Budgets() { return this->budgets; }
   serving::LinkLoad& Link() { return this->link; }
+  const serving::LoopDelay& Delay() const { return this->delay; }
   /// Memory of the bodies of all requests and answers.
   ByteBudget& BodyBytes() { return this->body_bytes; }
   UpstreamPool& Pool() { return this->pool; }
@@ -63,7 +67,7 @@
   std::string MetricsText() const;
 
  private:
-  void JudgeLink(TimePoint now);
+  void JudgeLoad(TimePoint now);
   void TakeOfferedConfig();
   void OnUpstreamRecord(const store::KeyedRecord& record);
 
@@ -80,6 +84,7 @@
   serving::Placement placement;
   serving::RetryAllowance retries;
   serving::LinkLoad link;
+  serving::LoopDelay delay;
   ByteBudget body_bytes;
   UpstreamPool pool;
   StreamFollower config_follower;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -122,6 +122,9 @@
   if (this->core.Link().IsFull()) {
     return OwnAnswer{503, "link full", kRetryElsewhere};
   }
+  if (this->core.Delay().IsFull()) {
+    return OwnAnswer{503, "processor full", kRetryElsewhere};
+  }
 
   this->service = serving::ChooseService(*this->route, this->core.Random());
   const serving::Service* known = this->config->FindService(this->service);
@@ -268,12 +271,15 @@
   this->prompt_pending = true;
   std::shared_ptr<HttpConnection> connection = co_await this->Open(upstream);
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
+  // On a busy VM the caller's end may wait behind other events.
+  if (this->caller.HasLeft()) this->caller_gone = true;
   // While the connection was opened the upstream may have said that it leaves.
   const bool withheld = this->core.Upstreams().UseOf(Now(), upstream) ==
                         serving::UpstreamUse::kNever;
-  if (connection && withheld) {
+  if (connection && (withheld || this->caller_gone)) {
     connection->Close();
-    outcome = AttemptOutcome::kWithheld;
+    outcome = this->caller_gone ? AttemptOutcome::kCallerGone
+                                : AttemptOutcome::kWithheld;
   } else if (connection) {
     this->current = connection;
     this->upstream_now = choice.upstream;
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -47,11 +47,11 @@
 std::string StreamFollower::EncodeRead(
     const store::KeyedView::NextRead& next) const {
   const std::string& host = this->client.Address();
+  const platform::StreamPart part = {.stream = this->options.stream};
   if (!next.tail) {
-    return platform::EncodeReadNewest(host, this->options.stream,
-                                      next.after_key);
+    return platform::EncodeReadNewest(host, part, next.after_key);
   }
-  return platform::EncodeReadTail(host, this->options.stream,
+  return platform::EncodeReadTail(host, part,
                                   {.from = next.from,
                                    .wait = this->options.hold,
                                    .most_bytes = this->options.most_bytes});
--- a/tests/budget/reclaim_test.cc
+++ b/tests/budget/reclaim_test.cc
@@ -14,6 +14,7 @@
 class ReclaimTest : public testing::Test {
  protected:
   static constexpr Duration kCutOff = std::chrono::seconds(2);
+  static constexpr Duration kSignInterval = milliseconds(500);
 
   static ReclaimVerdict After(Duration by_boot, Duration by_day) {
     const VmClocks last = {.since_boot = std::chrono::hours(1),
@@ -53,7 +54,7 @@
                        .offset = offset++,
                        .time_of_day = day + away + milliseconds(250) - step});
     }
-    if (!PeersConfirm(span, signs)) return std::nullopt;
+    if (!PeersConfirm(span, signs, kSignInterval)) return std::nullopt;
     return SilenceByPeers(span, signs);
   }
 };
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -134,10 +134,21 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(this->append_ms));
     }
     const std::lock_guard lock(this->mutex);
-    auto& stream = this->streams[Parameter(target, "topic")];
+    const std::string topic = Parameter(target, "topic");
+    const std::string part = Parameter(target, "part");
+    auto& stream = this->streams[part == "0" ? topic : topic + "/" + part];
     if (target.starts_with("/log-append")) {
-      this->Append(request.body(), stream);
-      answer.body() = "{\"offset\":0,\"end_offset\":0}";
+      const std::string at = Parameter(target, "at");
+      const size_t first = stream.size();
+      if (!at.empty() && std::stoul(at) != first) {
+        answer.result(http::status::precondition_failed);
+      } else {
+        this->Append(request.body(), stream);
+      }
+      answer.body() = nlohmann::json{
+          {"offset", first},
+          {"end_offset",
+           stream.size()}}.dump();
     } else if (target.starts_with("/log-newest")) {
       answer.body() = Newest(stream);
     } else {
@@ -242,6 +253,8 @@
     settings.mutable_listen()->set_metrics("127.0.0.1:0");
     settings.mutable_store()->set_address(this->store.Address());
     settings.mutable_store()->set_timeout_ms(600);
+    settings.mutable_store()->set_parts(12);
+    settings.mutable_store()->set_writes_per_s(800);
     settings.mutable_stop()->set_grace_s(8);
     settings.mutable_bounds()->set_drain_ms(2000);
     settings.mutable_bounds()->set_retry_ratio(0.2);
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -12,7 +12,7 @@
   /// Body of an append with these records.
   static std::string BodyOf(const std::vector<store::KeyedRecord>& records) {
     const std::string text =
-        EncodeAppend("h", Stream::kFleet, {.name = "w"}, records);
+        EncodeAppend("h", {.stream = Stream::kFleet}, {.name = "w"}, records);
     return text.substr(text.find("\r\n\r\n") + 4);
   }
   /// A tail page as the store writes it.
@@ -45,7 +45,7 @@
 // A link of 10 Mbit/s takes over a second for a default page of a megabyte.
 TEST_F(StoreCodecTest, TailRead_NamesItsSize) {
   const std::string text = EncodeReadTail(
-      "h", Stream::kOperators,
+      "h", {.stream = Stream::kOperators},
       {.from = 7, .wait = std::chrono::seconds(1), .most_bytes = 131072});
 
   EXPECT_NE(text.find("from=7&max_kb=128&wait_ms=1000"), std::string::npos);
