--- a/fuchsiadrum/store/keyed_view.h
+++ b/fuchsiadrum/store/keyed_view.h
@@ -67,6 +67,11 @@
   bool IsBehind() const {
     return !this->reading_tail || this->tail_from < this->known_end;
   }
+  /// Records of the tail that are known and not read.
+  uint64_t Behind() const {
+    return this->known_end > this->tail_from ? this->known_end - this->tail_from
+                                             : 0;
+  }
   /// Offset of the next record of the tail.
   uint64_t NextOffset() const { return this->tail_from; }
 
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -1,5 +1,7 @@
 #include "gateway/store_client.h"
 
+#include <algorithm>
+
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
@@ -8,6 +10,10 @@
 /// Largest answer: a page of the newest records has at most 1 MB, which base64
 /// and names make half as large again; a record is smaller.
 constexpr size_t kMostReplyBytes = 4194304;
+/// Longest time for an answer that keeps coming, as a multiple of the time for
+/// its begin: all gateways read a new configuration at once, and share the rate
+/// of the store. To begin anew would make them read it twice.
+constexpr int kLongestFactor = 6;
 
 }  // namespace
 
@@ -35,8 +41,10 @@
     co_return StoreReply();
   }
   reply.status = static_cast<int>(head->result_int());
+  const TimePoint longest = end + (kLongestFactor - 1) * timeout;
   BodyPart part = BodyPart::kMore;
   while (part == BodyPart::kMore) {
+    used->ExpireAt(std::min(Now() + timeout, longest));
     part = co_await used->ReadBody(reply.body);
     if (reply.body.size() > kMostReplyBytes) part = BodyPart::kBroken;
   }
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -25,8 +25,8 @@
         watchdog(timeouts),
         address(std::move(store_address)) {}
 
-  /// Sends the call. Without an answer within the time it may have been done,
-  /// or may be done later.
+  /// Sends the call. `timeout`: until the answer begins, and between its parts.
+  /// Without an answer the call may have been done, or may be done later.
   asio::awaitable<StoreReply> Call(std::string text, Duration timeout);
   /// Ends the call under way as unanswered.
   void Abandon();
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -73,6 +73,10 @@
     const auto page = platform::DecodeTail(reply.body, next.from);
     if (!page) return false;
     this->view.OnTail(*page);
+    if (this->options.most_behind > 0 &&
+        this->view.Behind() > this->options.most_behind) {
+      this->view.OnExpired();
+    }
   } else {
     const auto page = platform::DecodeNewest(reply.body);
     if (!page) return false;
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -24,6 +24,9 @@
   /// After a failed read begin with the newest records: those in between are of
   /// no use, and may be too many for the link.
   bool newest_after_loss = false;
+  /// Records that may be left to read before the newest ones are read instead;
+  /// 0: all are read. For large records of which only the last one matters.
+  uint64_t most_behind = 0;
   /// Time after which a read counts as failed, besides `hold`.
   Duration timeout = std::chrono::milliseconds(600);
   /// Pause after a failed read; it doubles up to `longest_pause`.
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <mutex>
 
+#include "daemon/clock.h"
+#include "schema/fleet.pb.h"
 #include "tests/platform/platform_fixture.h"
 
 namespace fuchsiadrum::gateway {
@@ -229,6 +231,45 @@
   EXPECT_EQ(this->Call(Request("/book/robes")).result_int(), 502U);
 }
 
+// The write is done and its answer lost: counted twice, the tokens would be out
+// of use for good; not counted, they could be given away again.
+TEST_F(GatewayTest, GrantWhoseAnswerIsLost_CountsOnce) {
+  LoopbackServer upstream(AnswerOneEvent);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->store.lost_account_answers = 1;
+  this->StartGateway();
+
+  EXPECT_EQ(this->Call(Request("/draft/x", "1000,10")).result_int(), 200U);
+  EXPECT_EQ(this->store.lost_account_answers, 0);
+  pb::FleetRecord book;
+  ASSERT_TRUE(book.ParseFromString(
+      this->store.Newest("keyed.fuchsiadrum-accounts", "book")));
+  ASSERT_EQ(book.book().accounts_size(), 1);
+  pb::FleetRecord grant;
+  ASSERT_TRUE(grant.ParseFromString(this->store.Newest(
+      "keyed.fuchsiadrum-accounts",
+      "grant/parish/vm-1/" + std::to_string(daemon::StartIncarnation()))));
+  EXPECT_GT(grant.grant().granted_tokens(), 0);
+  EXPECT_EQ(book.book().accounts(0).granted_tokens(),
+            grant.grant().granted_tokens());
+}
+
+// coral-andina-large scale-1: 195 gateways read a configuration with 1,320
+// routes at once. An answer that takes longer than the time limit of a call,
+// but keeps coming, is read to its end; to begin anew would never end.
+TEST_F(GatewayTest, LargeConfiguration_ThatComesSlowly_IsTaken) {
+  LoopbackServer upstream(AnswerOneEvent);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->store.read_parts = 15;
+  this->StartGateway();
+
+  EXPECT_EQ(this->store.config_reads, 1);
+  this->store.read_parts = 0;
+  EXPECT_EQ(this->Call(Request("/draft/x", "100,10")).result_int(), 200U);
+}
+
 TEST_F(GatewayTest, AmbiguousFraming_IsRefused) {
   this->PutConfig(1, 100000);
   this->StartGateway();
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -93,7 +94,8 @@
 /// Stand-in of the platform's store: keyed streams in memory, by its protocol.
 class FakeStore {
  public:
-  FakeStore() : server([this](const auto& r, auto&) { return this->On(r); }) {}
+  FakeStore()
+      : server([this](const auto& r, auto& s) { return this->Serve(r, s); }) {}
 
   std::string Address() const { return this->server.Address(); }
   void Put(const std::string& topic, const std::string& key,
@@ -102,8 +104,29 @@
     this->streams[topic].emplace_back(static_cast<char>(key.size()) + key +
                                       value);
   }
+  /// The last record with that key in any partition of a topic with that
+  /// beginning; empty: none.
+  std::string Newest(const std::string& topic, const std::string& key) {
+    const std::lock_guard lock(this->mutex);
+    std::string found;
+    for (const auto& [name, stream] : this->streams) {
+      if (!name.starts_with(topic)) continue;
+      for (const std::string& record : stream) {
+        const size_t size = static_cast<unsigned char>(record[0]);
+        if (record.substr(1, size) == key) found = record.substr(1 + size);
+      }
+    }
+    return found;
+  }
   /// While set, every call is refused.
   std::atomic<bool> refusing{false};
+  /// While set, answers to reads come in this many parts, a tenth of a second
+  /// apart.
+  std::atomic<int> read_parts{0};
+  /// Calls for the newest records of the operators' stream.
+  std::atomic<int> config_reads{0};
+  /// Appends to the accounts that are done without an answer.
+  std::atomic<int> lost_account_answers{0};
   /// Time that an append takes.
   std::atomic<int> append_ms{0};
 
@@ -123,6 +146,33 @@
     return out;
   }
 
+  std::optional<HttpAnswer> Serve(const HttpRequest& request,
+                                  Tcp::socket& socket) {
+    const std::string target(request.target());
+    if (target.starts_with("/log-newest?topic=keyed.op")) ++this->config_reads;
+    HttpAnswer answer = this->On(request);
+    if (target.starts_with("/log-append?topic=keyed.fuchsiadrum-accounts") &&
+        this->lost_account_answers > 0) {
+      --this->lost_account_answers;
+      return std::nullopt;
+    }
+    if (this->read_parts == 0 || target.starts_with("/log-append")) {
+      return answer;
+    }
+    answer.prepare_payload();
+    std::ostringstream text;
+    text << answer;
+    const std::string bytes = text.str();
+    const size_t size =
+        bytes.size() / static_cast<size_t>(this->read_parts) + 1;
+    ErrorCode error;
+    for (size_t at = 0; at < bytes.size() && !error; at += size) {
+      if (at > 0) std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      asio::write(socket, asio::buffer(bytes.substr(at, size)), error);
+    }
+    return std::nullopt;
+  }
+
   HttpAnswer On(const HttpRequest& request) {
     HttpAnswer answer(http::status::ok, 11);
     if (this->refusing) {
@@ -150,7 +200,7 @@
           {"end_offset",
            stream.size()}}.dump();
     } else if (target.starts_with("/log-newest")) {
-      answer.body() = Newest(stream);
+      answer.body() = NewestPage(stream);
     } else {
       answer.body() = BigEndian(stream.size(), 8) + BigEndian(0, 8);
       for (size_t i = std::stoul(Parameter(target, "from")); i < stream.size();
@@ -173,7 +223,7 @@
     }
   }
 
-  static std::string Newest(const std::vector<std::string>& stream) {
+  static std::string NewestPage(const std::vector<std::string>& stream) {
     std::map<std::string, std::pair<std::string, size_t>> newest;
     for (size_t i = 0; i < stream.size(); ++i) {
       const size_t size = static_cast<unsigned char>(stream[i][0]);
--- a/tests/store/keyed_view_test.cc
+++ b/tests/store/keyed_view_test.cc
@@ -23,6 +23,20 @@
   }
 };
 
+// Eight configurations in quick succession: only the last one matters, and the
+// reader may skip to it.
+TEST_F(KeyedViewTest, Behind_CountsWhatIsLeftOfTheTail) {
+  this->view.OnNewest({.records = {Put("a", "1", 0)}, .end_offset = 1});
+  this->view.OnTail(
+      {.records = {Put("a", "2", 1)}, .next_offset = 2, .end_offset = 9});
+  EXPECT_EQ(this->view.Behind(), 7U);
+
+  this->view.OnExpired();
+  this->view.OnNewest({.records = {Put("a", "9", 8)}, .end_offset = 9});
+  EXPECT_EQ(this->values["a"], "9");
+  EXPECT_EQ(this->view.Behind(), 0U);
+}
+
 TEST_F(KeyedViewTest, Pages_ThatAreNoSnapshot_AreMadeConsistentByTheTail) {
   this->view.OnNewest(
       {.records = {Put("a", "old", 1)}, .more = true, .end_offset = 5});
