Look after unused tokens before a budget runs dry; ceilings of a request in large fleets only

Change: a gateway with unused tokens reads the account after a third of the time in which the fleet's demand takes what is free, 1.5 s to 15 s. A refusal for want of free tokens is taken for 0.8 s before the account is read again. Pools give back above four times their target while the free tokens last for 20 s. Small fleets keep a pool of every organisation if a request at each gateway is at most half of its budget (was a tenth).

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -109,21 +109,27 @@
     return false;
   }
   pool.looked_at = now;
-  if (this->SpreadsPool(pool) &&
-      now - pool.account_at > this->options.spread_refresh) {
-    return true;
-  }
-  if (this->IsScarce(pool) && !this->IsKept(pool) &&
-      pool.recorded.granted > pool.InUse() &&
-      now - pool.account_at > this->options.scarce_refresh) {
-    return true;
-  }
+  const bool holds =
+      this->SpreadsPool(pool) || pool.recorded.granted > pool.InUse();
+  if (holds && now - pool.account_at > this->RefreshTime(pool)) return true;
   return this->NextTotal(now, pool, pool.account).has_value();
 }
 
-bool GrantHolder::IsScarce(const Pool& pool) const {
-  return pool.account.granted >
-         Part(this->options.scarce_part, LimitOf(pool, pool.account));
+Duration GrantHolder::TimeLeft(const Pool& pool, const FleetAccount& account) {
+  const Tokens free = LimitOf(pool, account) - account.granted;
+  const auto demand = std::max(1.0, static_cast<double>(account.demand.count));
+  constexpr double kMostSeconds = 3600;
+  return FromSeconds(
+      std::clamp(static_cast<double>(free.count) / demand, 0.0, kMostSeconds));
+}
+
+Duration GrantHolder::RefreshTime(const Pool& pool) const {
+  // The free tokens may be gone before this gateway looks again; then others
+  // need what it does not use.
+  const auto part = std::chrono::duration_cast<Duration>(
+      TimeLeft(pool, pool.account) * this->options.refresh_part);
+  return std::clamp(part, this->options.scarce_refresh,
+                    this->options.spread_refresh);
 }
 
 bool GrantHolder::IsWanting(const std::string& organisation) const {
@@ -230,9 +236,11 @@
 Tokens GrantHolder::CeilingReserve(const Pool& pool) const {
   const double part = std::clamp(UnspentPart(pool) / this->options.ample_part,
                                  this->options.least_ceiling_part, 1.0);
-  const double ahead =
-      std::max(pool.expected_rate * ToSeconds(this->options.ceiling_ahead),
-               this->options.ceiling_requests * this->typical_request);
+  double ahead = pool.expected_rate * ToSeconds(this->options.ceiling_ahead);
+  if (!this->SpreadsPool(pool)) {
+    ahead =
+        std::max(ahead, this->options.ceiling_requests * this->typical_request);
+  }
   return std::max(pool.wanted, Tokens(static_cast<int64_t>(part * ahead)));
 }
 
@@ -374,7 +382,10 @@
     if (total > recorded && total >= in_use + pool.wanted) return total;
     return std::nullopt;
   }
-  if (left > Part(this->options.high_water, target) && left > pool.wanted) {
+  const double high = TimeLeft(pool, account) > this->options.ample_time
+                          ? this->options.ample_high_water
+                          : this->options.high_water;
+  if (left > Part(high, target) && left > pool.wanted) {
     const Tokens total = in_use + std::max(target, pool.wanted);
     if (total < recorded) return total;
   }
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -23,9 +23,11 @@
   ReleaseOptions release;
   /// Demand that the ceiling covers beyond what is in use: the time until the
   /// holder counts as cut off, and the age of its last sign of life.
-  Duration ceiling_ahead = std::chrono::milliseconds(3000);
-  /// Typical requests that it covers at least: a gateway with few requests of
-  /// an organisation is to serve the next one also right after it was cut off.
+  Duration ceiling_ahead = std::chrono::milliseconds(2400);
+  /// Typical requests that it covers at least, in a pool that is kept for usual
+  /// callers only: with few requests of an organisation the next one is to be
+  /// served also right after the gateway was cut off. In a small fleet, where
+  /// every gateway has a pool, the death of all would strand too much.
   double ceiling_requests = 1.5;
   /// Unspent part of a budget below which the ceiling's reserve shrinks in
   /// proportion, down to `least_ceiling_part` of it: what a crash strands would
@@ -45,10 +47,12 @@
   /// requests of them in the horizon, and the time over which that is judged.
   double usual_requests = 0.7;
   Duration usual_memory = std::chrono::seconds(20);
-  /// Granted part of a budget above which the tokens that wait at such gateways
-  /// are looked after, and how often.
-  double scarce_part = 0.6;
-  Duration scarce_refresh = std::chrono::seconds(1);
+  /// A gateway with unused tokens looks at the account after this part of the
+  /// time in which the fleet's demand takes what is free, between the two
+  /// times: others may need them more.
+  double refresh_part = 0.33;
+  Duration scarce_refresh = std::chrono::milliseconds(1500);
+  Duration spread_refresh = std::chrono::seconds(15);
   /// Time of own demand that weighs as much as the fleet's average demand: a
   /// gateway sees few requests of a small organisation, but any gateway may get
   /// the next ones.
@@ -57,7 +61,7 @@
   /// Above it, or above this many grants of the whole fleet, a gateway holds no
   /// tokens of an organisation that it has seen no request of: it fetches them
   /// for the request at hand.
-  double most_spread_part = 0.1;
+  double most_spread_part = 0.5;
   /// Tokens of a typical request before any was seen.
   double assumed_request = 4000;
   size_t most_spread_grants = 4000;
@@ -78,20 +82,21 @@
   Duration largest_memory = std::chrono::seconds(20);
   /// A pool is filled up when it falls below this part of its target.
   double low_water = 0.8;
-  /// A pool above its target by this factor gives the rest back.
+  /// A pool above its target by this factor gives the rest back; the second
+  /// factor holds while the free tokens last for longer than `ample_time`.
   double high_water = 1.5;
+  double ample_high_water = 4.0;
+  Duration ample_time = std::chrono::seconds(20);
   /// Interval at which a pool is compared with its target while no request asks
   /// for that.
   Duration look_interval = std::chrono::milliseconds(500);
   /// Age of a seen account above which it may have changed for a request that
-  /// it would refuse, and above which a pool without requests looks again for
-  /// the fleet's demand.
-  Duration account_fresh = std::chrono::milliseconds(250);
-  Duration spread_refresh = std::chrono::seconds(15);
+  /// it would refuse.
+  Duration account_fresh = std::chrono::milliseconds(800);
   /// Part of the budget left ungranted below which the recorded spend is kept
   /// fresh, and the interval at which it is.
   double refresh_below = 0.15;
-  Duration refresh_interval = std::chrono::seconds(1);
+  Duration refresh_interval = std::chrono::seconds(3);
 };
 
 /// A grant to be written, and the account as it leaves it.
@@ -244,8 +249,11 @@
   double InitialShare(TimePoint now, const Pool& pool) const;
   /// True if a pool is kept although no request may come for some seconds.
   bool IsKept(const Pool& pool) const;
-  /// True if most of the budget is granted.
-  bool IsScarce(const Pool& pool) const;
+  /// Time in which the fleet's demand takes what is free.
+  static Duration TimeLeft(const Pool& pool, const FleetAccount& account);
+  /// Age of the seen account above which it is read again for the tokens that
+  /// this gateway does not use.
+  Duration RefreshTime(const Pool& pool) const;
   /// Tokens that a gateway with few requests keeps.
   double UnsteadyDemand(const Pool& pool) const;
   Tokens Target(TimePoint now, Pool& pool, const FleetAccount& account) const;
