One reader of a partition's newest records; what no upstream saw is no repeat

Found by reading the change: accounts and signs of life each had the loop over pages. Nothing calls StoreClient::Abandon any more. Cause of the second: while upstreams crash, attempts whose connection failed used up the fleet's allowance of repeats, although nothing arrived; requests were then refused. serving::HasArrived decides; test OnlyWhatReachedAnUpstream_CountsAsRepeat.

--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -42,6 +42,11 @@
   return false;
 }
 
+bool HasArrived(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::kNotSent &&
+         outcome != AttemptOutcome::kWithheld;
+}
+
 NextStep StepAfter(const Route& route, const AttemptState& state, bool repeat) {
   if (repeat && MayRepeat(route, state)) return NextStep::kRetry;
   // No other answer can follow in the middle of one.
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -80,6 +80,10 @@
 /// fleet's allowance of repeats is asked besides.
 bool MayRepeat(const Route& route, const AttemptState& state);
 
+/// True if the attempt reached its upstream, so that another one is a repeat in
+/// the fleet's allowance.
+bool HasArrived(AttemptOutcome outcome);
+
 /// What follows; `repeat` says that another attempt is possible.
 NextStep StepAfter(const Route& route, const AttemptState& state, bool repeat);
 
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -302,7 +302,8 @@
 }
 
 asio::awaitable<bool> AccountShard::ReadBookFromNewest(StoreClient& client) {
-  const auto page = co_await this->ReadNewest(client);
+  const auto page = co_await ReadAllNewest(client, this->options.place,
+                                           this->options.longest_timeout);
   if (!page) co_return false;
   const auto found = std::ranges::find(page->records, std::string(kBookKey),
                                        &store::KeyedRecord::key);
@@ -329,26 +330,6 @@
   return true;
 }
 
-asio::awaitable<std::optional<store::NewestPage>> AccountShard::ReadNewest(
-    StoreClient& client) {
-  store::NewestPage all;
-  std::string after;
-  while (true) {
-    std::string text = platform::EncodeReadNewest(this->options.store_address,
-                                                  this->options.place, after);
-    const StoreReply reply =
-        co_await client.Call(std::move(text), this->options.longest_timeout);
-    if (reply.status != platform::kStoreDone) co_return std::nullopt;
-    const auto page = platform::DecodeNewest(reply.body);
-    if (!page) co_return std::nullopt;
-    all.end_offset = page->end_offset;
-    all.records.insert(all.records.end(), page->records.begin(),
-                       page->records.end());
-    if (!page->more || page->records.empty()) co_return all;
-    after = page->records.back().key;
-  }
-}
-
 asio::awaitable<void> AccountShard::Fence(StoreClient& client,
                                           std::string dead_holder) {
   platform::Writer fence;
@@ -375,7 +356,8 @@
   co_await this->Fence(client, dead_holder);
   std::optional<store::NewestPage> page;
   while (!page) {
-    page = co_await this->ReadNewest(client);
+    page = co_await ReadAllNewest(client, this->options.place,
+                                  this->options.longest_timeout);
     if (!page) co_await this->gate.Wait(kRefusedPause);
   }
   for (const budget::HeldCeiling& held : ceilings) {
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -86,9 +86,6 @@
   asio::awaitable<bool> ReadBookFromNewest(StoreClient& client);
   /// Makes the store refuse writes of that holder that are still on their way.
   asio::awaitable<void> Fence(StoreClient& client, std::string dead_holder);
-  /// All newest records; nullopt: the store does not answer.
-  asio::awaitable<std::optional<store::NewestPage>> ReadNewest(
-      StoreClient& client);
   bool TakeBook(const store::KeyedRecord& record, uint64_t end_offset);
   std::string EncodeRead(uint64_t from) const;
   void LogWritten(const Change& change);
--- a/gateway/fleet_signs.cc
+++ b/gateway/fleet_signs.cc
@@ -60,20 +60,11 @@
 asio::awaitable<bool> FleetSigns::ReadFleet() {
   platform::StreamPart part;
   part.stream = platform::Stream::kFleet;
-  std::string after;
-  while (true) {
-    std::string text =
-        platform::EncodeReadNewest(this->options.store_address, part, after);
-    const StoreReply reply = co_await this->read_client.Call(
-        std::move(text), this->options.store_timeout);
-    if (reply.status != platform::kStoreDone) co_return false;
-    const auto page = platform::DecodeNewest(reply.body);
-    if (!page) co_return false;
-    for (const store::KeyedRecord& record : page->records) {
-      this->TakeMember(record);
-    }
-    if (!page->more || page->records.empty()) break;
-    after = page->records.back().key;
+  const auto page = co_await ReadAllNewest(this->read_client, part,
+                                           this->options.store_timeout);
+  if (!page) co_return false;
+  for (const store::KeyedRecord& record : page->records) {
+    this->TakeMember(record);
   }
   this->vms.insert(this->options.vm);
   this->fleet_size = this->vms.size();
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -220,9 +220,9 @@
                                        .misses = this->misses,
                                        .delivered = this->relay.HasBegun(),
                                        .time_left = this->TimeLeft()};
-  const bool repeat =
-      serving::MayRepeat(*this->route, state) &&
-      (this->repeat_taken || this->core.Retries().Take(Now(), this->service));
+  const bool repeat = serving::MayRepeat(*this->route, state) &&
+                      (this->repeat_taken || !serving::HasArrived(outcome) ||
+                       this->core.Retries().Take(Now(), this->service));
   this->repeat_taken = false;
   return serving::StepAfter(*this->route, state, repeat);
 }
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -57,8 +57,23 @@
   co_return reply;
 }
 
-void StoreClient::Abandon() {
-  if (this->connection) this->connection->Close();
+asio::awaitable<std::optional<store::NewestPage>> ReadAllNewest(
+    StoreClient& client, platform::StreamPart part, Duration timeout) {
+  store::NewestPage all;
+  std::string after;
+  while (true) {
+    std::string text =
+        platform::EncodeReadNewest(client.Address(), part, after);
+    const StoreReply reply = co_await client.Call(std::move(text), timeout);
+    if (reply.status != platform::kStoreDone) co_return std::nullopt;
+    const auto page = platform::DecodeNewest(reply.body);
+    if (!page) co_return std::nullopt;
+    all.end_offset = page->end_offset;
+    all.records.insert(all.records.end(), page->records.begin(),
+                       page->records.end());
+    if (!page->more || page->records.empty()) co_return all;
+    after = page->records.back().key;
+  }
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/asio.h"
 #include "gateway/http_connection.h"
 #include "gateway/watchdog.h"
+#include "platform/store_codec.h"
 
 namespace fuchsiadrum::gateway {
 
@@ -28,8 +30,6 @@
   /// Sends the call. `timeout`: until the answer begins, and between its parts.
   /// Without an answer the call may have been done, or may be done later.
   asio::awaitable<StoreReply> Call(std::string text, Duration timeout);
-  /// Ends the call under way as unanswered.
-  void Abandon();
   const std::string& Address() const { return this->address; }
   /// Calls made, answered or not.
   uint64_t Calls() const { return this->calls; }
@@ -42,4 +42,9 @@
   uint64_t calls = 0;
 };
 
+/// Reads the newest record of every key of a partition, page by page; nullopt:
+/// the store does not answer. The end is that of the last page.
+asio::awaitable<std::optional<store::NewestPage>> ReadAllNewest(
+    StoreClient& client, platform::StreamPart part, Duration timeout);
+
 }  // namespace fuchsiadrum::gateway
--- a/tests/serving/attempt_policy_test.cc
+++ b/tests/serving/attempt_policy_test.cc
@@ -42,6 +42,15 @@
             NextStep::kRefuse);
 }
 
+// While upstreams crash, connections fail: what no upstream saw must not use up
+// the repeats of requests that some did see.
+TEST_F(AttemptPolicyTest, OnlyWhatReachedAnUpstream_CountsAsRepeat) {
+  EXPECT_FALSE(HasArrived(AttemptOutcome::kNotSent));
+  EXPECT_FALSE(HasArrived(AttemptOutcome::kWithheld));
+  EXPECT_TRUE(HasArrived(AttemptOutcome::kRejected));
+  EXPECT_TRUE(HasArrived(AttemptOutcome::kBroken));
+}
+
 TEST_F(AttemptPolicyTest, Rejection_OfUnsafeRequest_GoesToAnotherUpstream) {
   const Route route = RouteOf(RequestKind::kUnsafe, 1);
 
