--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -25,6 +25,9 @@
 /// have changed it, and a write that fails costs a call more than a read.
 constexpr Duration kBookFresh = std::chrono::milliseconds(200);
 constexpr int kTooManyCalls = 429;
+/// Epoch that shuts a dead process out: above all that a process reaches by
+/// itself, which begins a new one only when the store has refused its sequence.
+constexpr uint64_t kFenceEpoch = 1000000;
 
 std::string GrantKey(const std::string& organisation,
                      const std::string& holder) {
@@ -336,8 +339,7 @@
                                           std::string dead_holder) {
   platform::Writer fence;
   fence.name = std::move(dead_holder);
-  // Above all epochs that a process reaches.
-  fence.epoch = 1000000;
+  fence.epoch = kFenceEpoch;
   const std::vector<store::KeyedRecord> none;
   while (true) {
     std::string text = platform::EncodeAppend(this->options.store_address,
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -60,8 +60,8 @@
 }
 
 AccountShard& BudgetKeeper::ShardOf(const std::string& organisation) {
-  const auto number = static_cast<uint32_t>(
-      Hash64(organisation) % (this->options.parts * this->options.topics));
+  const uint64_t places = uint64_t{this->options.parts} * this->options.topics;
+  const auto number = static_cast<uint32_t>(Hash64(organisation) % places);
   std::unique_ptr<AccountShard>& shard = this->shards[number];
   if (!shard) {
     const platform::StreamPart place = {.stream = platform::Stream::kAccounts,
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -20,7 +20,7 @@
 constexpr uint32_t kMostHeadBytes = 65536;
 /// Most bytes that wait for the parser: a head, or the line of a chunk's size,
 /// which the parser itself does not bound, and one read.
-constexpr size_t kMostBuffered = 2 * kMostHeadBytes;
+constexpr size_t kMostBuffered = size_t{2} * kMostHeadBytes;
 /// Keep-alive probes of the kernel: an end that a partition or a loss of power
 /// hides is found after this many seconds, plus the probes.
 constexpr int kProbeAfterSeconds = 1;
