--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -19,7 +19,6 @@
 
 asio::awaitable<void> StreamFollower::Run() {
   while (true) {
-    this->poked = false;
     const bool good = co_await this->ReadOnce();
     this->NoteResult(good);
     if (!good) {
@@ -27,7 +26,7 @@
           this->options.longest_pause,
           this->options.first_pause * (1 << std::min(this->failures, 6)));
       co_await this->gate.Wait(pause);
-    } else if (!this->poked && !this->view.IsBehind() &&
+    } else if (!this->view.IsBehind() &&
                this->options.interval > Duration::zero()) {
       co_await this->gate.Wait(this->options.interval);
     }
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -53,16 +53,8 @@
 
   /// Runs for good.
   asio::awaitable<void> Run();
-  /// Reads again without a pause.
-  void Poke() {
-    this->poked = true;
-    this->gate.Notify();
-  }
-
-  bool IsConsistent() const { return this->view.IsConsistent(); }
   /// Time of the last successful read; us 0: none yet.
   TimePoint LastRead() const { return this->last_read; }
-  bool IsLost() const { return this->failures > 0; }
   uint64_t Calls() const { return this->client.Calls(); }
 
  private:
@@ -78,7 +70,6 @@
   store::KeyedView view;
   SignalGate gate;
   TimePoint last_read;
-  bool poked = false;
   int failures = 0;
   int last_status = 0;
 };
