Decode, log and count limits that upstreams name; nothing obeys them yet

Neither log nor metrics said whether a VM had heard a limit, so a limit that is not known could not be told from one that each VM keeps for itself. No decision uses it. Measured: RequestCodecTest.*Limit*, 2 passed.

--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -30,6 +30,10 @@
   ++this->attempts[{service, std::string(outcome)}];
 }
 
+void GatewayMetrics::CountLimitedSend(const std::string& service) {
+  ++this->limited_sends[service];
+}
+
 std::string GatewayMetrics::Line(std::string_view name, double value) {
   return std::string(kPrefix) + std::string(name) + " " + Number(value) + "\n";
 }
@@ -48,6 +52,10 @@
                      key.second + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [service, count] : this->limited_sends) {
+    text += Line("limited_sends_total{service=\"" + service + "\"}",
+                 static_cast<double>(count));
+  }
   constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
   for (const auto& [route, histogram] : this->first_bytes) {
     for (const double quantile : kQuantiles) {
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -21,6 +21,8 @@
   void AddFirstByte(const std::string& route, Duration time);
   /// Counts an attempt at an upstream that has ended.
   void CountAttempt(const std::string& service, std::string_view outcome);
+  /// Counts a request that is sent to an upstream that has named a limit.
+  void CountLimitedSend(const std::string& service);
 
   /// Returns all metrics in Prometheus text format.
   std::string Text() const;
@@ -32,6 +34,8 @@
   std::map<std::tuple<std::string, std::string, int>, uint64_t> requests;
   /// Attempts by service and outcome.
   std::map<std::pair<std::string, std::string>, uint64_t> attempts;
+  /// Requests sent to upstreams with a limit, by service.
+  std::map<std::string, uint64_t> limited_sends;
   /// Times to first byte by route.
   std::map<std::string, report::LatencyHistogram> first_bytes;
 };
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -43,6 +43,9 @@
 /// that the upstream sends right at the limit still arrives.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(40);
 
+/// Value in the log for an upstream that names no limit.
+constexpr double kNoLimit = -1;
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
@@ -403,6 +406,8 @@
   this->sent_at = Now();
   this->last_progress = this->sent_at;
   this->was_sent = true;
+  if (upstream.named_limit)
+    this->core.Metrics().CountLimitedSend(this->service);
   this->answer = {};
   this->answer_body.clear();
   connection.StartSend(platform::EncodeUpstreamRequest(this->request, call),
@@ -544,6 +549,14 @@
                             {"id", this->request.id},
                             {"ms", ToMilliseconds(*this->answer.pause)}});
   }
+  if (this->answer.request_limit != upstream.named_limit) {
+    upstream.named_limit = this->answer.request_limit;
+    this->core.Log().Write(
+        "upstream-limit",
+        {{"upstream", id},
+         {"id", this->request.id},
+         {"requests_per_s", upstream.named_limit.value_or(kNoLimit)}});
+  }
 }
 
 void RequestTask::RecordOutcome(const serving::PlacementChoice& choice,
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -156,6 +156,27 @@
   }
 }
 
+TEST_F(RequestCodecTest, Limit_IsDecodedAsDecimalNumber_TheLowestCounts) {
+  HttpAnswerHead answer;
+  answer.result(200);
+  EXPECT_FALSE(DecodeAnswer(answer).request_limit);
+  answer.insert("Server-Limit", "2.4");
+  answer.insert("Server-Limit", "0.35");
+
+  EXPECT_DOUBLE_EQ(DecodeAnswer(answer).request_limit.value_or(-1), 0.35);
+}
+
+TEST_F(RequestCodecTest, MalformedLimit_IsIgnoredAndReported) {
+  for (const char* text : {"", "many", "-1", "nan", "inf", "2,4", "1.4/s"}) {
+    HttpAnswerHead answer;
+    answer.result(200);
+    answer.set("Server-Limit", text);
+    const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+    EXPECT_FALSE(decoded.request_limit) << text;
+    EXPECT_FALSE(decoded.fault.empty()) << text;
+  }
+}
+
 TEST_F(RequestCodecTest, RepeatedRetryAfter_TheLongestCounts) {
   HttpAnswerHead answer;
   answer.result(503);
