Failing test: an upstream's limit is exceeded by all VMs together

Change: UpstreamLimitTest starts three gateways with one store before an upstream that names 2.4 requests/s; LimitRule checks the rule over sliding windows. The log has one upstream-limit line a VM: with the first answer each VM could know.

--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -295,8 +296,35 @@
   /// Starts a gateway and waits until it is ready. `link_mbps`: rate of the
   /// VM's link; 0: unknown.
   void StartGateway(double link_mbps = 0) {
+    this->gateway = this->StartVm("vm-1", link_mbps);
+  }
+
+  /// Starts the gateway of a further VM with the same store.
+  Gateway* StartVm(const std::string& name, double link_mbps = 0) {
+    // Never destroyed, as in the gateway's main program.
+    auto* started = new Gateway(this->MakeSettings(name, link_mbps));
+    EXPECT_EQ(started->Open(), "");
+    this->vms.push_back(started);
+    this->runners.emplace_back([started] { started->Run(); });
+    this->WaitReady(*started);
+    return started;
+  }
+
+  /// Stops the gateway of a VM at once, as a kill would.
+  void StopVm(Gateway* stopped) {
+    const auto found = std::ranges::find(this->vms, stopped);
+    stopped->Halt();
+    this->runners[static_cast<size_t>(found - this->vms.begin())].join();
+    this->runners.erase(this->runners.begin() + (found - this->vms.begin()));
+    this->vms.erase(found);
+  }
+
+  const std::vector<Gateway*>& Vms() const { return this->vms; }
+
+  pb::GatewaySettings MakeSettings(const std::string& name,
+                                   double link_mbps) const {
     pb::GatewaySettings settings;
-    settings.mutable_vm()->set_name("vm-1");
+    settings.mutable_vm()->set_name(name);
     settings.mutable_vm()->set_availability_zone("a");
     settings.mutable_vm()->set_link_mbps(link_mbps);
     settings.mutable_vm()->set_memory_mb(this->memory_mb);
@@ -312,23 +340,17 @@
     settings.mutable_bounds()->set_retry_ratio(0.2);
     settings.mutable_bounds()->set_retry_slack(1000);
     settings.mutable_bounds()->set_retry_window_s(10);
-    // Never destroyed, as in the gateway's main program.
-    this->gateway = new Gateway(settings);
-    ASSERT_EQ(this->gateway->Open(), "");
-    this->runner = std::thread([this] { this->gateway->Run(); });
-    this->WaitReady();
+    return settings;
   }
 
   void TearDown() override {
-    if (this->gateway == nullptr) return;
-    this->gateway->Halt();
-    this->runner.join();
+    while (!this->vms.empty()) this->StopVm(this->vms.back());
   }
 
   /// Polls the readiness page until it answers with status 200.
-  void WaitReady() {
+  void WaitReady(const Gateway& started) {
     for (int i = 0; i < 200; ++i) {
-      if (this->Call(this->gateway->ReadinessPort(),
+      if (this->Call(started.ReadinessPort(),
                      HttpRequest(http::verb::get, "/ready", 11))
               .result_int() == 200) {
         return;
@@ -401,7 +423,11 @@
   /// Memory of the VM in megabytes; 0: unknown.
   uint32_t memory_mb = 0;
   Gateway* gateway = nullptr;
-  std::thread runner;
+
+ private:
+  std::vector<Gateway*> vms;
+  /// Threads of `vms`, in the same order.
+  std::vector<std::thread> runners;
 };
 
 }  // namespace fuchsiadrum::gateway
--- /dev/null
+++ b/tests/platform/upstream_limit_test.cc
@@ -0,0 +1,134 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "gateway/clock.h"
+#include "tests/platform/platform_fixture.h"
+#include "tests/serving/limit_rule.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+/// Upstream that names a limit in each answer and records what arrives.
+class LimitingUpstream {
+ public:
+  explicit LimitingUpstream(double requests_per_s)
+      : rule(serving::LimitRuleOptions()),
+        server([this](const HttpRequest& request, auto&) {
+          return this->Answer(request);
+        }) {
+    this->Name(requests_per_s);
+  }
+
+  void Name(std::optional<double> requests_per_s) {
+    const std::lock_guard lock(this->mutex);
+    this->limit = requests_per_s;
+    this->rule.OnNamed(Now(), requests_per_s);
+  }
+  const LoopbackServer& Server() const { return this->server; }
+  /// What has arrived so far.
+  serving::LimitRule Rule() {
+    const std::lock_guard lock(this->mutex);
+    return this->rule;
+  }
+
+ private:
+  std::optional<HttpAnswer> Answer(const HttpRequest& request) {
+    const std::lock_guard lock(this->mutex);
+    const std::string id(request["Attempt-Id"]);
+    const std::string vm = id.substr(0, id.find('/'));
+    this->rule.OnArrival(Now(), vm);
+    HttpAnswer answer(http::status::ok, 11);
+    answer.set("Attempt-Id", id);
+    answer.set("Runner-Signature", "s1");
+    if (this->limit) {
+      this->rule.OnTold(Now(), vm);
+      answer.set("Server-Limit", std::to_string(*this->limit));
+    }
+    answer.body() = "booked";
+    return answer;
+  }
+
+  std::mutex mutex;
+  std::optional<double> limit;
+  serving::LimitRule rule;
+  LoopbackServer server;
+};
+
+/// Several gateways with one store, before upstreams that name limits.
+class UpstreamLimitTest : public PlatformFixture {
+ protected:
+  static std::optional<HttpAnswer> Book(const HttpRequest& request,
+                                        Tcp::socket& /*socket*/) {
+    HttpAnswer answer(http::status::ok, 11);
+    answer.set("Attempt-Id", request["Attempt-Id"]);
+    answer.set("Runner-Signature", "s1");
+    answer.body() = "booked";
+    return answer;
+  }
+
+  void StartFleet(int vms) {
+    this->StartGateway();
+    for (int i = 2; i <= vms; ++i) this->StartVm("vm-" + std::to_string(i));
+  }
+
+  /// Sends one request to VM `index`, counted from 0.
+  HttpAnswer CallVm(size_t index) {
+    const Gateway* vm = this->Vms()[index];
+    HttpRequest request = Request("/book/robes");
+    request.set("Attempt-Id", "vm-" + std::to_string(index + 1) + "/" +
+                                  std::to_string(++this->calls));
+    return this->Call(vm->CallersPort(), request);
+  }
+
+  /// Sends requests to all VMs for this time, about 40 a second to each.
+  /// Returns the number of those that were not answered with success.
+  int CallAllVms(Duration time) {
+    std::atomic<int> refused{0};
+    std::vector<std::thread> callers;
+    const TimePoint end = Now() + time;
+    for (size_t i = 0; i < this->Vms().size(); ++i) {
+      callers.emplace_back([this, i, end, &refused] {
+        while (Now() < end) {
+          if (this->CallVm(i).result_int() != 200) ++refused;
+          std::this_thread::sleep_for(std::chrono::milliseconds(25));
+        }
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+    return refused;
+  }
+
+  std::atomic<int> calls{0};
+};
+
+// LIMIT: each VM stays below the limit that the upstream has named, and the sum
+// over all VMs exceeds it.
+TEST_F(UpstreamLimitTest, LimitedUpstream_GetsItsLimitFromAllVmsTogether) {
+  constexpr double kLimit = 2.4;
+  constexpr Duration kTime = std::chrono::seconds(9);
+  LimitingUpstream limited(kLimit);
+  LoopbackServer other(Book);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", limited.Server());
+  this->PutUpstream("u2", other);
+  this->StartFleet(3);
+
+  const TimePoint begin = Now();
+  const int refused = this->CallAllVms(kTime);
+
+  const auto breach = limited.Rule().WorstBreach();
+  EXPECT_FALSE(breach) << breach->requests << " requests in 4 s, allowed "
+                       << breach->allowed;
+  // The other upstream takes the rest, and the limited one what it may take.
+  EXPECT_EQ(refused, 0);
+  EXPECT_GE(limited.Rule().Arrivals(begin, Now()),
+            0.7 * kLimit * ToSeconds(kTime));
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::gateway
