Keep an upstream's limit within the whole fleet, by shares under leases

Cause: a bound that sums over the fleet was not known, and could not be kept by any VM alone: each VM sent 0.7 requests/s, below each limit, and nine of them 6 to 7. Change: serving::UpstreamLimits. A VM sends to an upstream that has named a limit only with a permit of its own share. Shares and limits are records of one stream of the store, keyed.fuchsiadrum-limits; each change is an append on condition, so the shares never add up to more than the limit. A share is used under a lease that its holder renews in the same stream (HolderLeases), and others take it over 4 s after it has ended, without a common clock. Permits go to the most urgent requests when all upstreams of a service are limited (UrgencyGate); what has no permit goes to other upstreams or is refused at once, with the time of the next permit. Why this works: the sum is decided where all changes meet, and a VM that can't read or renew stops by its own clock first.

--- a/fuchsiadrum/budget/demand_meter.h
+++ b/fuchsiadrum/budget/demand_meter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fuchsiadrum/core/decaying_rate.h"
 #include "fuchsiadrum/core/types.h"
 
 namespace fuchsiadrum::budget {
@@ -13,8 +14,7 @@
   /// members apply to a default-constructed meter only.
   DemandMeter() = default;
   DemandMeter(Duration rate_constant, Duration largest_constant)
-      : rate_time_constant(rate_constant),
-        largest_request_time_constant(largest_constant) {}
+      : rate(rate_constant), largest_request_time_constant(largest_constant) {}
 
   /// Records a request for `amount` tokens.
   void Add(TimePoint now, Tokens amount);
@@ -22,18 +22,14 @@
   void Advance(TimePoint now);
 
   /// Demand in tokens per second.
-  double Rate() const;
+  double Rate() const { return this->rate.PerSecond(); }
   /// Size in tokens of the largest recent request, decayed exponentially since
   /// then.
   double Largest() const { return this->largest; }
 
  private:
-  Duration rate_time_constant = std::chrono::seconds(6);
+  DecayingRate rate{std::chrono::seconds(6)};
   Duration largest_request_time_constant = std::chrono::seconds(20);
-  /// Exponentially weighted sum of the requested tokens, and the equally
-  /// weighted time in seconds over which they were requested.
-  double weighted_amount = 0;
-  double weighted_seconds = 0;
   double largest = 0;
   TimePoint updated_at;
   bool started = false;
--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -75,8 +75,8 @@
   /// Time for which the upstream asks to get no requests; empty if it did not
   /// ask.
   std::optional<Duration> pause;
-  /// Requests per second that the upstream takes from all VMs together; empty if
-  /// it names no limit.
+  /// Requests per second that the upstream takes from all VMs together; empty
+  /// if it names no limit.
   std::optional<double> request_limit;
   /// Why an announcement in the headers could not be parsed; empty if all
   /// could.
--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <list>
 #include <memory>
-#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -98,10 +97,6 @@
   /// When the entry was deleted from the store; us is 0 while it exists.
   TimePoint missing_since;
 
-  /// Requests per second that the upstream takes from all VMs together, as its
-  /// last answer to this VM named it; empty if that answer named none.
-  std::optional<double> named_limit;
-
   PromptCache cache;
   /// Prompt tokens of this gateway's requests that wait for their first token.
   int64_t pending_tokens = 0;
--- /dev/null
+++ b/fuchsiadrum/serving/holder_leases.cc
@@ -0,0 +1,81 @@
+#include "fuchsiadrum/serving/holder_leases.h"
+
+#include <algorithm>
+#include <iterator>
+#include <string_view>
+
+namespace fuchsiadrum::serving {
+namespace {
+
+/// How long a removed holder is remembered. The gateway that removed it takes
+/// over its shares within the next seconds.
+constexpr Duration kRemovedRetention = std::chrono::minutes(10);
+
+/// Name of the VM in "<vm>/<incarnation>".
+std::string_view VmOf(std::string_view holder) {
+  return holder.substr(0, holder.rfind('/'));
+}
+
+}  // namespace
+
+uint64_t HolderLeases::BeginRenewal(TimePoint now) {
+  this->due_at = now + this->options.renewal_interval;
+  this->pending[++this->last_renewal] = now;
+  return this->last_renewal;
+}
+
+void HolderLeases::OnRenewalFailed(TimePoint now) {
+  this->due_at = std::min(this->due_at, now + this->options.retry_interval);
+}
+
+void HolderLeases::OnRenewal(TimePoint now, const std::string& holder,
+                             uint64_t renewal) {
+  this->renewed_at[holder] = now;
+  this->seen_at.erase(holder);
+  this->removed_at.erase(holder);
+  if (holder != this->own) return;
+  const auto begun = this->pending.find(renewal);
+  if (begun == this->pending.end()) return;
+  this->own_since = begun->second;
+  this->pending.erase(this->pending.begin(), std::next(begun));
+}
+
+void HolderLeases::OnHolder(TimePoint now, const std::string& holder) {
+  if (this->renewed_at.contains(holder) || this->removed_at.contains(holder)) {
+    return;
+  }
+  this->seen_at.emplace(holder, now);
+}
+
+void HolderLeases::OnRemoved(TimePoint now, const std::string& holder) {
+  this->renewed_at.erase(holder);
+  this->seen_at.erase(holder);
+  std::erase_if(this->removed_at, [&](const auto& item) {
+    return now - item.second > kRemovedRetention;
+  });
+  this->removed_at[holder] = now;
+  if (holder == this->own) this->own_since = TimePoint();
+}
+
+bool HolderLeases::IsOwnValid(TimePoint now) const {
+  return this->own_since.us != 0 && now - this->own_since < this->options.term;
+}
+
+bool HolderLeases::IsRenewalDue(TimePoint now) const {
+  return now >= this->due_at;
+}
+
+bool HolderLeases::HasEnded(TimePoint now, const std::string& holder) const {
+  if (holder == this->own) return false;
+  if (VmOf(holder) == VmOf(this->own)) return true;
+  if (this->removed_at.contains(holder)) return true;
+  const auto renewed = this->renewed_at.find(holder);
+  if (renewed != this->renewed_at.end()) {
+    return now - renewed->second >= this->options.takeover_delay;
+  }
+  const auto seen = this->seen_at.find(holder);
+  return seen != this->seen_at.end() &&
+         now - seen->second >= this->options.takeover_delay;
+}
+
+}  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/upstream_directory.cc
+++ b/fuchsiadrum/serving/upstream_directory.cc
@@ -60,8 +60,20 @@
   this->notices.OnPause(now, IncarnationOf(upstream.entry), pause);
 }
 
+bool UpstreamDirectory::OnLimit(TimePoint now, const FleetUpstream& upstream,
+                                std::optional<double> limit,
+                                TimePoint sent_at) {
+  const UpstreamIncarnation incarnation = IncarnationOf(upstream.entry);
+  if (!limit) return this->limits.OnUnnamed(now, incarnation, sent_at);
+  return this->limits.OnNamed(now, incarnation, upstream.entry.service, *limit,
+                              sent_at);
+}
+
 void UpstreamDirectory::OnTick(TimePoint now) {
   this->notices.OnTick(now);
+  this->limits.DropUnknown(now, [this](const std::string& id) {
+    return this->upstreams.contains(id);
+  });
   std::erase_if(this->upstreams, [&](const auto& item) {
     return !this->IsKept(now, *item.second);
   });
@@ -82,6 +94,38 @@
 
 UpstreamEligibility UpstreamDirectory::EligibilityOf(
     TimePoint now, const FleetUpstream& upstream) const {
+  if (!this->limits.HasPermit(now, IncarnationOf(upstream.entry))) {
+    return UpstreamEligibility::kIneligible;
+  }
+  return this->UnlimitedEligibilityOf(now, upstream);
+}
+
+bool UpstreamDirectory::TakePermit(TimePoint now, const FleetUpstream& upstream,
+                                   int priority) {
+  return this->limits.TakePermit(now, IncarnationOf(upstream.entry), priority);
+}
+
+void UpstreamDirectory::ReturnPermit(TimePoint now,
+                                     const FleetUpstream& upstream) {
+  this->limits.ReturnPermit(now, IncarnationOf(upstream.entry));
+}
+
+bool UpstreamDirectory::MaySend(TimePoint now, const FleetUpstream& upstream,
+                                bool has_permit) const {
+  if (this->UnlimitedEligibilityOf(now, upstream) ==
+      UpstreamEligibility::kIneligible) {
+    return false;
+  }
+  if (!this->IsLimited(upstream)) return true;
+  return has_permit && this->limits.IsShareValid(IncarnationOf(upstream.entry));
+}
+
+bool UpstreamDirectory::IsLimited(const FleetUpstream& upstream) const {
+  return this->limits.LimitOf(IncarnationOf(upstream.entry)).has_value();
+}
+
+UpstreamEligibility UpstreamDirectory::UnlimitedEligibilityOf(
+    TimePoint now, const FleetUpstream& upstream) const {
   if (upstream.entry.draining) return UpstreamEligibility::kIneligible;
   if (now < this->notices.PausedUntil(IncarnationOf(upstream.entry))) {
     return UpstreamEligibility::kIneligible;
@@ -93,8 +137,8 @@
 }
 
 std::vector<FleetUpstreamPtr> UpstreamDirectory::Candidates(
-    TimePoint now, std::string_view service,
-    std::span<const std::string> excluded) const {
+    TimePoint now, const std::string& service,
+    std::span<const std::string> excluded, int priority) {
   std::vector<FleetUpstreamPtr> usable;
   std::vector<FleetUpstreamPtr> failing;
   std::vector<FleetUpstreamPtr> missing;
@@ -115,7 +159,18 @@
   if (usable.size() * 2 < listed) {
     usable.insert(usable.end(), failing.begin(), failing.end());
   }
-  return usable.empty() ? missing : usable;
+  if (usable.empty()) usable = std::move(missing);
+  const bool is_scarce =
+      std::ranges::all_of(usable, [this](const FleetUpstreamPtr& upstream) {
+        return this->IsLimited(*upstream);
+      });
+  if (is_scarce) {
+    std::erase_if(usable, [&](const FleetUpstreamPtr& upstream) {
+      return !this->limits.MayTakeScarce(now, IncarnationOf(upstream->entry),
+                                         priority);
+    });
+  }
+  return usable;
 }
 
 std::optional<TimePoint> UpstreamDirectory::FirstPauseEnd(
--- a/fuchsiadrum/serving/upstream_directory.h
+++ b/fuchsiadrum/serving/upstream_directory.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fuchsiadrum/serving/fleet_upstream.h"
+#include "fuchsiadrum/serving/upstream_limits.h"
 #include "fuchsiadrum/serving/upstream_notices.h"
 
 namespace fuchsiadrum::serving {
@@ -24,13 +25,15 @@
   Duration reconnect_grace = std::chrono::milliseconds(2200);
   UpstreamOptions upstream;
   UpstreamNoticeOptions notices;
+  UpstreamLimitsOptions limits;
 };
 
 /// Whether an upstream may be sent a request.
 enum class UpstreamEligibility {
   kUsable,
   kLastResort,  // ejected, or its entry is missing: only if none is usable
-  kIneligible,  // it is shutting down, is gone, or asked for a pause
+  kIneligible,  // it is shutting down, is gone, asked for a pause, or has a
+                // limit for which this VM has no permit
 };
 
 /// Returns how long a missing upstream may be kept if a stopped one must get no
@@ -44,7 +47,7 @@
 class UpstreamDirectory {
  public:
   explicit UpstreamDirectory(const UpstreamDirectoryOptions& opts)
-      : options(opts), notices(opts.notices) {}
+      : options(opts), notices(opts.notices), limits(opts.limits) {}
 
   /// Stores an entry that was written. Returns true if the upstream is new,
   /// was missing or begins to drain, and false if the entry only confirms that
@@ -63,31 +66,55 @@
   bool OnLeaving(TimePoint now, FleetUpstream& upstream);
   /// An answer of the upstream asked for no requests during `pause`.
   void OnPause(TimePoint now, const FleetUpstream& upstream, Duration pause);
+  /// An answer of the upstream named this limit in requests per second of all
+  /// VMs, or none, to a request that was sent at `sent_at`. Returns true if the
+  /// known limit has changed.
+  bool OnLimit(TimePoint now, const FleetUpstream& upstream,
+               std::optional<double> limit, TimePoint sent_at);
   /// Drops expired notices and upstreams that have been missing for too long.
   void OnTick(TimePoint now);
 
+  /// Whether the upstream may get a new request.
   UpstreamEligibility EligibilityOf(TimePoint now,
                                     const FleetUpstream& upstream) const;
+  /// Takes a permit for one request of this priority, if the upstream has a
+  /// limit. Returns false if there is none.
+  bool TakePermit(TimePoint now, const FleetUpstream& upstream, int priority);
+  /// Puts back a permit whose request was not sent.
+  void ReturnPermit(TimePoint now, const FleetUpstream& upstream);
+  /// True if a request that was placed earlier may be sent now. `has_permit`:
+  /// TakePermit was called for it while the upstream had a limit.
+  bool MaySend(TimePoint now, const FleetUpstream& upstream,
+               bool has_permit) const;
+  /// True if the upstream has a limit.
+  bool IsLimited(const FleetUpstream& upstream) const;
   /// Returns the upstreams of the service that may get a new request, without
   /// the ids in `excluded`. Ejected upstreams are included if fewer than half
   /// of the upstreams that have an entry would remain: if so many fail, the
   /// cause is not the upstreams. Missing ones are returned only if there is no
-  /// other.
+  /// other. If all of them have limits, less urgent requests get only the
+  /// permits that more urgent ones leave.
   std::vector<FleetUpstreamPtr> Candidates(
-      TimePoint now, std::string_view service,
-      std::span<const std::string> excluded = {}) const;
+      TimePoint now, const std::string& service,
+      std::span<const std::string> excluded = {}, int priority = 0);
   /// Returns when the first pause among the service's upstreams ends; nullopt
   /// if no upstream has asked for a pause.
   std::optional<TimePoint> FirstPauseEnd(TimePoint now,
                                          std::string_view service) const;
+  UpstreamLimits& Limits() { return this->limits; }
+  const UpstreamLimits& Limits() const { return this->limits; }
   size_t Size() const { return this->upstreams.size(); }
 
  private:
   bool IsKept(TimePoint now, const FleetUpstream& upstream) const;
+  /// EligibilityOf without regard to a limit.
+  UpstreamEligibility UnlimitedEligibilityOf(
+      TimePoint now, const FleetUpstream& upstream) const;
   static UpstreamIncarnation IncarnationOf(const UpstreamEntry& entry);
 
   UpstreamDirectoryOptions options;
   UpstreamNotices notices;
+  UpstreamLimits limits;
   std::map<std::string, FleetUpstreamPtr> upstreams;
   TimePoint store_reconnected_at;
 };
--- a/fuchsiadrum/serving/upstream_notices.h
+++ b/fuchsiadrum/serving/upstream_notices.h
@@ -13,6 +13,8 @@
 struct UpstreamIncarnation {
   std::string id;
   int64_t started_unix_ms = 0;
+
+  bool operator==(const UpstreamIncarnation&) const = default;
 };
 
 /// Options of UpstreamNotices.
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -40,6 +40,21 @@
           .window = FromSeconds(settings.bounds().retry_window_s())};
 }
 
+/// Name of this process among the holders of grants and shares.
+std::string HolderName(const pb::GatewaySettings& settings) {
+  return settings.vm().name() + "/" +
+         std::to_string(daemon::StartIncarnation());
+}
+
+serving::UpstreamDirectoryOptions DirectoryOptions(
+    const pb::GatewaySettings& settings) {
+  serving::UpstreamDirectoryOptions options;
+  options.keep_missing = serving::KeepMissingTime(
+      std::chrono::milliseconds(settings.bounds().drain_ms()));
+  options.limits.holder = HolderName(settings);
+  return options;
+}
+
 BudgetClientOptions BudgetOptions(const pb::GatewaySettings& settings) {
   return {.vm = settings.vm().name(),
           .incarnation = daemon::StartIncarnation(),
@@ -57,9 +72,7 @@
       context(io_context),
       log({.vm = gateway_settings.vm().name()}),
       rng(daemon::StartIncarnation()),
-      directory(
-          {.keep_missing = serving::KeepMissingTime(std::chrono::milliseconds(
-               gateway_settings.bounds().drain_ms()))}),
+      directory(DirectoryOptions(gateway_settings)),
       placement(
           {.seed = daemon::StartIncarnation(),
            .availability_zone = gateway_settings.vm().availability_zone()}),
@@ -92,17 +105,24 @@
           io_context, this->watchdog, this->log,
           gateway_settings.store().address()),
       budgets(BudgetOptions(gateway_settings), io_context, this->watchdog,
-              this->log) {}
+              this->log),
+      shared_limits({.holder = HolderName(gateway_settings),
+                     .store_address = gateway_settings.store().address(),
+                     .store_timeout = StoreTimeout(gateway_settings)},
+                    io_context, this->watchdog, this->log,
+                    this->directory.Limits()) {}
 
 void GatewayCore::Start() {
   asio::co_spawn(this->context, this->config_follower.Run(), asio::detached);
   asio::co_spawn(this->context, this->upstream_follower.Run(), asio::detached);
   this->budgets.Start();
+  this->shared_limits.Start();
 }
 
 void GatewayCore::OnTick(TimePoint now) {
   this->watchdog.Check(now);
   this->UpdateLoad(now);
+  this->shared_limits.CheckLease();
   for (RequestTask* task : this->tasks) task->CheckStall(now);
   if (now - this->last_pool_sweep >= kPoolSweepInterval) {
     this->last_pool_sweep = now;
@@ -110,6 +130,7 @@
     this->directory.OnTick(now);
     if (this->budgets.FleetSize() > 0) {
       this->retries.SetFleetSize(this->budgets.FleetSize());
+      this->shared_limits.SetFleetSize(this->budgets.FleetSize());
     }
   }
   this->log.Flush();
@@ -133,11 +154,14 @@
   this->stopping = true;
   this->log.Write("stop-begin",
                   {{"callers", static_cast<int64_t>(this->callers.size())}});
+  this->directory.Limits().Close(Now());
+  this->shared_limits.Notify();
 }
 
 bool GatewayCore::IsReady() const {
   return !this->stopping && !this->IsBusy() && this->config.Get() != nullptr &&
-         this->upstream_follower.LastRead().us != 0;
+         this->upstream_follower.LastRead().us != 0 &&
+         this->shared_limits.LastRead().us != 0;
 }
 
 bool GatewayCore::IsConfigStale(TimePoint now) const {
@@ -209,9 +233,13 @@
   add("callers", static_cast<double>(this->callers.size()));
   add("upstreams", static_cast<double>(this->directory.Size()));
   add("upstream_connections_total", static_cast<double>(this->pool.Opened()));
-  add("store_calls_total", static_cast<double>(this->config_follower.Calls() +
-                                               this->upstream_follower.Calls() +
-                                               this->budgets.Calls()));
+  add("store_calls_total",
+      static_cast<double>(this->config_follower.Calls() +
+                          this->upstream_follower.Calls() +
+                          this->shared_limits.Calls() + this->budgets.Calls()));
+  add("limited_upstreams",
+      static_cast<double>(this->directory.Limits().Limited()));
+  add("own_limit_shares", this->directory.Limits().OwnRate());
   add("link_use", this->link.Utilization());
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
   add("body_bytes", static_cast<double>(this->body_bytes.Held()));
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -14,6 +14,7 @@
 #include "gateway/budget_client.h"
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/limit_client.h"
 #include "gateway/stream_follower.h"
 #include "gateway/upstream_pool.h"
 #include "schema/gateway.pb.h"
@@ -43,7 +44,8 @@
 
   bool IsStopping() const { return this->stopping; }
   /// The answer of the readiness check: true unless the gateway is stopping or
-  /// busy, or has not yet read the configuration and the upstreams' entries.
+  /// busy, or has not yet read the configuration, the upstreams' entries and
+  /// their limits.
   bool IsReady() const;
   /// True if the network link or the processor is so loaded that other VMs
   /// serve new callers better.
@@ -59,6 +61,7 @@
   serving::UpstreamDirectory& Upstreams() { return this->directory; }
   serving::Placement& Placer() { return this->placement; }
   serving::RetryAllowance& Retries() { return this->retries; }
+  LimitClient& SharedLimits() { return this->shared_limits; }
   BudgetClient& Budgets() { return this->budgets; }
   serving::LinkLoad& Link() { return this->link; }
   const serving::LoopDelay& EventLoopDelay() const { return this->loop_delay; }
@@ -98,6 +101,7 @@
   StreamFollower config_follower;
   StreamFollower upstream_follower;
   BudgetClient budgets;
+  LimitClient shared_limits;
   std::set<CallerConnection*> callers;
   /// Requests that are being served.
   std::set<RequestTask*> tasks;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -102,6 +102,8 @@
   }
 
   this->core.Retries().OnRequest(this->arrived, this->service);
+  this->core.Upstreams().Limits().OnRequest(this->arrived, this->service,
+                                            this->Priority());
   const bool complete = co_await this->Serve();
   this->SettleTokens();
   co_return complete;
@@ -223,13 +225,28 @@
 std::optional<serving::PlacementChoice> RequestTask::ChooseUpstream() {
   const TimePoint now = Now();
   const std::vector<serving::FleetUpstreamPtr> candidates =
-      this->core.Upstreams().Candidates(now, this->service,
-                                        this->tried_upstreams);
-  return this->core.Placer().Choose(
+      this->core.Upstreams().Candidates(
+          now, this->service, this->tried_upstreams, this->Priority());
+  std::optional<serving::PlacementChoice> choice = this->core.Placer().Choose(
       now, candidates,
       {.parts = this->request.parts,
        .prompt_tokens = this->request.prompt_tokens.value_or(Tokens(0)).count,
        .has_prompt = this->request.prompt_tokens.has_value()});
+  if (choice) this->TakePermit(now, *choice->upstream);
+  return choice;
+}
+
+void RequestTask::TakePermit(TimePoint now,
+                             const serving::FleetUpstream& upstream) {
+  this->has_permit =
+      this->core.Upstreams().IsLimited(upstream) &&
+      this->core.Upstreams().TakePermit(now, upstream, this->Priority());
+}
+
+int RequestTask::Priority() const {
+  const bool is_set =
+      this->organisation != nullptr && this->organisation->priority.has_value();
+  return is_set ? *this->organisation->priority : this->route->priority;
 }
 
 NextStep RequestTask::DecideNextStep(AttemptOutcome outcome) {
@@ -251,6 +268,13 @@
   const TimePoint now = Now();
   const std::optional<TimePoint> pause_end =
       this->core.Upstreams().FirstPauseEnd(now, this->service);
+  const std::optional<TimePoint> limit_end =
+      this->core.Upstreams().Limits().NextForPriority(now, this->service,
+                                                      this->Priority());
+  if (limit_end && (!pause_end || *limit_end < *pause_end)) {
+    return {503, "upstreams limited",
+            std::max(*limit_end - now, kRetryAfterOtherVm)};
+  }
   if (pause_end) return {503, "upstreams paused", *pause_end - now};
   return {503, "no upstream", kRetryAfterNoUpstream};
 }
@@ -295,9 +319,10 @@
   // be queued behind others.
   if (this->caller.HasLeft()) this->caller_gone = true;
   // While the connection was being opened, the upstream may have announced that
-  // it is leaving.
-  const bool withheld = this->core.Upstreams().EligibilityOf(Now(), upstream) ==
-                        serving::UpstreamEligibility::kIneligible;
+  // it is leaving or limited, or the VM may have been suspended.
+  this->core.SharedLimits().CheckLease();
+  const bool withheld =
+      !this->core.Upstreams().MaySend(Now(), upstream, this->has_permit);
   if (connection && (withheld || this->caller_gone)) {
     connection->Close();
     outcome = this->caller_gone ? AttemptOutcome::kCallerGone
@@ -328,6 +353,10 @@
     outcome = AttemptOutcome::kTimedOut;
   }
 
+  if (this->has_permit && !this->was_sent) {
+    this->core.Upstreams().ReturnPermit(Now(), upstream);
+  }
+  this->has_permit = false;
   upstream.OnEnd();
   if (this->prompt_pending) upstream.pending_tokens -= choice.uncached_tokens;
   this->prompt_pending = false;
@@ -394,20 +423,16 @@
   serving::UpstreamCall call;
   call.upstream_id = upstream.entry.id;
   call.time_left = this->TimeLeft();
-  call.priority = this->route->priority;
+  call.priority = this->Priority();
   call.last_event = this->last_event;
   if (this->organisation != nullptr) {
     call.organisation = this->organisation->name;
-    if (this->organisation->priority) {
-      call.priority = *this->organisation->priority;
-    }
   }
 
   this->sent_at = Now();
   this->last_progress = this->sent_at;
   this->was_sent = true;
-  if (upstream.named_limit)
-    this->core.Metrics().CountLimitedSend(this->service);
+  if (this->has_permit) this->core.Metrics().CountLimitedSend(this->service);
   this->answer = {};
   this->answer_body.clear();
   connection.StartSend(platform::EncodeUpstreamRequest(this->request, call),
@@ -549,14 +574,23 @@
                             {"id", this->request.id},
                             {"ms", ToMilliseconds(*this->answer.pause)}});
   }
-  if (this->answer.request_limit != upstream.named_limit) {
-    upstream.named_limit = this->answer.request_limit;
-    this->core.Log().Write(
-        "upstream-limit",
-        {{"upstream", id},
-         {"id", this->request.id},
-         {"requests_per_s", upstream.named_limit.value_or(kNoLimit)}});
+  this->ApplyLimit(now, upstream);
+}
+
+void RequestTask::ApplyLimit(TimePoint now,
+                             const serving::FleetUpstream& upstream) {
+  const std::optional<double>& limit = this->answer.request_limit;
+  // A late answer to an earlier request does not withdraw a limit.
+  const bool is_late = this->answer.request_id != this->request.id;
+  if (!limit && is_late) return;
+  if (!this->core.Upstreams().OnLimit(now, upstream, limit, this->sent_at)) {
+    return;
   }
+  this->core.SharedLimits().Notify();
+  this->core.Log().Write("upstream-limit",
+                         {{"upstream", upstream.entry.id},
+                          {"id", this->request.id},
+                          {"requests_per_s", limit.value_or(kNoLimit)}});
 }
 
 void RequestTask::RecordOutcome(const serving::PlacementChoice& choice,
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -55,6 +55,9 @@
   /// as Run.
   asio::awaitable<bool> Serve();
   std::optional<serving::PlacementChoice> ChooseUpstream();
+  void TakePermit(TimePoint now, const serving::FleetUpstream& upstream);
+  /// Priority of the request; 0 is the most urgent.
+  int Priority() const;
   serving::NextStep DecideNextStep(serving::AttemptOutcome outcome);
   GatewayAnswer MakeNoUpstreamAnswer() const;
   static GatewayAnswer MakeFailureAnswer(serving::NextStep step,
@@ -102,8 +105,9 @@
   /// else kTimedOut if the deadline has passed, else kBroken.
   serving::AttemptOutcome BrokenOutcome() const;
   /// Applies what the answer head says about the upstream: its load, a time for
-  /// which it asks to get no requests, or that it is shutting down.
+  /// which it asks to get no requests, its limit, or that it is shutting down.
   void ApplyAnswerHead(serving::FleetUpstream& upstream);
+  void ApplyLimit(TimePoint now, const serving::FleetUpstream& upstream);
   /// Counts the outcome for this request, the metrics and the upstream's
   /// failure statistics.
   void RecordOutcome(const serving::PlacementChoice& choice,
@@ -157,6 +161,8 @@
   /// True once the current attempt has begun to send the request, so that bytes
   /// of it may have reached the upstream.
   bool was_sent = false;
+  /// True if the current attempt has taken a permit of a limited upstream.
+  bool has_permit = false;
   /// True if CheckStall has already taken the next retry from the fleet's retry
   /// allowance, so that it must not be taken again when the attempt ends.
   bool retry_granted = false;
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -25,14 +25,20 @@
       const Duration pause = std::min(
           this->options.max_backoff,
           this->options.initial_backoff * (1 << std::min(this->failures, 6)));
-      co_await this->timer.Wait(pause);
+      co_await this->Pause(pause);
     } else if (!this->view.IsBehind() &&
                this->options.interval > Duration::zero()) {
-      co_await this->timer.Wait(this->options.interval);
+      co_await this->Pause(this->options.interval);
     }
   }
 }
 
+asio::awaitable<void> StreamFollower::Pause(Duration time) {
+  this->pausing = true;
+  co_await this->timer.Wait(time);
+  this->pausing = false;
+}
+
 asio::awaitable<bool> StreamFollower::ReadOnce() {
   const store::KeyedView::NextRead next = this->view.Next();
   const Duration long_poll_wait =
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -57,12 +57,25 @@
 
   /// Reads the stream until the process ends.
   asio::awaitable<void> Run();
+  /// Sets the delay between two reads of the tail.
+  void SetInterval(Duration interval) { this->options.interval = interval; }
+  /// True while the follower waits between two reads.
+  bool IsPausing() const { return this->pausing; }
+  /// Starts the next read at once if the follower is pausing.
+  void Wake() { this->timer.Notify(); }
+  /// True if all records up to the known end of the stream were read.
+  bool IsCurrent() const {
+    return this->view.IsConsistent() && !this->view.IsBehind();
+  }
+  /// Offset of the next record to read.
+  uint64_t NextOffset() const { return this->view.NextOffset(); }
   /// Time of the last successful read; us is 0 if there was none yet.
   TimePoint LastRead() const { return this->last_read; }
   uint64_t Calls() const { return this->client.Calls(); }
 
  private:
   asio::awaitable<bool> ReadOnce();
+  asio::awaitable<void> Pause(Duration time);
   std::string EncodeRead(const store::KeyedView::NextRead& next) const;
   bool ApplyReply(const store::KeyedView::NextRead& next,
                   const StoreReply& reply);
@@ -75,6 +88,7 @@
   store::KeyedView view;
   AsyncCondition timer;
   TimePoint last_read;
+  bool pausing = false;
   int failures = 0;
   int last_status = 0;
 };
--- a/tests/platform/upstream_limit_test.cc
+++ b/tests/platform/upstream_limit_test.cc
@@ -62,8 +62,11 @@
 /// Several gateways with one store, before upstreams that name limits.
 class UpstreamLimitTest : public PlatformFixture {
  protected:
-  static std::optional<HttpAnswer> Book(const HttpRequest& request,
-                                        Tcp::socket& /*socket*/) {
+  /// Handler of an upstream without a limit. It is slower than the limited one,
+  /// so that placement prefers the latter.
+  static std::optional<HttpAnswer> BookSlowly(const HttpRequest& request,
+                                              Tcp::socket& /*socket*/) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
     HttpAnswer answer(http::status::ok, 11);
     answer.set("Attempt-Id", request["Attempt-Id"]);
     answer.set("Runner-Signature", "s1");
@@ -112,7 +115,7 @@
   constexpr double kLimit = 2.4;
   constexpr Duration kTime = std::chrono::seconds(9);
   LimitingUpstream limited(kLimit);
-  LoopbackServer other(Book);
+  LoopbackServer other(BookSlowly);
   this->PutConfig(1, 100000);
   this->PutUpstream("u1", limited.Server());
   this->PutUpstream("u2", other);
--- a/tests/serving/upstream_directory_test.cc
+++ b/tests/serving/upstream_directory_test.cc
@@ -21,7 +21,7 @@
             .draining = draining};
   }
   std::vector<std::string> Usable(
-      const std::vector<std::string>& excluded = {}) const {
+      const std::vector<std::string>& excluded = {}) {
     std::vector<std::string> ids;
     for (const auto& upstream :
          this->directory.Candidates(this->now, "draft", excluded)) {
@@ -29,7 +29,7 @@
     }
     return ids;
   }
-  FleetUpstreamPtr Find(const std::string& id) const {
+  FleetUpstreamPtr Find(const std::string& id) {
     for (const auto& upstream :
          this->directory.Candidates(this->now, "draft")) {
       if (upstream->entry.id == id) return upstream;
