Tests of limits: cut holders, untold VMs, withdrawal, replaced VMs, a store that refuses

Change: UpstreamLimitsFleetTest.CutHolder_*, UpstreamLimitsTest.DeletedRecord_*, five cases of UpstreamLimitTest with real gateways. Records of upstreams that are gone are deleted at a random time, so that not all VMs write at once.

--- a/fuchsiadrum/serving/upstream_limits.cc
+++ b/fuchsiadrum/serving/upstream_limits.cc
@@ -17,7 +17,9 @@
 UpstreamLimits::UpstreamLimits(const UpstreamLimitsOptions& opts)
     : options(opts),
       leases(opts.lease, opts.holder),
-      rng(Hash64(opts.holder)) {}
+      rng(Hash64(opts.holder)),
+      deletion_delay(std::chrono::duration_cast<Duration>(
+          opts.unknown_retention * (1 + this->rng.Unit()))) {}
 
 void UpstreamLimits::Close(TimePoint now) {
   this->closed = true;
@@ -325,9 +327,8 @@
 LimitUpdate UpstreamLimits::PlanLimits(TimePoint now, TimePoint boot_now) {
   LimitUpdate update;
   for (auto& [id, entry] : this->entries) {
-    const bool is_abandoned =
-        entry.unknown_since.us != 0 &&
-        now - entry.unknown_since >= this->options.unknown_retention;
+    const bool is_abandoned = entry.unknown_since.us != 0 &&
+                              now - entry.unknown_since >= this->deletion_delay;
     if (!LimitOf(entry) || is_abandoned) {
       if (entry.shared) update.deleted.push_back(id);
       continue;
--- a/fuchsiadrum/serving/upstream_limits.h
+++ b/fuchsiadrum/serving/upstream_limits.h
@@ -40,7 +40,8 @@
   /// random part of this time before it claims it, so that few claims collide.
   Duration claim_spread_per_vm = std::chrono::milliseconds(3);
   Duration max_claim_spread = std::chrono::seconds(3);
-  /// The record of an upstream that is not known is deleted after this time.
+  /// The record of an upstream that is not known is deleted after this time to
+  /// twice this time, at random for each gateway.
   Duration unknown_retention = std::chrono::seconds(60);
 };
 
@@ -181,6 +182,8 @@
   UpstreamLimitsOptions options;
   HolderLeases leases;
   Rng rng;
+  /// When this gateway deletes the records of unknown upstreams.
+  Duration deletion_delay;
   /// By id of the upstream.
   std::map<std::string, Entry> entries;
   /// By service.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -320,7 +320,7 @@
   if (this->caller.HasLeft()) this->caller_gone = true;
   // While the connection was being opened, the upstream may have announced that
   // it is leaving or limited, or the VM may have been suspended.
-  this->core.SharedLimits().CheckLease();
+  if (this->has_permit) this->core.SharedLimits().CheckLease();
   const bool withheld =
       !this->core.Upstreams().MaySend(Now(), upstream, this->has_permit);
   if (connection && (withheld || this->caller_gone)) {
--- a/tests/platform/upstream_limit_test.cc
+++ b/tests/platform/upstream_limit_test.cc
@@ -133,5 +133,97 @@
             0.7 * kLimit * ToSeconds(kTime));
 }
 
+// LIMIT: a VM that no answer has told of the limit learns of it from the
+// others, before it sends its first request.
+TEST_F(UpstreamLimitTest, VmThatWasNotTold_KeepsTheLimitOfTheFleet) {
+  LimitingUpstream limited(0.4);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", limited.Server());
+  this->StartFleet(2);
+
+  EXPECT_EQ(this->CallVm(0).result_int(), 200U);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const TimePoint told = Now();
+  const HttpAnswer refused = this->CallVm(1);
+  EXPECT_EQ(refused.result_int(), 503U);
+  EXPECT_EQ(limited.Rule().Arrivals(told, Now()), 0U);
+}
+
+// A request that no upstream may take is refused at once, and told when to come
+// back.
+TEST_F(UpstreamLimitTest, AllUpstreamsLimited_RefusesAtOnceWithRetryAfter) {
+  LimitingUpstream limited(2.0);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", limited.Server());
+  this->StartFleet(1);
+  EXPECT_EQ(this->CallVm(0).result_int(), 200U);
+
+  const TimePoint begin = Now();
+  const HttpAnswer refused = this->CallVm(0);
+  EXPECT_LT(Now() - begin, std::chrono::milliseconds(100));
+  EXPECT_EQ(refused.result_int(), 503U);
+  const double retry_after =
+      std::stod("0" + std::string(refused["Retry-After"]));
+  EXPECT_GT(retry_after, 0.0);
+  EXPECT_LE(retry_after, 0.6);
+
+  int served = 0;
+  for (int i = 0; i < 4; ++i) {
+    std::this_thread::sleep_for(
+        std::chrono::duration<double>(retry_after + 0.1));
+    served += this->CallVm(0).result_int() == 200 ? 1 : 0;
+  }
+  EXPECT_GE(served, 3);
+}
+
+TEST_F(UpstreamLimitTest, WithdrawnLimit_NoLongerBindsAnyVm) {
+  LimitingUpstream limited(4.0);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", limited.Server());
+  this->StartFleet(2);
+  this->CallAllVms(std::chrono::seconds(2));
+  limited.Name(std::nullopt);
+  this->CallAllVms(std::chrono::seconds(2));
+
+  EXPECT_EQ(this->CallAllVms(std::chrono::seconds(1)), 0);
+}
+
+// LIMIT: the shares of a VM that was killed are used by others, and a VM in its
+// place gets no additional ones.
+TEST_F(UpstreamLimitTest, KilledAndReplacedVms_TogetherKeepTheLimit) {
+  constexpr double kLimit = 3.0;
+  LimitingUpstream limited(kLimit);
+  LoopbackServer other(BookSlowly);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", limited.Server());
+  this->PutUpstream("u2", other);
+  this->StartFleet(3);
+  this->CallAllVms(std::chrono::seconds(5));
+  this->StopVm(this->Vms().back());
+  this->StartVm("vm-4");
+  EXPECT_EQ(this->CallAllVms(std::chrono::seconds(5)), 0);
+
+  const auto breach = limited.Rule().WorstBreach();
+  EXPECT_FALSE(breach) << breach->requests << " requests in 4 s, allowed "
+                       << breach->allowed;
+}
+
+// LIMIT: without the store no VM claims a share; the requests go to the other
+// upstream.
+TEST_F(UpstreamLimitTest, StoreThatRefusesAllVms_LeavesTheLimitKept) {
+  LimitingUpstream limited(1.4);
+  LoopbackServer other(BookSlowly);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", limited.Server());
+  this->PutUpstream("u2", other);
+  this->StartFleet(3);
+  this->store.refusing = true;
+  EXPECT_EQ(this->CallAllVms(std::chrono::seconds(6)), 0);
+
+  const auto breach = limited.Rule().WorstBreach();
+  EXPECT_FALSE(breach) << breach->requests << " requests in 4 s, allowed "
+                       << breach->allowed;
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::gateway
--- a/tests/serving/limit_fleet.h
+++ b/tests/serving/limit_fleet.h
@@ -63,6 +63,17 @@
     vm.suspended_until = this->now + time;
     vm.steady_lag += time;
   }
+  /// The VM with the largest own rate.
+  size_t LargestHolder() const {
+    size_t largest = 0;
+    for (size_t i = 0; i < this->vms.size(); ++i) {
+      if (this->vms[i]->limits.OwnRate() >
+          this->vms[largest]->limits.OwnRate()) {
+        largest = i;
+      }
+    }
+    return largest;
+  }
   void StopStore(Duration time) { this->store_down_until = this->now + time; }
   void SetDemand(double demand) { this->options.demand = demand; }
 
--- a/tests/serving/upstream_limits_fleet_test.cc
+++ b/tests/serving/upstream_limits_fleet_test.cc
@@ -122,6 +122,20 @@
   EXPECT_GE(fleet.Rule().Arrivals(replaced, fleet.Time()), 0.75 * kLimit * 30);
 }
 
+// A holder that is cut off can't read that others have taken over its share, so
+// its lease must end before.
+TEST_F(UpstreamLimitsFleetTest, CutHolder_StopsBeforeOthersTakeOver) {
+  LimitFleet fleet({.vms = 7});
+  fleet.Run(seconds(3));
+  fleet.Name(9.0);
+  fleet.Run(seconds(10));
+  for (int i = 0; i < 3; ++i) {
+    fleet.CutFromStore(fleet.LargestHolder(), seconds(120));
+    fleet.Run(seconds(35));
+  }
+  ExpectNoBreach(fleet, "cut holders");
+}
+
 TEST_F(UpstreamLimitsFleetTest, StoreOutage_SharesAreUsedUntilTheLeasesEnd) {
   constexpr double kLimit = 2.0;
   LimitFleet fleet({.vms = 9});
--- a/tests/serving/upstream_limits_test.cc
+++ b/tests/serving/upstream_limits_test.cc
@@ -100,6 +100,19 @@
   EXPECT_FALSE(this->limits.HasPermit(this->now, this->upstream));
 }
 
+// A deletion that was written before the upstream named its limit again must
+// not withdraw it.
+TEST_F(UpstreamLimitsTest, DeletedRecord_KeepsALimitThatWasHeardSince) {
+  this->ReadShares(1.4, {{"vm-2/1", 1.4}});
+  this->limits.OnNamed(this->now, this->upstream, "draft", 1.4, this->now);
+  this->limits.OnRecordDeleted(this->now, "u1");
+  EXPECT_EQ(this->limits.LimitOf(this->upstream), 1.4);
+
+  this->ReadShares(1.4, {{"vm-2/1", 1.4}});
+  this->limits.OnRecordDeleted(this->now, "u1");
+  EXPECT_FALSE(this->limits.LimitOf(this->upstream));
+}
+
 // A VM that was suspended must not use a share that others have taken over.
 TEST_F(UpstreamLimitsTest, Suspension_EndsTheLease) {
   this->NameAndHold(2.0, 2.0);
