--- a/bench/micro_bench.cc
+++ b/bench/micro_bench.cc
@@ -1,6 +1,7 @@
 #include "bench/micro_bench.h"
 
 #include "bench/micro_budget.h"
+#include "bench/micro_limits.h"
 #include "bench/micro_membership.h"
 #include "bench/micro_request.h"
 #include "bench/micro_routing.h"
@@ -21,6 +22,7 @@
             {"request", MeasureRequest()},
             {"membership", MeasureMembership()},
             {"routing", MeasureRouting()},
+            {"limits", MeasureLimits()},
             {"state", MeasureState()}};
   }
 };
--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -81,6 +81,8 @@
   /// Why an announcement in the headers could not be parsed; empty if all
   /// could.
   std::string fault;
+  /// Name of an announcement that is not known; empty if there is none.
+  std::string unknown_notice;
   /// Header fields that are forwarded to the caller unchanged.
   HeaderFields forwarded_fields;
 };
--- a/fuchsiadrum/serving/upstream_limits.cc
+++ b/fuchsiadrum/serving/upstream_limits.cc
@@ -101,46 +101,35 @@
   return entry == nullptr || !LimitOf(*entry) || entry->bucket.Rate() > 0;
 }
 
-std::optional<TimePoint> UpstreamLimits::NextPermit(
-    TimePoint now, const UpstreamIncarnation& upstream) const {
-  const Entry* entry = this->Find(upstream);
-  if (entry == nullptr || !LimitOf(*entry)) return now;
-  return entry->bucket.NextPermit(now);
-}
-
 bool UpstreamLimits::MayTakeScarce(TimePoint now,
                                    const UpstreamIncarnation& upstream,
                                    int priority) {
   const Entry* entry = this->Find(upstream);
   if (entry == nullptr || !LimitOf(*entry)) return true;
-  double own_rate = 0;
-  for (const auto& [id, other] : this->entries) {
-    if (other.service == entry->service) own_rate += other.bucket.Rate();
-  }
   UrgencyGate& gate = this->GateOf(entry->service);
+  const double own_rate = this->totals.at(entry->service).own_rate;
   if (!gate.Allows(now, priority, own_rate)) return false;
   return gate.IsMostUrgent(now, priority) || entry->bucket.IsFull(now);
 }
 
 std::optional<TimePoint> UpstreamLimits::NextForPriority(
     TimePoint now, const std::string& service, int priority) {
-  double limit_sum = 0;
-  double own_rate = 0;
+  const auto found = this->totals.find(service);
+  if (found == this->totals.end() || found->second.limits <= 0) {
+    return std::nullopt;
+  }
+  const Totals& sums = found->second;
+  // Another VM has the permits: the fleet gets one in this time on average.
+  const TimePoint of_fleet = now + FromSeconds(1 / sums.limits);
   std::optional<TimePoint> own_permit;
   for (const auto& [id, entry] : this->entries) {
-    const std::optional<double> limit = LimitOf(entry);
-    if (entry.service != service || !limit) continue;
-    limit_sum += this->UsableLimit(*limit);
-    own_rate += entry.bucket.Rate();
+    if (entry.service != service) continue;
     const auto next = entry.bucket.NextPermit(now);
     if (next && (!own_permit || *next < *own_permit)) own_permit = next;
   }
-  if (limit_sum <= 0) return std::nullopt;
-  // Another VM has the permits: the fleet gets one in this time on average.
-  const TimePoint of_fleet = now + FromSeconds(1 / limit_sum);
   if (!own_permit) return of_fleet;
   const auto allowed =
-      this->GateOf(service).NextAllowed(now, priority, own_rate);
+      this->GateOf(service).NextAllowed(now, priority, sums.own_rate);
   return std::max(*own_permit, allowed.value_or(of_fleet));
 }
 
@@ -212,6 +201,7 @@
     return !entry.shared && entry.unknown_since.us != 0 &&
            now - entry.unknown_since >= this->options.unknown_retention;
   });
+  for (const auto& [service, sums] : this->totals) this->UpdateTotals(service);
 }
 
 bool UpstreamLimits::IsUpdateDue(TimePoint now, TimePoint boot_now) {
@@ -270,8 +260,10 @@
   }
   if (entry.incarnation != upstream) {
     // The record of the former incarnation is replaced by the next update.
+    const std::string service = entry.service;
     entry = Entry(this->options.bucket);
     entry.incarnation = upstream;
+    this->UpdateTotals(service);
   }
   return &entry;
 }
@@ -294,6 +286,18 @@
     rate = std::min(rate, entry.planned_share.value_or(rate));
   }
   entry.bucket.SetRate(now, rate);
+  this->UpdateTotals(entry.service);
+}
+
+void UpstreamLimits::UpdateTotals(const std::string& service) {
+  Totals sums;
+  for (const auto& [id, entry] : this->entries) {
+    const std::optional<double> limit = LimitOf(entry);
+    if (entry.service != service || !limit) continue;
+    sums.limits += this->UsableLimit(*limit);
+    sums.own_rate += entry.bucket.Rate();
+  }
+  this->totals[service] = sums;
 }
 
 double UpstreamLimits::UsableLimit(double limit) const {
@@ -314,14 +318,9 @@
   if (this->closed || entry.unknown_since.us != 0) return 0;
   const double demand = this->GateOf(entry.service).Demand(now);
   if (demand < this->options.idle_demand) return 0;
-  double limit_sum = 0;
-  for (const auto& [id, other] : this->entries) {
-    const std::optional<double> limit = LimitOf(other);
-    if (other.service != entry.service || !limit) continue;
-    limit_sum += this->UsableLimit(*limit);
-  }
   const double usable = this->UsableLimit(*LimitOf(entry));
-  return std::min(usable, demand * usable / limit_sum);
+  return std::min(usable,
+                  demand * usable / this->totals.at(entry.service).limits);
 }
 
 LimitUpdate UpstreamLimits::PlanLimits(TimePoint now, TimePoint boot_now) {
@@ -430,14 +429,17 @@
     return record.shares.contains(this->options.holder);
   };
   if (std::ranges::any_of(update.changed, is_own)) return true;
+
+  const auto is_replaced = [&](const std::string& upstream) {
+    return std::ranges::find(update.deleted, upstream) !=
+               update.deleted.end() ||
+           std::ranges::any_of(update.changed, [&](const SharedLimit& record) {
+             return record.upstream.id == upstream;
+           });
+  };
   return std::ranges::any_of(this->entries, [&](const auto& item) {
-    const auto& [id, entry] = item;
-    if (!entry.shared || !is_own(*entry.shared)) return false;
-    const auto same_upstream = [&](const SharedLimit& record) {
-      return record.upstream.id == id;
-    };
-    return !std::ranges::any_of(update.changed, same_upstream) &&
-           std::ranges::find(update.deleted, id) == update.deleted.end();
+    const std::optional<SharedLimit>& shared = item.second.shared;
+    return shared && is_own(*shared) && !is_replaced(item.first);
   });
 }
 
--- a/fuchsiadrum/serving/upstream_limits.h
+++ b/fuchsiadrum/serving/upstream_limits.h
@@ -87,9 +87,6 @@
   void ReturnPermit(TimePoint now, const UpstreamIncarnation& upstream);
   /// True if a permit that was taken may still be used.
   bool IsShareValid(const UpstreamIncarnation& upstream) const;
-  /// When this gateway will have a permit; nullopt if it has no share.
-  std::optional<TimePoint> NextPermit(
-      TimePoint now, const UpstreamIncarnation& upstream) const;
 
   /// True if a request of this priority may take a permit of the upstream while
   /// all upstreams of its service are limited. Less urgent requests get what
@@ -158,6 +155,12 @@
     PermitBucket bucket;
   };
 
+  /// Sums over the limited upstreams of one service, in requests per second.
+  struct Totals {
+    double limits = 0;
+    double own_rate = 0;
+  };
+
   /// Returns the entry of that incarnation, or nullptr if a later one is known.
   Entry* Refresh(const UpstreamIncarnation& upstream);
   const Entry* Find(const UpstreamIncarnation& upstream) const;
@@ -165,6 +168,7 @@
   static std::optional<double> LimitOf(const Entry& entry);
   /// Sets the rate of the own permits from the share, the limit and the lease.
   void UpdateRate(TimePoint now, Entry& entry);
+  void UpdateTotals(const std::string& service);
   double UsableLimit(double limit) const;
   double OwnShare(const Entry& entry) const;
   UrgencyGate& GateOf(const std::string& service);
@@ -188,6 +192,8 @@
   std::map<std::string, Entry> entries;
   /// By service.
   std::map<std::string, UrgencyGate> gates;
+  /// By service.
+  std::map<std::string, Totals> totals;
   size_t fleet_size = 1;
   bool lease_valid = false;
   bool closed = false;
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -173,6 +173,16 @@
                             : serving::CallerLimits();
 }
 
+void GatewayCore::LogUnknownNotice(const std::string& upstream,
+                                   const std::string& name) {
+  // Bounds the memory and the lines that an upstream can cause.
+  constexpr size_t kMaxNames = 32;
+  if (this->unknown_notices.size() >= kMaxNames) return;
+  if (!this->unknown_notices.insert(name).second) return;
+  this->log.Write("upstream-notice-unknown",
+                  {{"upstream", upstream}, {"field", name}});
+}
+
 void GatewayCore::ApplyPendingConfig() {
   // If one read returned several versions, only the last one is decoded.
   if (!this->pending_config) return;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -61,6 +61,8 @@
   serving::UpstreamDirectory& Upstreams() { return this->directory; }
   serving::Placement& Placer() { return this->placement; }
   serving::RetryAllowance& Retries() { return this->retries; }
+  /// Logs an announcement of an upstream that is not known, once for each name.
+  void LogUnknownNotice(const std::string& upstream, const std::string& name);
   LimitClient& SharedLimits() { return this->shared_limits; }
   BudgetClient& Budgets() { return this->budgets; }
   serving::LinkLoad& Link() { return this->link; }
@@ -105,6 +107,8 @@
   std::set<CallerConnection*> callers;
   /// Requests that are being served.
   std::set<RequestTask*> tasks;
+  /// Names of unknown announcements that were logged.
+  std::set<std::string> unknown_notices;
   TimePoint last_pool_sweep;
   bool stopping = false;
 };
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -563,6 +563,9 @@
     this->core.Log().Write("upstream-notice-unusable",
                            {{"upstream", id}, {"reason", this->answer.fault}});
   }
+  if (!this->answer.unknown_notice.empty()) {
+    this->core.LogUnknownNotice(id, this->answer.unknown_notice);
+  }
   if (this->answer.leaving && this->core.Upstreams().OnLeaving(now, upstream)) {
     this->core.Log().Write("upstream-leaves",
                            {{"upstream", id}, {"id", this->request.id}});
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -177,6 +177,18 @@
   }
 }
 
+// A word of an upstream that nobody decodes must not be passed over silently.
+TEST_F(RequestCodecTest, UnknownNotice_IsReported) {
+  HttpAnswerHead answer;
+  answer.result(200);
+  answer.set("Server-Limit", "2");
+  answer.set("Server-Leaving", "1");
+  answer.set("Server", "engine");
+  EXPECT_TRUE(DecodeAnswer(answer).unknown_notice.empty());
+  answer.set("server-mood", "low");
+  EXPECT_EQ(DecodeAnswer(answer).unknown_notice, "server-mood");
+}
+
 TEST_F(RequestCodecTest, RepeatedRetryAfter_TheLongestCounts) {
   HttpAnswerHead answer;
   answer.result(503);
--- a/tests/serving/limit_fleet.h
+++ b/tests/serving/limit_fleet.h
@@ -174,9 +174,9 @@
   void Serve(Vm& vm) {
     const TimePoint steady = this->SteadyNow(vm);
     vm.limits.OnRequest(steady, "draft", 0);
-    const bool limited = vm.limits.LimitOf(kUpstream).has_value();
+    const bool limited = vm.limits.LimitOf(upstream).has_value();
     if (!limited && !this->rng.Chance(this->options.normal_fraction)) return;
-    if (!vm.limits.TakePermit(steady, kUpstream, 0)) return;
+    if (!vm.limits.TakePermit(steady, upstream, 0)) return;
 
     const VmPtr sender = this->Pointer(vm);
     this->At(this->now + this->Random(1, 15), [this, sender, steady] {
@@ -194,9 +194,9 @@
     const TimePoint steady = this->SteadyNow(vm);
     if (limit) {
       this->rule.OnTold(this->now, vm.name);
-      vm.limits.OnNamed(steady, kUpstream, "draft", *limit, sent_at);
+      vm.limits.OnNamed(steady, upstream, "draft", *limit, sent_at);
     } else {
-      vm.limits.OnUnnamed(steady, kUpstream, sent_at);
+      vm.limits.OnUnnamed(steady, upstream, sent_at);
     }
     vm.next_sync = this->now;
   }
@@ -283,7 +283,8 @@
     return true;
   }
 
-  const UpstreamIncarnation kUpstream = {.id = "u1", .started_unix_ms = 7};
+  /// The limited upstream.
+  const UpstreamIncarnation upstream = {.id = "u1", .started_unix_ms = 7};
 
   Options options;
   Rng rng;
