Withdraw a limit only by the upstream's own answer; give back permits of attempts that never began

Cause: found by reading. An answer that was garbled on the way has no field for a limit and would have withdrawn it; an attempt whose caller had left before it began kept its permit. Change: without a signature or a statement that it did not run the request, an answer withdraws nothing. ReturnUnusedPermit is called on both ways out of an attempt. GarbledAnswerWithoutLimit_DoesNotWithdrawIt was not run on the code before; the lost permit has no test.

--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -243,6 +243,13 @@
       this->core.Upstreams().TakePermit(now, upstream, this->Priority());
 }
 
+void RequestTask::ReturnUnusedPermit(const serving::FleetUpstream& upstream) {
+  if (this->has_permit && !this->was_sent) {
+    this->core.Upstreams().ReturnPermit(Now(), upstream);
+  }
+  this->has_permit = false;
+}
+
 int RequestTask::Priority() const {
   const bool is_set =
       this->organisation != nullptr && this->organisation->priority.has_value();
@@ -299,12 +306,15 @@
 asio::awaitable<AttemptOutcome> RequestTask::RunAttempt(
     const serving::PlacementChoice& choice) {
   this->was_sent = false;
+  serving::FleetUpstream& upstream = *choice.upstream;
   // The caller may have left, or the deadline may have passed, before there was
   // an attempt that OnInterrupt could end.
-  if (this->caller_gone) co_return AttemptOutcome::kCallerGone;
-  if (this->timed_out) co_return AttemptOutcome::kTimedOut;
+  if (this->caller_gone || this->timed_out) {
+    this->ReturnUnusedPermit(upstream);
+    co_return this->caller_gone ? AttemptOutcome::kCallerGone
+                                : AttemptOutcome::kTimedOut;
+  }
 
-  serving::FleetUpstream& upstream = *choice.upstream;
   this->tried_upstreams.push_back(upstream.entry.id);
   if (!this->tried_upstreams_text.empty()) this->tried_upstreams_text += ',';
   this->tried_upstreams_text += upstream.entry.id;
@@ -353,10 +363,7 @@
     outcome = AttemptOutcome::kTimedOut;
   }
 
-  if (this->has_permit && !this->was_sent) {
-    this->core.Upstreams().ReturnPermit(Now(), upstream);
-  }
-  this->has_permit = false;
+  this->ReturnUnusedPermit(upstream);
   upstream.OnEnd();
   if (this->prompt_pending) upstream.pending_tokens -= choice.uncached_tokens;
   this->prompt_pending = false;
@@ -583,9 +590,11 @@
 void RequestTask::ApplyLimit(TimePoint now,
                              const serving::FleetUpstream& upstream) {
   const std::optional<double>& limit = this->answer.request_limit;
-  // A late answer to an earlier request does not withdraw a limit.
-  const bool is_late = this->answer.request_id != this->request.id;
-  if (!limit && is_late) return;
+  // Only the upstream itself withdraws its limit, and only by an answer to this
+  // request: a late answer or one that was garbled on the way says nothing.
+  const bool is_own = this->answer.request_id == this->request.id &&
+                      (this->answer.has_signature || this->answer.not_executed);
+  if (!limit && !is_own) return;
   if (!this->core.Upstreams().OnLimit(now, upstream, limit, this->sent_at)) {
     return;
   }
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -55,7 +55,10 @@
   /// as Run.
   asio::awaitable<bool> Serve();
   std::optional<serving::PlacementChoice> ChooseUpstream();
+  /// Takes a permit for the attempt if the chosen upstream has a limit.
   void TakePermit(TimePoint now, const serving::FleetUpstream& upstream);
+  /// Puts back the attempt's permit unless its request was sent.
+  void ReturnUnusedPermit(const serving::FleetUpstream& upstream);
   /// Priority of the request; 0 is the most urgent.
   int Priority() const;
   serving::NextStep DecideNextStep(serving::AttemptOutcome outcome);
@@ -107,6 +110,7 @@
   /// Applies what the answer head says about the upstream: its load, a time for
   /// which it asks to get no requests, its limit, or that it is shutting down.
   void ApplyAnswerHead(serving::FleetUpstream& upstream);
+  /// Applies the limit that the answer head names or no longer names.
   void ApplyLimit(TimePoint now, const serving::FleetUpstream& upstream);
   /// Counts the outcome for this request, the metrics and the upstream's
   /// failure statistics.
--- a/tests/platform/upstream_limit_test.cc
+++ b/tests/platform/upstream_limit_test.cc
@@ -29,6 +29,11 @@
     this->limit = requests_per_s;
     this->rule.OnNamed(Now(), requests_per_s);
   }
+  /// From now on answers have neither a signature nor a limit.
+  void Garble() {
+    const std::lock_guard lock(this->mutex);
+    this->garbled = true;
+  }
   const LoopbackServer& Server() const { return this->server; }
   /// What has arrived so far.
   serving::LimitRule Rule() {
@@ -44,6 +49,7 @@
     this->rule.OnArrival(Now(), vm);
     HttpAnswer answer(http::status::ok, 11);
     answer.set("Attempt-Id", id);
+    if (this->garbled) return answer;
     answer.set("Runner-Signature", "s1");
     if (this->limit) {
       this->rule.OnTold(Now(), vm);
@@ -55,6 +61,7 @@
 
   std::mutex mutex;
   std::optional<double> limit;
+  bool garbled = false;
   serving::LimitRule rule;
   LoopbackServer server;
 };
@@ -188,6 +195,22 @@
   EXPECT_EQ(this->CallAllVms(std::chrono::seconds(1)), 0);
 }
 
+// An answer without a signature may not be the upstream's own words.
+TEST_F(UpstreamLimitTest, GarbledAnswerWithoutLimit_DoesNotWithdrawIt) {
+  LimitingUpstream limited(1.0);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", limited.Server());
+  this->StartFleet(1);
+  EXPECT_EQ(this->CallVm(0).result_int(), 200U);
+  limited.Garble();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  EXPECT_EQ(this->CallVm(0).result_int(), 502U);
+
+  const TimePoint begin = Now();
+  EXPECT_EQ(this->CallVm(0).result_int(), 503U);
+  EXPECT_EQ(limited.Rule().Arrivals(begin, Now()), 0U);
+}
+
 // LIMIT: the shares of a VM that was killed are used by others, and a VM in its
 // place gets no additional ones.
 TEST_F(UpstreamLimitTest, KilledAndReplacedVms_TogetherKeepTheLimit) {
