fuchsiadrumd: healthy from its construction, not only from the first tick

What callers saw: /healthz answered 503 "the control thread does not answer" when it was asked within milliseconds of the start. Cause: the time of the last tick was 0 until the control thread had run once, so the thread seemed silent since 1970. The admin address is open before. Change: the time counts from the construction.

--- a/daemon/control.cc
+++ b/daemon/control.cc
@@ -23,7 +23,8 @@
       to_front(daemon_rings.to_front, io_context),
       to_upstream(daemon_rings.to_upstream, io_context),
       to_peers(daemon_rings.to_peers, io_context),
-      to_log(daemon_rings.to_log, io_context) {
+      to_log(daemon_rings.to_log, io_context),
+      last_tick_us(Now().us) {
   this->rings.from_front.SetHandler(
       [this](FromFront& item) { this->OnFront(item); });
   this->rings.from_admin.SetHandler(
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -56,7 +56,8 @@
   std::unordered_map<node::RequestHandle, CallerRequestPtr> requests;
   std::string not_ready;
   TimePoint last_poll;
-  std::atomic<int64_t> last_tick_us{0};
+  /// Counts from the construction: requests may arrive before the first tick.
+  std::atomic<int64_t> last_tick_us;
 };
 
 }  // namespace fuchsiadrum::daemon
