Keep one sighting for each holder of shares in place of three tables

Cause: reading the change again: three tables of HolderLeases described one state, and each event had to erase from the others. Sums over services were added up twice a second although no upstream had been dropped. Change: one table of the last sighting and its kind; DropUnknown adds up only after a drop.

--- a/fuchsiadrum/serving/holder_leases.cc
+++ b/fuchsiadrum/serving/holder_leases.cc
@@ -30,9 +30,7 @@
 
 void HolderLeases::OnRenewal(TimePoint now, const std::string& holder,
                              uint64_t renewal) {
-  this->renewed_at[holder] = now;
-  this->seen_at.erase(holder);
-  this->removed_at.erase(holder);
+  this->holders[holder] = {SightingKind::kRenewed, now};
   if (holder != this->own) return;
   const auto begun = this->pending.find(renewal);
   if (begun == this->pending.end()) return;
@@ -41,19 +39,16 @@
 }
 
 void HolderLeases::OnHolder(TimePoint now, const std::string& holder) {
-  if (this->renewed_at.contains(holder) || this->removed_at.contains(holder)) {
-    return;
-  }
-  this->seen_at.emplace(holder, now);
+  this->holders.try_emplace(holder, Sighting{SightingKind::kNamed, now});
 }
 
 void HolderLeases::OnRemoved(TimePoint now, const std::string& holder) {
-  this->renewed_at.erase(holder);
-  this->seen_at.erase(holder);
-  std::erase_if(this->removed_at, [&](const auto& item) {
-    return now - item.second > kRemovedRetention;
+  std::erase_if(this->holders, [&](const auto& item) {
+    const Sighting& sighting = item.second;
+    return sighting.kind == SightingKind::kRemoved &&
+           now - sighting.at > kRemovedRetention;
   });
-  this->removed_at[holder] = now;
+  this->holders[holder] = {SightingKind::kRemoved, now};
   if (holder == this->own) this->own_since = TimePoint();
 }
 
@@ -68,14 +63,16 @@
 bool HolderLeases::HasEnded(TimePoint now, const std::string& holder) const {
   if (holder == this->own) return false;
   if (VmOf(holder) == VmOf(this->own)) return true;
-  if (this->removed_at.contains(holder)) return true;
-  const auto renewed = this->renewed_at.find(holder);
-  if (renewed != this->renewed_at.end()) {
-    return now - renewed->second >= this->options.takeover_delay;
-  }
-  const auto seen = this->seen_at.find(holder);
-  return seen != this->seen_at.end() &&
-         now - seen->second >= this->options.takeover_delay;
+  const auto found = this->holders.find(holder);
+  if (found == this->holders.end()) return false;
+  return found->second.kind == SightingKind::kRemoved ||
+         now - found->second.at >= this->options.takeover_delay;
+}
+
+bool HolderLeases::IsOwnRecorded() const {
+  const auto found = this->holders.find(this->own);
+  return found != this->holders.end() &&
+         found->second.kind == SightingKind::kRenewed;
 }
 
 }  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/holder_leases.h
+++ b/fuchsiadrum/serving/holder_leases.h
@@ -46,12 +46,22 @@
   bool IsOwnValid(TimePoint now) const;
   bool IsRenewalDue(TimePoint now) const;
   /// True if the own record is in the stream.
-  bool IsOwnRecorded() const { return this->renewed_at.contains(this->own); }
+  bool IsOwnRecorded() const;
   /// True if the holder's lease has ended, so that its shares may be taken
   /// over. An earlier process of the own VM has ended at once.
   bool HasEnded(TimePoint now, const std::string& holder) const;
 
  private:
+  enum class SightingKind {
+    kNamed,    // a share names the holder, and no renewal was read
+    kRenewed,  // a renewal was read
+    kRemoved,  // the deletion of the holder's record was read
+  };
+  struct Sighting {
+    SightingKind kind = SightingKind::kNamed;
+    TimePoint at;
+  };
+
   HolderLeaseOptions options;
   std::string own;
   /// Start of the own renewals that were not read back yet, by number.
@@ -62,12 +72,8 @@
   /// Start of the last own renewal that was read back; us is 0 if there is
   /// none.
   TimePoint own_since;
-  /// When the last renewal of each holder was read.
-  std::map<std::string, TimePoint> renewed_at;
-  /// When the deletion of a holder's record was read.
-  std::map<std::string, TimePoint> removed_at;
-  /// When a holder without a renewal was first read of.
-  std::map<std::string, TimePoint> seen_at;
+  /// What was last read of each holder.
+  std::map<std::string, Sighting> holders;
 };
 
 }  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/upstream_limits.cc
+++ b/fuchsiadrum/serving/upstream_limits.cc
@@ -196,11 +196,12 @@
       entry.unknown_since = now;
     }
   }
-  std::erase_if(this->entries, [&](const auto& item) {
+  const size_t dropped = std::erase_if(this->entries, [&](const auto& item) {
     const Entry& entry = item.second;
     return !entry.shared && entry.unknown_since.us != 0 &&
            now - entry.unknown_since >= this->options.unknown_retention;
   });
+  if (dropped == 0) return;
   for (const auto& [service, sums] : this->totals) this->UpdateTotals(service);
 }
 
