--- a/gateway/budget_client.cc
+++ b/gateway/budget_client.cc
@@ -33,7 +33,7 @@
                            asio::io_context& io_context, Watchdog& timeouts,
                            EventLog& log)
     : options(opts),
-      name(opts.vm + "/" + std::to_string(opts.incarnation)),
+      name(VmRef{opts.vm, opts.incarnation}.ToString()),
       context(io_context),
       watchdog(timeouts),
       event_log(log),
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -49,12 +49,12 @@
       write_client(context, watchdog, opts.store_address),
       read_client(context, watchdog, opts.store_address),
       timer(context) {
-  this->writer.name = opts.vm + "/" + std::to_string(opts.incarnation);
+  this->writer.name = VmRef{opts.vm, opts.incarnation}.ToString();
 }
 
 std::string FleetHeartbeats::PredecessorHolder() const {
-  return this->predecessor->vm() + "/" +
-         std::to_string(this->predecessor->incarnation());
+  return VmRef{this->predecessor->vm(), this->predecessor->incarnation()}
+      .ToString();
 }
 
 Duration FleetHeartbeats::PendingWriteAge(TimePoint now) const {
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -42,8 +42,7 @@
 
 /// Name of this process among the holders of grants and shares.
 std::string HolderName(const pb::GatewaySettings& settings) {
-  return settings.vm().name() + "/" +
-         std::to_string(daemon::StartIncarnation());
+  return VmRef{settings.vm().name(), daemon::StartIncarnation()}.ToString();
 }
 
 serving::UpstreamDirectoryOptions DirectoryOptions(
