Tests of limits use the fixture's signed answer

Cause: reading the change again: one handler wrote PlatformFixture::Signed anew; an include was unused. Change: as above; no assertion changes. Measured: UpstreamLimitTest, 7 passed.

--- a/tests/platform/upstream_limit_test.cc
+++ b/tests/platform/upstream_limit_test.cc
@@ -74,9 +74,7 @@
   static std::optional<HttpAnswer> BookSlowly(const HttpRequest& request,
                                               Tcp::socket& /*socket*/) {
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    HttpAnswer answer(http::status::ok, 11);
-    answer.set("Attempt-Id", request["Attempt-Id"]);
-    answer.set("Runner-Signature", "s1");
+    HttpAnswer answer = Signed(request);
     answer.body() = "booked";
     return answer;
   }
--- a/tests/serving/limit_fleet.h
+++ b/tests/serving/limit_fleet.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <algorithm>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
