Apply the notices of an answer in a file of their own

Change: ApplyNotices and its part for limits move to gateway/answer_notices; the code is the same. Measured: platform_test, 57 passed; linter clean.

--- /dev/null
+++ b/gateway/answer_notices.cc
@@ -0,0 +1,60 @@
+#include "gateway/answer_notices.h"
+
+#include <optional>
+
+#include "fuchsiadrum/core/duration.h"
+#include "gateway/clock.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+/// Value in the log for an upstream that names no limit.
+constexpr double kNoLimit = -1;
+
+void ApplyLimit(GatewayCore& core, const serving::FleetUpstream& upstream,
+                const serving::UpstreamAnswer& answer,
+                const AnsweredRequest& request) {
+  const std::optional<double>& limit = answer.request_limit;
+  // Only the upstream itself withdraws its limit, and only by an answer to this
+  // request: a late answer or one that was garbled on the way says nothing.
+  const bool is_own = answer.request_id == request.id &&
+                      (answer.has_signature || answer.not_executed);
+  if (!limit && !is_own) return;
+  if (!core.Upstreams().OnLimit(Now(), upstream, limit, request.sent_at)) {
+    return;
+  }
+  core.SharedLimits().Notify();
+  core.Log().Write("upstream-limit",
+                   {{"upstream", upstream.entry.id},
+                    {"id", request.id},
+                    {"requests_per_s", limit.value_or(kNoLimit)}});
+}
+
+}  // namespace
+
+void ApplyNotices(GatewayCore& core, serving::FleetUpstream& upstream,
+                  const serving::UpstreamAnswer& answer,
+                  const AnsweredRequest& request) {
+  const TimePoint now = Now();
+  const std::string& id = upstream.entry.id;
+  if (!answer.fault.empty()) {
+    core.Log().Write("upstream-notice-unusable",
+                     {{"upstream", id}, {"reason", answer.fault}});
+  }
+  if (!answer.unknown_notice.empty()) {
+    core.LogUnknownNotice(id, answer.unknown_notice);
+  }
+  if (answer.leaving && core.Upstreams().OnLeaving(now, upstream)) {
+    core.Log().Write("upstream-leaves", {{"upstream", id}, {"id", request.id}});
+  }
+  if (answer.pause) {
+    core.Upstreams().OnPause(now, upstream, *answer.pause);
+    core.Log().Write("upstream-pauses",
+                     {{"upstream", id},
+                      {"id", request.id},
+                      {"ms", ToMilliseconds(*answer.pause)}});
+  }
+  ApplyLimit(core, upstream, answer, request);
+}
+
+}  // namespace fuchsiadrum::gateway
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fuchsiadrum/core/duration.h"
+#include "gateway/answer_notices.h"
 #include "gateway/clock.h"
 #include "platform/request_codec.h"
 
@@ -43,9 +44,6 @@
 /// that the upstream sends right at the limit still arrives.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(40);
 
-/// Value in the log for an upstream that names no limit.
-constexpr double kNoLimit = -1;
-
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
@@ -565,44 +563,8 @@
   const TimePoint now = Now();
   upstream.OnBytesReceived(now);
   if (this->answer.load) upstream.OnReport(now, *this->answer.load);
-  const std::string& id = upstream.entry.id;
-  if (!this->answer.fault.empty()) {
-    this->core.Log().Write("upstream-notice-unusable",
-                           {{"upstream", id}, {"reason", this->answer.fault}});
-  }
-  if (!this->answer.unknown_notice.empty()) {
-    this->core.LogUnknownNotice(id, this->answer.unknown_notice);
-  }
-  if (this->answer.leaving && this->core.Upstreams().OnLeaving(now, upstream)) {
-    this->core.Log().Write("upstream-leaves",
-                           {{"upstream", id}, {"id", this->request.id}});
-  }
-  if (this->answer.pause) {
-    this->core.Upstreams().OnPause(now, upstream, *this->answer.pause);
-    this->core.Log().Write("upstream-pauses",
-                           {{"upstream", id},
-                            {"id", this->request.id},
-                            {"ms", ToMilliseconds(*this->answer.pause)}});
-  }
-  this->ApplyLimit(now, upstream);
-}
-
-void RequestTask::ApplyLimit(TimePoint now,
-                             const serving::FleetUpstream& upstream) {
-  const std::optional<double>& limit = this->answer.request_limit;
-  // Only the upstream itself withdraws its limit, and only by an answer to this
-  // request: a late answer or one that was garbled on the way says nothing.
-  const bool is_own = this->answer.request_id == this->request.id &&
-                      (this->answer.has_signature || this->answer.not_executed);
-  if (!limit && !is_own) return;
-  if (!this->core.Upstreams().OnLimit(now, upstream, limit, this->sent_at)) {
-    return;
-  }
-  this->core.SharedLimits().Notify();
-  this->core.Log().Write("upstream-limit",
-                         {{"upstream", upstream.entry.id},
-                          {"id", this->request.id},
-                          {"requests_per_s", limit.value_or(kNoLimit)}});
+  ApplyNotices(this->core, upstream, this->answer,
+               {.id = this->request.id, .sent_at = this->sent_at});
 }
 
 void RequestTask::RecordOutcome(const serving::PlacementChoice& choice,
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -107,11 +107,9 @@
   /// has left, else kBrokenMidway if part of the answer has been sent to it,
   /// else kTimedOut if the deadline has passed, else kBroken.
   serving::AttemptOutcome BrokenOutcome() const;
-  /// Applies what the answer head says about the upstream: its load, a time for
-  /// which it asks to get no requests, its limit, or that it is shutting down.
+  /// Applies what the answer head says about the upstream: its load and its
+  /// notices.
   void ApplyAnswerHead(serving::FleetUpstream& upstream);
-  /// Applies the limit that the answer head names or no longer names.
-  void ApplyLimit(TimePoint now, const serving::FleetUpstream& upstream);
   /// Counts the outcome for this request, the metrics and the upstream's
   /// failure statistics.
   void RecordOutcome(const serving::PlacementChoice& choice,
