Log and count what each refusal of an upstream names

Event upstream-refusal and the metric upstream_refusals_total say which request the refusal names, whether it is signed and which exchange of its connection it is; mismatched-answer says its status; request has the outcome of each attempt. No decision changes.

--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -30,6 +30,10 @@
   ++this->attempts[{service, std::string(outcome)}];
 }
 
+void GatewayMetrics::CountRefusal(std::string_view names) {
+  ++this->refusals[std::string(names)];
+}
+
 void GatewayMetrics::CountLimitedSend(const std::string& service) {
   ++this->limited_sends[service];
 }
@@ -52,6 +56,10 @@
                      key.second + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [names, count] : this->refusals) {
+    text += Line("upstream_refusals_total{names=\"" + names + "\"}",
+                 static_cast<double>(count));
+  }
   for (const auto& [service, count] : this->limited_sends) {
     text += Line("limited_sends_total{service=\"" + service + "\"}",
                  static_cast<double>(count));
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -21,6 +22,9 @@
   void AddFirstByte(const std::string& route, Duration time);
   /// Counts an attempt at an upstream that has ended.
   void CountAttempt(const std::string& service, std::string_view outcome);
+  /// Counts an answer of an upstream that reports that it did not run the
+  /// request. `names` says which request the answer names.
+  void CountRefusal(std::string_view names);
   /// Counts a request that is sent to an upstream that has named a limit.
   void CountLimitedSend(const std::string& service);
 
@@ -34,6 +38,8 @@
   std::map<std::tuple<std::string, std::string, int>, uint64_t> requests;
   /// Attempts by service and outcome.
   std::map<std::pair<std::string, std::string>, uint64_t> attempts;
+  /// Refusals of upstreams, by the request that they name.
+  std::map<std::string, uint64_t, std::less<>> refusals;
   /// Requests sent to upstreams with a limit, by service.
   std::map<std::string, uint64_t> limited_sends;
   /// Times to first byte by route.
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -72,6 +72,7 @@
   this->send_head = std::move(head);
   this->send_body = std::move(body);
   this->sending = true;
+  ++this->exchanges;
   std::array<asio::const_buffer, 2> parts = {asio::buffer(this->send_head),
                                              asio::const_buffer()};
   if (this->send_body) parts[1] = asio::buffer(*this->send_body);
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -47,6 +47,8 @@
   /// permits keep-alive, the whole request was sent, and since then neither
   /// bytes nor a close have arrived.
   bool IsReusable();
+  /// Number of requests sent so far.
+  uint64_t Exchanges() const { return this->exchanges; }
   /// Sets the maximum time that sent bytes may stay unacknowledged.
   void SetAckTimeout(Duration time);
   void Close();
@@ -66,6 +68,7 @@
   std::string send_head;
   std::shared_ptr<const std::string> send_body;
   bool sending = false;
+  uint64_t exchanges = 0;
 };
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -396,6 +396,7 @@
 
   constexpr int kMisdirected = 421;
   if (this->answer.not_executed || this->answer.status == kMisdirected) {
+    this->LogRefusal(connection);
     connection.ExpireAt(Now() + kRejectionBodyTimeout);
     static_cast<void>(co_await this->ReadWholeBody(connection));
     connection.NeverExpire();
@@ -569,8 +570,10 @@
 
 void RequestTask::RecordOutcome(const serving::PlacementChoice& choice,
                                 AttemptOutcome outcome) {
-  this->core.Metrics().CountAttempt(this->service,
-                                    serving::AttemptOutcomeName(outcome));
+  const std::string_view name = serving::AttemptOutcomeName(outcome);
+  this->core.Metrics().CountAttempt(this->service, name);
+  if (!this->outcomes_text.empty()) this->outcomes_text += ',';
+  this->outcomes_text += name;
   serving::FleetUpstream& upstream = *choice.upstream;
   switch (outcome) {
     case AttemptOutcome::kNotSent:
@@ -628,7 +631,27 @@
   this->core.Log().Write("mismatched-answer",
                          {{"id", this->request.id},
                           {"answered", this->answer.request_id},
-                          {"upstream", this->tried_upstreams.back()}});
+                          {"upstream", this->tried_upstreams.back()},
+                          {"status", int64_t{this->answer.status}},
+                          {"not_run", this->answer.not_executed}});
+}
+
+void RequestTask::LogRefusal(const HttpConnection& connection) {
+  const std::string& answered = this->answer.request_id;
+  const std::string_view names = answered == this->request.id ? "this request"
+                                 : answered.empty()           ? "no request"
+                                                              : "other request";
+  this->core.Metrics().CountRefusal(names);
+  this->core.Log().Write(
+      "upstream-refusal",
+      {{"id", this->request.id},
+       {"names", names},
+       {"answered", answered},
+       {"upstream", this->tried_upstreams.back()},
+       {"status", int64_t{this->answer.status}},
+       {"signed", this->answer.has_signature},
+       {"exchange", static_cast<int64_t>(connection.Exchanges())},
+       {"ms", ToMilliseconds(Now() - this->sent_at)}});
 }
 
 void RequestTask::LogEnd(int status, std::string_view outcome,
@@ -648,6 +671,7 @@
        {"outcome", outcome},
        {"reason", reason},
        {"upstreams", this->tried_upstreams_text},
+       {"outcomes", this->outcomes_text},
        {"candidates", static_cast<int64_t>(this->candidate_count)},
        {"prompt", this->request.prompt_tokens.value_or(Tokens(0)).count},
        {"uncached", this->uncached_tokens},
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -121,6 +121,8 @@
   /// first. Unlike `deadline` it includes no slack for a late answer.
   Duration TimeLeft() const;
   void LogMismatchedAnswer();
+  /// Logs and counts an answer which reports that the request did not run.
+  void LogRefusal(const HttpConnection& connection);
   /// Logs and counts the end of the request. `outcome` says what the caller got
   /// (for example "complete" or "own-answer"), `reason` why it is not a
   /// complete answer of an upstream.
@@ -154,6 +156,8 @@
   int unexecuted = 0;
   std::vector<std::string> tried_upstreams;
   std::string tried_upstreams_text;
+  /// Outcomes of the ended attempts, in the order of tried_upstreams.
+  std::string outcomes_text;
   /// When the current attempt began to send the request.
   TimePoint sent_at;
   /// True while the prompt's tokens count as pending at the upstream: from the
