Take an answer for what it proves about the exchange in which it was read

What callers saw: 503, 'not run, try again', for bookings that had run or were running (REFUSED), and bookings that ran at two upstreams (TWICE).

Cause: ReadMatchingHead took any answer with Not-Executed for the refusal of the request that waited, without comparing the id that it names. On a kept connection a faulty upstream wrote an earlier refusal once more; the request was then repeated elsewhere or refused while its upstream ran it. Of the same class: a refusal without an id on a used connection, one with a signature (the proof of a run) or with a success, an upstream's own 503 or 429 after a run, passed on to the caller as a promise, and an id that the connection had carried before.

Change: serving::OriginOf and ProofOf decide what an answer proves; what proves nothing counts as a request that may have run. An answer to another exchange is skipped and the next one is read, so that the connection stays in use and the request still gets its answer. Load and notices count only in answers of this exchange, and not in a 421, which another upstream has sent. A request is not sent on a connection that has carried its id, and a connection whose answers name nothing carries one request only.

--- a/gateway/answer_notices.cc
+++ b/gateway/answer_notices.cc
@@ -15,11 +15,9 @@
                 const serving::UpstreamAnswer& answer,
                 const AnsweredRequest& request) {
   const std::optional<double>& limit = answer.request_limit;
-  // Only the upstream itself withdraws its limit, and only by an answer to this
-  // request: a late answer or one that was garbled on the way says nothing.
-  const bool is_own = answer.request_id == request.id &&
-                      (answer.has_signature || answer.not_executed);
-  if (!limit && !is_own) return;
+  // Only the upstream itself withdraws its limit: an answer that was garbled on
+  // the way says nothing.
+  if (!limit && !answer.has_signature && !answer.not_executed) return;
   if (!core.Upstreams().OnLimit(Now(), upstream, limit, request.sent_at)) {
     return;
   }
--- a/gateway/answer_notices.h
+++ b/gateway/answer_notices.h
@@ -15,7 +15,8 @@
   TimePoint sent_at;
 };
 
-/// Applies what an upstream announces about itself in the head of an answer: a
+/// Applies what an upstream announces about itself in the head of an answer
+/// that is proven to be to this request: a
 /// time for which it asks to get no requests, its limit, or that it is shutting
 /// down.
 void ApplyNotices(GatewayCore& core, serving::FleetUpstream& upstream,
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -3,10 +3,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/read.hpp>
 #include <limits>
 
+#include "fuchsiadrum/core/hash.h"
 #include "settings/endpoint.h"
 
 namespace fuchsiadrum::gateway {
@@ -129,6 +131,15 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void HttpConnection::RememberRequest(std::string_view request_id) {
+  this->carried[this->exchanges % kRememberedRequests] = Hash64(request_id);
+}
+
+bool HttpConnection::HasCarried(std::string_view request_id) const {
+  return std::ranges::find(this->carried, Hash64(request_id)) !=
+         this->carried.end();
+}
+
 void HttpConnection::SetAckTimeout(Duration time) {
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time);
   SetOption(this->socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fuchsiadrum/serving/link_load.h"
@@ -47,6 +49,12 @@
   /// permits keep-alive, the whole request was sent, and since then neither
   /// bytes nor a close have arrived.
   bool IsReusable();
+  /// Remembers that the connection carries this request. Only the last
+  /// kRememberedRequests are kept.
+  void RememberRequest(std::string_view request_id);
+  /// True if the connection is known to have carried a request with this id:
+  /// an answer that names it could belong to either of the two.
+  bool HasCarried(std::string_view request_id) const;
   /// Number of requests sent so far.
   uint64_t Exchanges() const { return this->exchanges; }
   /// Sets the maximum time that sent bytes may stay unacknowledged.
@@ -57,6 +65,7 @@
   void OnExpired() override;
 
  private:
+  static constexpr size_t kRememberedRequests = 16;
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
@@ -69,6 +78,7 @@
   std::shared_ptr<const std::string> send_body;
   bool sending = false;
   uint64_t exchanges = 0;
+  std::array<uint64_t, kRememberedRequests> carried{};
 };
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fuchsiadrum/core/duration.h"
+#include "fuchsiadrum/serving/answer_proof.h"
 #include "gateway/answer_notices.h"
 #include "gateway/clock.h"
 #include "platform/request_codec.h"
@@ -44,8 +45,6 @@
 /// that the upstream sends right at the limit still arrives.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(40);
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 RequestTask::RequestTask(GatewayCore& gateway_core,
@@ -350,7 +349,10 @@
     if (outcome == AttemptOutcome::kComplete ||
         outcome == AttemptOutcome::kFailed ||
         outcome == AttemptOutcome::kRejected) {
-      this->core.Pool().Release(upstream.entry.id, connection,
+      // A connection whose answers do not name their requests can carry only
+      // one: the next answer could belong to either.
+      if (this->answer.request_id.empty()) connection->Close();
+      this->core.Pool().Release(upstream.entry, connection,
                                 this->answer.keep_alive);
     } else {
       connection->Close();
@@ -370,7 +372,7 @@
 
 asio::awaitable<std::shared_ptr<HttpConnection>> RequestTask::OpenConnection(
     const serving::FleetUpstream& upstream) {
-  auto connection = this->core.Pool().TakeIdle(upstream.entry.id,
+  auto connection = this->core.Pool().TakeIdle(upstream.entry, this->request.id,
                                                this->route->IsIdempotent());
   if (connection) co_return connection;
 
@@ -394,34 +396,33 @@
       co_await this->ReadMatchingHead(*choice.upstream, connection);
   if (head == nullptr) co_return this->BrokenOutcome();
 
-  constexpr int kMisdirected = 421;
-  if (this->answer.not_executed || this->answer.status == kMisdirected) {
+  const serving::AnswerProof proof = serving::ProofOf(this->answer);
+  if (proof == serving::AnswerProof::kNotRun) {
     this->LogRefusal(connection);
     connection.ExpireAt(Now() + kRejectionBodyTimeout);
     static_cast<void>(co_await this->ReadWholeBody(connection));
     connection.NeverExpire();
-    if (this->answer.status == kMisdirected) {
+    if (serving::IsFromOtherUpstream(this->answer)) {
       this->core.Upstreams().Erase(choice.upstream->entry.id);
     }
     co_return AttemptOutcome::kRejected;
   }
-  const bool usable = IsSuccess(this->answer.status) &&
-                      this->answer.has_signature && !this->answer.is_encoded;
-  if (usable && this->route->kind == serving::RequestKind::kStreaming) {
+  if (proof == serving::AnswerProof::kNothing) {
+    this->LogUnprovenAnswer();
+    connection.Close();
+    co_return this->BrokenOutcome();
+  }
+  if (proof == serving::AnswerProof::kRan &&
+      this->route->kind == serving::RequestKind::kStreaming) {
     co_return co_await this->RelayEvents(choice, connection);
   }
   const AttemptOutcome outcome = co_await this->ReadWholeBody(connection);
   if (outcome != AttemptOutcome::kComplete) co_return outcome;
-  if (usable) {
-    this->RecordFirstByte(choice);
-    co_return AttemptOutcome::kComplete;
+  if (proof == serving::AnswerProof::kRanAndFailed) {
+    co_return AttemptOutcome::kFailed;
   }
-  // A failure without a signature does not come from the upstream itself.
-  if (IsSuccess(this->answer.status) || !this->answer.has_signature) {
-    connection.Close();
-    co_return this->BrokenOutcome();
-  }
-  co_return AttemptOutcome::kFailed;
+  this->RecordFirstByte(choice);
+  co_return AttemptOutcome::kComplete;
 }
 
 void RequestTask::SendRequest(const serving::FleetUpstream& upstream,
@@ -441,6 +442,7 @@
   if (this->has_permit) this->core.Metrics().CountLimitedSend(this->service);
   this->answer = {};
   this->answer_body.clear();
+  connection.RememberRequest(this->request.id);
   connection.StartSend(platform::EncodeUpstreamRequest(this->request, call),
                        std::shared_ptr<const std::string>(this->shared_request,
                                                           &this->request.body));
@@ -452,12 +454,15 @@
     const platform::HttpAnswerHead* head = co_await connection.ReadHead();
     if (head == nullptr) co_return nullptr;
     this->answer = platform::DecodeAnswer(*head);
-    this->ApplyAnswerHead(upstream);
-    if (this->answer.request_id == this->request.id ||
-        this->answer.not_executed) {
+    upstream.OnBytesReceived(Now());
+    const serving::Exchange exchange = {.request_id = this->request.id,
+                                        .number = connection.Exchanges()};
+    if (serving::OriginOf(this->answer, exchange) ==
+        serving::AnswerOrigin::kThisExchange) {
+      this->ApplyAnswerHead(upstream);
       co_return head;
     }
-    // This is a late answer to an earlier request on the connection.
+    // The answer to this request may still follow.
     this->LogMismatchedAnswer();
     if (co_await this->ReadWholeBody(connection) != AttemptOutcome::kComplete) {
       co_return nullptr;
@@ -561,9 +566,8 @@
 }
 
 void RequestTask::ApplyAnswerHead(serving::FleetUpstream& upstream) {
-  const TimePoint now = Now();
-  upstream.OnBytesReceived(now);
-  if (this->answer.load) upstream.OnReport(now, *this->answer.load);
+  if (serving::IsFromOtherUpstream(this->answer)) return;
+  if (this->answer.load) upstream.OnReport(Now(), *this->answer.load);
   ApplyNotices(this->core, upstream, this->answer,
                {.id = this->request.id, .sent_at = this->sent_at});
 }
@@ -628,6 +632,9 @@
 }
 
 void RequestTask::LogMismatchedAnswer() {
+  if (this->answer.not_executed) {
+    this->core.Metrics().CountRefusal(this->NamesOfAnswer());
+  }
   this->core.Log().Write("mismatched-answer",
                          {{"id", this->request.id},
                           {"answered", this->answer.request_id},
@@ -637,23 +644,33 @@
 }
 
 void RequestTask::LogRefusal(const HttpConnection& connection) {
-  const std::string& answered = this->answer.request_id;
-  const std::string_view names = answered == this->request.id ? "this request"
-                                 : answered.empty()           ? "no request"
-                                                              : "other request";
+  const std::string_view names = this->NamesOfAnswer();
   this->core.Metrics().CountRefusal(names);
   this->core.Log().Write(
       "upstream-refusal",
       {{"id", this->request.id},
        {"names", names},
-       {"answered", answered},
        {"upstream", this->tried_upstreams.back()},
        {"status", int64_t{this->answer.status}},
-       {"signed", this->answer.has_signature},
        {"exchange", static_cast<int64_t>(connection.Exchanges())},
        {"ms", ToMilliseconds(Now() - this->sent_at)}});
 }
 
+void RequestTask::LogUnprovenAnswer() {
+  this->core.Log().Write("upstream-answer-unproven",
+                         {{"id", this->request.id},
+                          {"upstream", this->tried_upstreams.back()},
+                          {"status", int64_t{this->answer.status}},
+                          {"not_run", this->answer.not_executed},
+                          {"reason", serving::UnprovenReason(this->answer)}});
+}
+
+std::string_view RequestTask::NamesOfAnswer() const {
+  const std::string& named = this->answer.request_id;
+  if (named.empty()) return "no request";
+  return named == this->request.id ? "this request" : "other request";
+}
+
 void RequestTask::LogEnd(int status, std::string_view outcome,
                          std::string_view reason) {
   const TimePoint now = Now();
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -83,9 +83,10 @@
   /// stream are relayed as they arrive; other answers are only buffered.
   asio::awaitable<serving::AttemptOutcome> Exchange(
       const serving::PlacementChoice& choice, HttpConnection& connection);
-  /// Reads the head of the answer with this request's id, or of a rejection;
-  /// skips late answers to earlier requests on the connection. Returns nullptr
-  /// if the connection fails or too many answers were skipped.
+  /// Reads the head of the answer to this request; skips answers to earlier
+  /// requests on the connection, and those that nothing proves to be of this
+  /// exchange. Returns nullptr if the connection fails or too many answers were
+  /// skipped.
   asio::awaitable<const platform::HttpAnswerHead*> ReadMatchingHead(
       serving::FleetUpstream& upstream, HttpConnection& connection);
   /// Reads the rest of the answer into `answer_body`.
@@ -107,8 +108,8 @@
   /// has left, else kBrokenMidway if part of the answer has been sent to it,
   /// else kTimedOut if the deadline has passed, else kBroken.
   serving::AttemptOutcome BrokenOutcome() const;
-  /// Applies what the answer head says about the upstream: its load and its
-  /// notices.
+  /// Applies what the head of an answer of this exchange says about the
+  /// upstream: its load and its notices.
   void ApplyAnswerHead(serving::FleetUpstream& upstream);
   /// Counts the outcome for this request, the metrics and the upstream's
   /// failure statistics.
@@ -121,8 +122,11 @@
   /// first. Unlike `deadline` it includes no slack for a late answer.
   Duration TimeLeft() const;
   void LogMismatchedAnswer();
-  /// Logs and counts an answer which reports that the request did not run.
+  /// Logs and counts an answer which proves that the request did not run.
   void LogRefusal(const HttpConnection& connection);
+  void LogUnprovenAnswer();
+  /// Says which request the answer names, for the log.
+  std::string_view NamesOfAnswer() const;
   /// Logs and counts the end of the request. `outcome` says what the caller got
   /// (for example "complete" or "own-answer"), `reason` why it is not a
   /// complete answer of an upstream.
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -6,19 +6,25 @@
 
 namespace fuchsiadrum::gateway {
 
+std::string UpstreamPool::KeyOf(const serving::UpstreamEntry& entry) {
+  return entry.id;
+}
+
 std::shared_ptr<HttpConnection> UpstreamPool::TakeIdle(
-    const std::string& upstream, bool repeatable) {
-  const auto found = this->idle.find(upstream);
+    const serving::UpstreamEntry& entry, std::string_view request_id,
+    bool repeatable) {
+  const auto found = this->idle.find(KeyOf(entry));
   if (found == this->idle.end()) return nullptr;
 
   const TimePoint now = Now();
   std::vector<IdleConnection>& connections = found->second;
-  while (!connections.empty()) {
-    const IdleConnection candidate = connections.back();
+  for (size_t i = connections.size(); i-- > 0;) {
+    const IdleConnection candidate = connections[i];
+    if (candidate.connection->HasCarried(request_id)) continue;
     const bool too_old = !repeatable && now - candidate.since >
                                             this->options.max_idle_unrepeatable;
     if (too_old && now < candidate.until) return nullptr;
-    connections.pop_back();
+    connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
     if (now < candidate.until && candidate.connection->IsReusable()) {
       return candidate.connection;
     }
@@ -35,7 +41,7 @@
   return connection;
 }
 
-void UpstreamPool::Release(const std::string& upstream,
+void UpstreamPool::Release(const serving::UpstreamEntry& entry,
                            std::shared_ptr<HttpConnection> connection,
                            std::optional<Duration> keep_alive) {
   connection->NeverExpire();
@@ -50,9 +56,9 @@
     idle_limit = std::min(idle_limit, usable);
   }
   const TimePoint now = Now();
-  this->idle[upstream].push_back({.connection = std::move(connection),
-                                  .since = now,
-                                  .until = now + idle_limit});
+  this->idle[KeyOf(entry)].push_back({.connection = std::move(connection),
+                                      .since = now,
+                                      .until = now + idle_limit});
 }
 
 void UpstreamPool::OnTick(TimePoint now) {
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -2,9 +2,11 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "fuchsiadrum/serving/fleet_upstream.h"
 #include "gateway/http_connection.h"
 
 namespace fuchsiadrum::gateway {
@@ -33,17 +35,18 @@
         watchdog(timeouts),
         link(link_load) {}
 
-  /// Removes a reusable idle connection from the pool and returns it, or
-  /// nullptr if there is none. `repeatable` tells whether the request may be
-  /// repeated.
-  std::shared_ptr<HttpConnection> TakeIdle(const std::string& upstream,
+  /// Removes a reusable idle connection that has not carried a request with
+  /// this id from the pool and returns it, or nullptr if there is none.
+  /// `repeatable` tells whether the request may be repeated.
+  std::shared_ptr<HttpConnection> TakeIdle(const serving::UpstreamEntry& entry,
+                                           std::string_view request_id,
                                            bool repeatable);
   /// Creates a connection that is not connected yet.
   std::shared_ptr<HttpConnection> MakeNew();
   /// Puts the connection into the pool if it can carry another request, and
   /// closes it otherwise. `keep_alive` is the idle timeout that the upstream
   /// has announced, if any.
-  void Release(const std::string& upstream,
+  void Release(const serving::UpstreamEntry& entry,
                std::shared_ptr<HttpConnection> connection,
                std::optional<Duration> keep_alive);
   /// Closes connections that have passed their idle limit.
@@ -58,6 +61,8 @@
     TimePoint until;
   };
 
+  static std::string KeyOf(const serving::UpstreamEntry& entry);
+
   UpstreamPoolOptions options;
   asio::io_context& context;
   Watchdog& watchdog;
