Keep idle connections by an upstream's id and address

What callers saw: an upstream that was listed again at another address got nothing: the gateway sent to the old address on an idle connection, was answered 421 and dropped the upstream again, for as long as the connection lived.

Cause: the pool keeps idle connections by the id alone, and the connection that had carried the 421 went back into it. Found by the test NoticesOfAMisdirectedAnswer_AreNotObeyed, which failed on the code before.

Change: the key is id and address, and a connection on which another upstream has answered is closed.

--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -351,7 +351,10 @@
         outcome == AttemptOutcome::kRejected) {
       // A connection whose answers do not name their requests can carry only
       // one: the next answer could belong to either.
-      if (this->answer.request_id.empty()) connection->Close();
+      if (this->answer.request_id.empty() ||
+          serving::IsFromOtherUpstream(this->answer)) {
+        connection->Close();
+      }
       this->core.Pool().Release(upstream.entry, connection,
                                 this->answer.keep_alive);
     } else {
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -7,7 +7,7 @@
 namespace fuchsiadrum::gateway {
 
 std::string UpstreamPool::KeyOf(const serving::UpstreamEntry& entry) {
-  return entry.id;
+  return entry.id + '@' + entry.address;
 }
 
 std::shared_ptr<HttpConnection> UpstreamPool::TakeIdle(
