--- /dev/null
+++ b/tests/platform/upstream_stream_test.cc
@@ -0,0 +1,170 @@
+#include <gtest/gtest.h>
+
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "tests/platform/platform_fixture.h"
+
+namespace fuchsiadrum::gateway {
+namespace {
+
+/// A stream that breaks off after two events and goes on at a second upstream,
+/// whose answer is not always the rest of the stream.
+class UpstreamStreamTest : public PlatformFixture {
+ protected:
+  static constexpr char kSigned[] =
+      "Attempt-Id: a1\r\nRunner-Signature: s1\r\n";
+  static constexpr char kEventStream[] = "Content-Type: text/event-stream\r\n";
+
+  static std::string Chunk(const std::string& bytes) {
+    std::ostringstream out;
+    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return out.str();
+  }
+  static std::string ChunkedAnswer(const std::string& status,
+                                   const std::string& fields,
+                                   const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\n" + fields +
+           "Transfer-Encoding: chunked\r\n\r\n" + Chunk(body) + "0\r\n\r\n";
+  }
+  static std::string SizedAnswer(const std::string& status,
+                                 const std::string& fields,
+                                 const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  /// A whole answer of the events `first` to `last`.
+  static std::string Events(int first, int last) {
+    std::string body;
+    for (int id = first; id <= last; ++id) body += Event(id);
+    return ChunkedAnswer("200 OK", std::string(kSigned) + kEventStream, body);
+  }
+
+  /// Sends a stream's request and returns all bytes until the gateway closes
+  /// the connection.
+  std::string ReadStream(const HttpRequest& request) {
+    asio::io_context context;
+    Tcp::socket socket(context);
+    ErrorCode error;
+    socket.connect(
+        {asio::ip::address_v4::loopback(), this->gateway->CallersPort()},
+        error);
+    http::write(socket, request, error);
+    std::string bytes;
+    asio::read(socket, asio::dynamic_buffer(bytes), error);
+    return bytes;
+  }
+
+  /// Breaks a stream off after event 2 and answers its repeat with `resumed`.
+  /// Returns the bytes of the body that the caller gets, with their framing.
+  std::string Resume(const std::string& resumed) {
+    const auto script = [resumed](const HttpRequest& request,
+                                  Tcp::socket& socket) {
+      ErrorCode ignored;
+      const bool is_repeat = !request["Last-Event-Id"].empty();
+      const std::string begun =
+          "HTTP/1.1 200 OK\r\n" + std::string(kSigned) + kEventStream +
+          "Transfer-Encoding: chunked\r\n\r\n" + Chunk(Event(1) + Event(2));
+      asio::write(socket, asio::buffer(is_repeat ? resumed : begun), ignored);
+      return std::optional<HttpAnswer>();
+    };
+    LoopbackServer first(script);
+    LoopbackServer second(script);
+    this->PutConfig(1, 100000);
+    this->PutUpstream("u1", first);
+    this->PutUpstream("u2", second);
+    this->StartGateway();
+    HttpRequest request = Request("/draft/x", "100,50");
+    request.set("Connection", "close");
+    const std::string bytes = this->ReadStream(request);
+    this->TearDown();
+    const size_t head_end = bytes.find("\r\n\r\n");
+    return head_end == std::string::npos ? bytes : bytes.substr(head_end + 4);
+  }
+
+  const std::string begun = Chunk(Event(1) + Event(2));
+};
+
+TEST_F(UpstreamStreamTest, RestOfTheStream_CompletesIt) {
+  EXPECT_EQ(this->Resume(Events(3, 4)),
+            this->begun + Chunk(Event(3) + Event(4)) + "0\r\n\r\n");
+}
+
+// The stream had broken off after its last event, before its end.
+TEST_F(UpstreamStreamTest, EmptyRestOfTheStream_CompletesIt) {
+  EXPECT_EQ(
+      this->Resume("HTTP/1.1 200 OK\r\n" + std::string(kSigned) + kEventStream +
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+      this->begun + "0\r\n\r\n");
+}
+
+TEST_F(UpstreamStreamTest, CommentBetweenEvents_IsPartOfTheStream) {
+  const std::string rest = ": wait\n\n" + Event(3);
+  EXPECT_EQ(this->Resume(ChunkedAnswer(
+                "200 OK", std::string(kSigned) + kEventStream, rest)),
+            this->begun + Chunk(rest) + "0\r\n\r\n");
+}
+
+// ORDER, MIXED: the next upstream answers with an error, and callers find its
+// text in their stream, or a stream that looks complete.
+TEST_F(UpstreamStreamTest, ErrorOfTheNextUpstream_CutsTheStreamOff) {
+  const std::string named = std::string(kSigned);
+  const std::string events = named + kEventStream;
+  const std::string text = "engine out of memory\n\nrequest abandoned\n";
+  const std::pair<const char*, std::string> answers[] = {
+      {"a signed error", SizedAnswer("500 Failed", named, text)},
+      {"an unsigned error",
+       ChunkedAnswer("502 Bad Gateway", "Attempt-Id: a1\r\n", text)},
+      {"a refusal",
+       SizedAnswer("503 Full", "Attempt-Id: a1\r\nNot-Executed: 1\r\n", text)},
+      {"a signed refusal's status", SizedAnswer("503 Full", events, text)},
+      {"an error with a success's status",
+       SizedAnswer("200 OK", named + "Content-Type: text/plain\r\n", text)},
+      {"an error without a type", SizedAnswer("200 OK", named, text)},
+      {"an error as a stream", ChunkedAnswer("200 OK", events, text)},
+      {"an error without a blank line",
+       ChunkedAnswer("200 OK", events, "engine out of memory")},
+      {"an error's whole head",
+       ChunkedAnswer("200 OK", events,
+                     "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")},
+      {"an error as an event",
+       ChunkedAnswer("200 OK", events, "event: error\ndata: failed\n\n")},
+      {"an event without a number",
+       ChunkedAnswer("200 OK", events, "id: x3\ndata: x\n\n")},
+      {"an event with a number too large",
+       ChunkedAnswer("200 OK", events,
+                     "id: 99999999999999999999999\ndata: x\n\n")},
+      {"an event that is not the next", Events(4, 5)},
+      {"part of an event",
+       ChunkedAnswer("200 OK", events, Event(3) + "id: 4\nda")},
+      {"no content", "HTTP/1.1 204 No Content\r\n" + events + "\r\n"},
+      {"part of the content",
+       SizedAnswer("206 Partial Content", events, Event(3))},
+      {"nothing", ""},
+      {"bytes that are no answer", text}};
+  for (const auto& [what, resumed] : answers) {
+    const std::string body = this->Resume(resumed);
+    const bool has_third = body == this->begun + Chunk(Event(3));
+    EXPECT_TRUE(body == this->begun || has_third) << what << ":\n" << body;
+  }
+}
+
+// A caller that resumes a stream itself must not miss an event either.
+TEST_F(UpstreamStreamTest, FirstEvent_AfterAGap_IsNotDelivered) {
+  LoopbackServer upstream([](const HttpRequest& request, Tcp::socket&) {
+    HttpAnswer answer = Signed(request);
+    answer.body() = Event(5);
+    return std::optional(answer);
+  });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+  HttpRequest request = Request("/draft/x", "100,50");
+  request.set("Last-Event-Id", "2");
+
+  EXPECT_EQ(this->Call(request).result_int(), 502U);
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::gateway
