Go on with a broken stream only if the next answer is the rest of it

Cause: any signed 2xx answer was relayed as the rest of the stream. Its media type was not looked at, blocks without a number were passed on, and what followed the last whole event was appended at the end of the body.

Change: an answer goes on with a stream only if it has the status and media type of the head that the caller has (serving::ContinuesStream). In a resumed run an event without a number, a number that is not the next or an end inside an event counts as broken off, and so does a gap at the start of a run. A stream of which events without a number were delivered is not resumed, as nothing tells where it goes on. Comments stay part of a stream. RequestTask sends no second head.

--- a/fuchsiadrum/serving/answer_proof.cc
+++ b/fuchsiadrum/serving/answer_proof.cc
@@ -56,6 +56,10 @@
   return answer.status == kMisdirected;
 }
 
+bool ContinuesStream(const UpstreamAnswer& begun, const UpstreamAnswer& next) {
+  return next.status == begun.status && next.media_type == begun.media_type;
+}
+
 bool PromisesNotRun(int status) {
   return std::ranges::find(kPromises, status) != kPromises.end();
 }
--- a/fuchsiadrum/serving/answer_proof.h
+++ b/fuchsiadrum/serving/answer_proof.h
@@ -47,6 +47,10 @@
 /// asked. What the answer announces is about that other one.
 bool IsFromOtherUpstream(const UpstreamAnswer& answer);
 
+/// True if the body of `next` can be the rest of a stream that began with the
+/// head `begun` and broke off.
+bool ContinuesStream(const UpstreamAnswer& begun, const UpstreamAnswer& next);
+
 /// True if a caller takes the status as a promise that its request did not run
 /// and never will.
 bool PromisesNotRun(int status);
--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -23,6 +23,7 @@
 
 bool MayRetry(const Route& route, const AttemptState& state) {
   if (state.time_left < kMinTimeForAttempt) return false;
+  if (state.delivered && !state.can_resume) return false;
   switch (state.outcome) {
     case AttemptOutcome::kNotSent:
     case AttemptOutcome::kWithheld:
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -43,6 +43,9 @@
   int unexecuted = 0;
   /// True if part of an answer has reached the caller.
   bool delivered = false;
+  /// True if another upstream can be told where to go on with a stream of which
+  /// a part was delivered.
+  bool can_resume = true;
   Duration time_left = Duration::zero();
 };
 
--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -62,6 +62,9 @@
   bool has_signature = false;
   /// True if the upstream reports that it did not run the request.
   bool not_executed = false;
+  /// Media type of the body in lower case, without parameters; empty if the
+  /// answer does not name it.
+  std::string media_type;
   /// True if the body was transformed on the way (it has a content encoding).
   bool is_encoded = false;
   bool close = false;
--- a/fuchsiadrum/serving/event_splitter.cc
+++ b/fuchsiadrum/serving/event_splitter.cc
@@ -19,6 +19,18 @@
   return 0;
 }
 
+/// True if the event consists of comments, which keep a connection in use.
+bool IsComment(std::string_view event) {
+  while (!event.empty()) {
+    const char first = event.front();
+    if (first != ':' && first != '\r' && first != '\n') return false;
+    const size_t end = event.find('\n');
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return true;
+}
+
 std::optional<uint64_t> EventId(std::string_view event) {
   while (!event.empty()) {
     const size_t end = event.find('\n');
@@ -59,7 +71,10 @@
 
 bool EventSplitter::IsNew(std::string_view event) {
   const std::optional<uint64_t> id = EventId(event);
-  if (!id) return true;
+  if (!id) {
+    if (!IsComment(event)) this->unnumbered = true;
+    return true;
+  }
   if (this->last && *id <= *this->last) return false;
   if (this->last && *id != *this->last + 1) this->gap = true;
   this->last = id;
--- a/fuchsiadrum/serving/event_splitter.h
+++ b/fuchsiadrum/serving/event_splitter.h
@@ -24,6 +24,13 @@
   std::optional<uint64_t> LastEvent() const { return this->last; }
   /// True if the event numbers are not consecutive, so that events are missing.
   bool HasGap() const { return this->gap; }
+  /// True if there was an event without a number that is not only a comment:
+  /// nothing tells at which place of the stream it belongs.
+  bool HasUnnumbered() const { return this->unnumbered; }
+  /// True if the bytes after the last complete event are part of another one.
+  bool IsInsideEvent() const {
+    return this->rest.find_first_not_of("\r\n") != std::string::npos;
+  }
   /// True if the unfinished event is larger than any that an upstream produces:
   /// the bytes cannot be an event stream.
   bool IsOverlong() const { return this->rest.size() > kMaxEventBytes; }
@@ -36,6 +43,7 @@
   std::string rest;
   std::optional<uint64_t> last;
   bool gap = false;
+  bool unnumbered = false;
 };
 
 }  // namespace fuchsiadrum::serving
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -258,6 +258,7 @@
                                        .runs = this->runs,
                                        .unexecuted = this->unexecuted,
                                        .delivered = this->relay.HasBegun(),
+                                       .can_resume = this->can_resume,
                                        .time_left = this->TimeLeft()};
   const bool may_retry =
       serving::MayRetry(*this->route, state) &&
@@ -411,7 +412,13 @@
     co_return AttemptOutcome::kRejected;
   }
   if (proof == serving::AnswerProof::kNothing) {
-    this->LogUnprovenAnswer();
+    this->LogUnprovenAnswer(serving::UnprovenReason(this->answer));
+    connection.Close();
+    co_return this->BrokenOutcome();
+  }
+  if (this->relay.HasBegun() &&
+      !serving::ContinuesStream(this->begun_answer, this->answer)) {
+    this->LogUnprovenAnswer("not the rest of the stream");
     connection.Close();
     co_return this->BrokenOutcome();
   }
@@ -491,6 +498,7 @@
 
 asio::awaitable<AttemptOutcome> RequestTask::RelayEvents(
     const serving::PlacementChoice& choice, HttpConnection& connection) {
+  const bool is_resumed = this->relay.HasBegun();
   serving::EventSplitter splitter(this->last_event);
   std::string bytes;
   std::string events;
@@ -505,8 +513,14 @@
     }
     const int count = splitter.Feed(bytes, events);
     if (splitter.IsOverlong()) break;
-    if (splitter.HasGap() && this->relay.HasBegun()) {
-      co_return AttemptOutcome::kBrokenMidway;
+    if (splitter.HasGap() || (is_resumed && splitter.HasUnnumbered())) {
+      this->LogUnprovenAnswer("not the next event of the stream");
+      co_return this->BrokenOutcome();
+    }
+    if (read_status == BodyReadStatus::kEnd && is_resumed &&
+        splitter.IsInsideEvent()) {
+      this->LogUnprovenAnswer("the stream ends inside an event");
+      read_status = BodyReadStatus::kBroken;
     }
     if (read_status == BodyReadStatus::kEnd) events.append(splitter.Rest());
     if (read_status == BodyReadStatus::kBroken && events.empty()) break;
@@ -515,6 +529,8 @@
     if (this->events_relayed == 0) this->RecordFirstByte(choice);
     this->events_relayed += count;
     this->last_event = splitter.LastEvent();
+    this->can_resume = this->can_resume && !splitter.HasUnnumbered();
+    if (!this->relay.HasBegun()) this->begun_answer = this->answer;
     if (!co_await this->relay.RelayEvents(
             this->answer, events, read_status == BodyReadStatus::kEnd)) {
       co_return this->timed_out ? AttemptOutcome::kTimedOut
@@ -526,6 +542,7 @@
 }
 
 asio::awaitable<bool> RequestTask::RelayWholeAnswer() {
+  if (this->relay.HasBegun()) co_return this->AbortAnswer("stream has begun");
   // From here on, neither the deadline nor the watch for the caller's close
   // interrupts the delivery of the complete answer.
   this->caller.Disarm();
@@ -539,6 +556,7 @@
     GatewayAnswer gateway_answer) {
   this->caller.Disarm();
   this->SettleTokens();
+  if (this->relay.HasBegun()) co_return this->AbortAnswer("stream has begun");
   if (this->caller_gone) {
     this->LogEnd(0, "caller-gone", gateway_answer.reason);
     co_return false;
@@ -659,13 +677,13 @@
        {"ms", ToMilliseconds(Now() - this->sent_at)}});
 }
 
-void RequestTask::LogUnprovenAnswer() {
+void RequestTask::LogUnprovenAnswer(std::string_view reason) {
   this->core.Log().Write("upstream-answer-unproven",
                          {{"id", this->request.id},
                           {"upstream", this->tried_upstreams.back()},
                           {"status", int64_t{this->answer.status}},
                           {"not_run", this->answer.not_executed},
-                          {"reason", serving::UnprovenReason(this->answer)}});
+                          {"reason", reason}});
 }
 
 std::string_view RequestTask::NamesOfAnswer() const {
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -93,7 +93,8 @@
   asio::awaitable<serving::AttemptOutcome> ReadWholeBody(
       HttpConnection& connection);
   /// Reads the events of a stream from the upstream and forwards them to the
-  /// caller.
+  /// caller. If the stream has begun in an earlier attempt, only events that
+  /// follow the last one are forwarded.
   asio::awaitable<serving::AttemptOutcome> RelayEvents(
       const serving::PlacementChoice& choice, HttpConnection& connection);
   /// Forwards `answer` with `answer_body`. Returns false if the caller is gone.
@@ -124,7 +125,7 @@
   void LogMismatchedAnswer();
   /// Logs and counts an answer which proves that the request did not run.
   void LogRefusal(const HttpConnection& connection);
-  void LogUnprovenAnswer();
+  void LogUnprovenAnswer(std::string_view reason);
   /// Says which request the answer names, for the log.
   std::string_view NamesOfAnswer() const;
   /// Logs and counts the end of the request. `outcome` says what the caller got
@@ -199,6 +200,10 @@
   /// so that a retry resumes after it.
   std::optional<uint64_t> last_event;
   int events_relayed = 0;
+  /// Head with which a stream has begun, and whether it can be resumed after
+  /// `last_event`.
+  serving::UpstreamAnswer begun_answer;
+  bool can_resume = true;
   /// Time from the arrival of the request to RecordFirstByte, for the log.
   double first_byte_ms = 0;
 };
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -102,12 +102,14 @@
   answer.set("Runner-Load", "3,2,8");
   answer.set("Connection", "close");
   answer.set("Keep-Alive", "timeout=5");
+  answer.set("Content-Type", "Text/Event-Stream ; charset=utf-8");
   const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
 
   EXPECT_EQ(decoded.status, 503);
   EXPECT_TRUE(decoded.not_executed);
   EXPECT_TRUE(decoded.close);
   EXPECT_FALSE(decoded.has_signature);
+  EXPECT_EQ(decoded.media_type, "text/event-stream");
   EXPECT_EQ(decoded.keep_alive, std::chrono::seconds(5));
   ASSERT_TRUE(decoded.load);
   EXPECT_EQ(decoded.load->waiting, 2);
--- a/tests/serving/answer_proof_test.cc
+++ b/tests/serving/answer_proof_test.cc
@@ -73,5 +73,17 @@
   }
 }
 
+TEST_F(AnswerProofTest, ContinuesStream_OtherStatusOrType_IsNot) {
+  UpstreamAnswer begun = Signed(200);
+  begun.media_type = "text/event-stream";
+  UpstreamAnswer next = begun;
+  EXPECT_TRUE(ContinuesStream(begun, next));
+  next.media_type = "text/plain";
+  EXPECT_FALSE(ContinuesStream(begun, next));
+  next = begun;
+  next.status = 204;
+  EXPECT_FALSE(ContinuesStream(begun, next));
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::serving
--- a/tests/serving/attempt_policy_test.cc
+++ b/tests/serving/attempt_policy_test.cc
@@ -42,6 +42,18 @@
             NextStep::kRefuse);
 }
 
+// Guards against a stream that is begun again in the middle of another one.
+TEST_F(AttemptPolicyTest, DeliveredStream_WithoutResumePoint_IsNotRetried) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2, true);
+  AttemptState state = After(AttemptOutcome::kBrokenMidway, 1, 0);
+  state.delivered = true;
+  EXPECT_TRUE(MayRetry(route, state));
+
+  state.can_resume = false;
+  EXPECT_FALSE(MayRetry(route, state));
+  EXPECT_EQ(StepAfter(route, state, true), NextStep::kAbort);
+}
+
 // While upstreams crash, connections fail. Attempts that reached no upstream
 // must not use up the retry allowance of requests that did reach one.
 TEST_F(AttemptPolicyTest, OnlyWhatReachedAnUpstream_CountsAsRetry) {
--- a/tests/serving/event_splitter_test.cc
+++ b/tests/serving/event_splitter_test.cc
@@ -56,5 +56,28 @@
   EXPECT_TRUE(splitter.Rest().empty());
 }
 
+// An event without a number may be an upstream's error, which belongs to no
+// place in the stream; a comment belongs anywhere.
+TEST_F(EventSplitterTest, EventWithoutNumber_IsReported_CommentIsNot) {
+  EventSplitter splitter(2);
+  splitter.Feed(": wait\n\nid: 3\n\n", this->out);
+  EXPECT_FALSE(splitter.HasUnnumbered());
+
+  for (const char* text :
+       {"event: error\n\n", "id: x\n\n", "failed\n\n", ": wait\ndata: x\n\n"}) {
+    EventSplitter other(2);
+    other.Feed(text, this->out);
+    EXPECT_TRUE(other.HasUnnumbered()) << text;
+  }
+}
+
+TEST_F(EventSplitterTest, IsInsideEvent_IsFalseAfterWholeEvents) {
+  EventSplitter splitter(std::nullopt);
+  splitter.Feed("id: 1\n\n\n", this->out);
+  EXPECT_FALSE(splitter.IsInsideEvent());
+  splitter.Feed("id: 2\nda", this->out);
+  EXPECT_TRUE(splitter.IsInsideEvent());
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::serving
