--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,6 +25,7 @@
     return this->acceptor.local_endpoint().port();
   }
   uint16_t ReadinessPort() const { return this->readiness.Port(); }
+  uint16_t MetricsPort() const { return this->metrics.Port(); }
 
  private:
   void Serve(Tcp::socket socket);
