--- a/fuchsiadrum/serving/placement.cc
+++ b/fuchsiadrum/serving/placement.cc
@@ -85,6 +85,10 @@
                            .expected_ms = expected,
                            .uncached_tokens = uncached};
   }
+  if (!best) {
+    this->reason = {.step = "place", .text = "no upstream has a finite cost"};
+    return std::nullopt;
+  }
   best->candidates = usable.size();
   return best;
 }
