Test of a slow configuration: slow down only the answer that the test is about

LargeConfiguration_ThatArrivesSlowly_IsApplied counted reads of the newest configuration and failed once (2 instead of 1), while a build ran beside it. Trace of that run: the fake store sent every answer in 15 parts of 0.1 s. The first read of the limits timed out (606 ms), so that the gateway was ready only after 3 s; by then the read of the configuration's tail, in 15 parts as well, had failed at 1.3 s and the newest record was read again, as it should be. The configuration itself had been read and applied once, at 1.4 s.

The store now slows down the reads of the newest configuration only. The check is the same: such an answer is read to its end, once.

--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -285,11 +285,11 @@
   LoopbackServer upstream(AnswerOneEvent);
   this->PutConfig(1, 100000);
   this->PutUpstream("u1", upstream);
-  this->store.read_parts = 15;
+  this->store.config_read_parts = 15;
   this->StartGateway();
 
   EXPECT_EQ(this->store.config_reads, 1);
-  this->store.read_parts = 0;
+  this->store.config_read_parts = 0;
   EXPECT_EQ(this->Call(Request("/draft/x", "100,10")).result_int(), 200U);
 }
 
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -123,8 +123,9 @@
   }
   /// While set, every call is answered with status 503.
   std::atomic<bool> refusing{false};
-  /// If not 0, answers to reads are sent in this many parts, 0.1 s apart.
-  std::atomic<int> read_parts{0};
+  /// If not 0, answers to reads of the newest configuration are sent in this
+  /// many parts, 0.1 s apart.
+  std::atomic<int> config_read_parts{0};
   /// Number of calls for the newest records of the operators' stream.
   std::atomic<int> config_reads{0};
   /// Number of next appends to the accounts that are applied but not answered.
@@ -151,22 +152,21 @@
   std::optional<HttpAnswer> Serve(const HttpRequest& request,
                                   Tcp::socket& socket) {
     const std::string target(request.target());
-    if (target.starts_with("/log-newest?topic=keyed.op")) ++this->config_reads;
+    const bool reads_config = target.starts_with("/log-newest?topic=keyed.op");
+    if (reads_config) ++this->config_reads;
     HttpAnswer answer = this->Handle(request);
     if (target.starts_with("/log-append?topic=keyed.fuchsiadrum-accounts") &&
         this->lost_account_answers > 0) {
       --this->lost_account_answers;
       return std::nullopt;
     }
-    if (this->read_parts == 0 || target.starts_with("/log-append")) {
-      return answer;
-    }
+    if (this->config_read_parts == 0 || !reads_config) return answer;
     answer.prepare_payload();
     std::ostringstream text;
     text << answer;
     const std::string bytes = text.str();
     const size_t size =
-        bytes.size() / static_cast<size_t>(this->read_parts) + 1;
+        bytes.size() / static_cast<size_t>(this->config_read_parts) + 1;
     ErrorCode error;
     for (size_t at = 0; at < bytes.size() && !error; at += size) {
       if (at > 0) std::this_thread::sleep_for(std::chrono::milliseconds(100));
