Take an answer of the store only for the call that it fits

What callers saw: nothing yet. An answer to an earlier append, read once more, counted as the record of a grant that was never written, which other gateways could then grant again (BUDGET); a page read twice moved the follower past records that it never saw; one unreadable record on a page kept the whole list from being read, and a field of another type ended the process by an exception (LOST).

Change: a success of an append on condition must name the offset at which it was to write, a rejection another end, a heartbeat a higher offset than the last one; a tail page must not begin after the offset asked for nor end after the partition. What does not fit counts as unanswered, is logged and closes the connection. Unreadable records are left out, counted and logged.

--- a/fuchsiadrum/store/keyed_view.h
+++ b/fuchsiadrum/store/keyed_view.h
@@ -23,6 +23,8 @@
 /// One page of the newest records of all keys.
 struct NewestPage {
   std::vector<KeyedRecord> records;
+  /// Number of records that could not be read and were left out.
+  size_t unreadable = 0;
   bool more = false;
   /// End of the stream when the page was read.
   uint64_t end_offset = 0;
@@ -31,6 +33,8 @@
 /// One page of the stream's tail, in the order of the offsets.
 struct TailPage {
   std::vector<KeyedRecord> records;
+  /// Number of records that could not be read and were left out.
+  size_t unreadable = 0;
   /// Offset after the last record.
   uint64_t next_offset = 0;
   /// End of the stream when the page was read.
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -214,12 +214,17 @@
   bool is_outcome_unknown = false;
   Duration timeout = this->options.initial_timeout;
   while (true) {
-    const StoreReply reply = co_await client.Call(text, timeout);
+    StoreReply reply = co_await client.Call(text, timeout);
+    if (!this->IsAnswerToAppend(reply)) {
+      this->event_log.Write("store-answer-unproven",
+                            {{"status", static_cast<int64_t>(reply.status)},
+                             {"body", reply.body}});
+      client.Disconnect();
+      reply = StoreReply();
+    }
     if (reply.status == platform::kStoreOk) {
-      const auto first = platform::DecodeAppendOffset(reply.body);
       ++this->writer.sequence;
-      this->end.reset();
-      if (first) this->end = *first + records.size();
+      *this->end += records.size();
       this->book_at = Now();
       co_return Outcome::kDone;
     }
@@ -251,6 +256,16 @@
   }
 }
 
+bool AccountShard::IsAnswerToAppend(const StoreReply& reply) const {
+  if (reply.status == platform::kStoreOk) {
+    return this->end && platform::DecodeAppendOffset(reply.body) == this->end;
+  }
+  if (reply.status == platform::kStoreEndMismatch) {
+    return platform::DecodeEndOffset(reply.body) != this->end;
+  }
+  return true;
+}
+
 asio::awaitable<AccountShard::Outcome> AccountShard::ResolveOutcome(
     StoreClient& client, const store::KeyedRecord& record) {
   const uint64_t at = *this->end;
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -87,8 +87,13 @@
   /// Delays the next sync; the delay doubles with each failure in a row.
   void BackOff();
   void OnOutcome(const Change& change, Outcome outcome);
+  /// Appends the records where the book ends. Call it only while `end` is
+  /// known.
   asio::awaitable<Outcome> Append(
       StoreClient& client, const std::vector<store::KeyedRecord>& records);
+  /// True if the reply fits the append at `end`: a success names that offset,
+  /// and a rejection for the partition's end another one.
+  bool IsAnswerToAppend(const StoreReply& reply) const;
   /// Finds out whether an unanswered append that begins with `record` was
   /// applied, after the store has reported that the partition's end has moved.
   asio::awaitable<Outcome> ResolveOutcome(StoreClient& client,
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -102,9 +102,20 @@
                                               partition, this->writer, records);
     const StoreReply reply = co_await this->write_client.Call(
         std::move(text), this->options.store_timeout);
+    const auto offset = platform::DecodeAppendOffset(reply.body);
+    // Each heartbeat has a higher offset than the one before.
+    if (reply.status == platform::kStoreOk &&
+        (!offset || offset <= this->last_offset)) {
+      this->event_log.Write("store-answer-unproven",
+                            {{"status", static_cast<int64_t>(reply.status)},
+                             {"body", reply.body}});
+      this->write_client.Disconnect();
+      co_await this->timer.Wait(kRetryInterval);
+      continue;
+    }
     if (reply.status == platform::kStoreOk) {
-      const auto offset = platform::DecodeAppendOffset(reply.body);
-      if (!this->first_heartbeat && offset) {
+      this->last_offset = offset;
+      if (!this->first_heartbeat) {
         this->first_heartbeat = budget::FleetHeartbeat();
         this->first_heartbeat->vm = this->options.vm;
         this->first_heartbeat->offset = *offset;
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -96,6 +96,8 @@
   uint64_t predecessor_offset = 0;
   /// The first heartbeat that this process wrote.
   std::optional<budget::FleetHeartbeat> first_heartbeat;
+  /// Offset of the last heartbeat that the store has acknowledged.
+  std::optional<uint64_t> last_offset;
   TimePoint write_begun;
 };
 
--- a/gateway/limit_client.cc
+++ b/gateway/limit_client.cc
@@ -111,8 +111,20 @@
   if (update.IsEmpty()) co_return;
   const uint64_t end = this->follower.NextOffset();
   std::string text = this->EncodeWrite(update, end);
-  const StoreReply reply =
+  StoreReply reply =
       co_await this->writer.Call(std::move(text), this->options.store_timeout);
+  if (reply.status == platform::kStoreOk) {
+    const auto offset = platform::DecodeAppendOffset(reply.body);
+    const bool is_proven =
+        offset && (update.ChangesLimits() ? *offset == end : *offset >= end);
+    if (!is_proven) {
+      this->event_log.Write("store-answer-unproven",
+                            {{"status", int64_t{reply.status}},
+                             {"body", std::string_view(reply.body)}});
+      this->writer.Disconnect();
+      reply = StoreReply();
+    }
+  }
   this->LogWrite(update, end, reply.status);
 
   // A write without an answer may still be applied; if so, its records appear
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -60,6 +60,11 @@
   co_return reply;
 }
 
+void StoreClient::Disconnect() {
+  if (this->connection) this->connection->Close();
+  this->connection.reset();
+}
+
 asio::awaitable<std::optional<store::NewestPage>> ReadAllNewest(
     StoreClient& client, platform::StreamPartition partition,
     Duration timeout) {
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -31,6 +31,9 @@
   /// the answer begins, and then to the time between its parts. A call that
   /// fails without an answer may have been applied, or may be applied later.
   asio::awaitable<StoreReply> Call(std::string text, Duration timeout);
+  /// Closes the connection: its last answer was none to the call that was made,
+  /// so that the next one may be that answer.
+  void Disconnect();
   const std::string& Address() const { return this->address; }
   /// Calls made, answered or not.
   uint64_t Calls() const { return this->calls; }
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -47,7 +47,9 @@
   const StoreReply reply = co_await this->client.Call(
       std::move(text), this->options.timeout + long_poll_wait);
   this->last_status = reply.status;
-  co_return this->ApplyReply(next, reply);
+  const bool applied = this->ApplyReply(next, reply);
+  if (!applied) this->client.Disconnect();
+  co_return applied;
 }
 
 std::string StreamFollower::EncodeRead(
@@ -78,6 +80,7 @@
   if (next.tail) {
     const auto page = platform::DecodeTail(reply.body, next.from);
     if (!page) return false;
+    this->LogUnreadable(page->unreadable);
     this->view.OnTail(*page);
     if (this->options.max_lag_records > 0 &&
         this->view.Lag() > this->options.max_lag_records) {
@@ -86,6 +89,7 @@
   } else {
     const auto page = platform::DecodeNewest(reply.body);
     if (!page) return false;
+    this->LogUnreadable(page->unreadable);
     this->view.OnNewest(*page);
   }
   this->last_read = Now();
@@ -93,6 +97,13 @@
   return true;
 }
 
+void StreamFollower::LogUnreadable(size_t records) {
+  if (records == 0) return;
+  this->event_log.Write("store-records-unreadable",
+                        {{"stream", platform::StreamName(this->options.stream)},
+                         {"records", static_cast<int64_t>(records)}});
+}
+
 void StreamFollower::RecordResult(bool succeeded) {
   const auto stream = platform::StreamName(this->options.stream);
   if (!succeeded) {
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -80,6 +80,7 @@
   bool ApplyReply(const store::KeyedView::NextRead& next,
                   const StoreReply& reply);
   void RecordResult(bool succeeded);
+  void LogUnreadable(size_t records);
 
   StreamFollowerOptions options;
   Handlers handlers;
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -277,6 +277,24 @@
             grant.grant().granted_tokens());
 }
 
+// BUDGET: an answer of the store that belongs to an earlier append must not
+// count as the record of a grant, which others could then grant again.
+TEST_F(GatewayTest, GrantWithAnswerOfAnEarlierAppend_IsNotSpent) {
+  LoopbackServer upstream(AnswerOneEvent);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+  ASSERT_EQ(this->Call(Request("/draft/x", "1000,10")).result_int(), 200U);
+
+  this->store.repeated_account_answers = 1;
+  EXPECT_EQ(this->Call(Request("/draft/x", "30000,10")).result_int(), 200U);
+  EXPECT_EQ(this->store.repeated_account_answers, 0);
+  pb::FleetRecord book;
+  ASSERT_TRUE(book.ParseFromString(
+      this->store.Newest("keyed.fuchsiadrum-accounts", "book")));
+  EXPECT_GE(book.book().accounts(0).granted_tokens(), 31000);
+}
+
 // Guards against a configuration that is never read: 195 gateways read one with
 // 1,320 routes at the same time, and each answer took longer than the timeout
 // of a call. An answer that keeps arriving must be read to its end, because
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -130,6 +130,9 @@
   std::atomic<int> config_reads{0};
   /// Number of next appends to the accounts that are applied but not answered.
   std::atomic<int> lost_account_answers{0};
+  /// Number of next appends to the accounts that are not applied, and answered
+  /// with the answer to the append before.
+  std::atomic<int> repeated_account_answers{0};
   /// Time that an append takes, in milliseconds.
   std::atomic<int> append_ms{0};
 
@@ -154,9 +157,15 @@
     const std::string target(request.target());
     const bool reads_config = target.starts_with("/log-newest?topic=keyed.op");
     if (reads_config) ++this->config_reads;
+    const bool writes_account =
+        target.starts_with("/log-append?topic=keyed.fuchsiadrum-accounts");
+    if (writes_account && this->repeated_account_answers > 0) {
+      --this->repeated_account_answers;
+      return this->last_account_answer;
+    }
     HttpAnswer answer = this->Handle(request);
-    if (target.starts_with("/log-append?topic=keyed.fuchsiadrum-accounts") &&
-        this->lost_account_answers > 0) {
+    if (writes_account) this->last_account_answer = answer;
+    if (writes_account && this->lost_account_answers > 0) {
       --this->lost_account_answers;
       return std::nullopt;
     }
@@ -244,6 +253,7 @@
 
   std::mutex mutex;
   std::map<std::string, std::vector<std::string>> streams;
+  HttpAnswer last_account_answer;
   LoopbackServer server;
 };
 
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -15,9 +15,12 @@
         EncodeAppend("h", {.stream = Stream::kFleet}, {.name = "w"}, records);
     return text.substr(text.find("\r\n\r\n") + 4);
   }
-  /// Returns a tail page as the store writes it; both leading offsets are 0.
+  /// Returns a tail page as the store writes it, of a partition that ends at
+  /// offset 255 and of which all records are retained.
   static std::string Page(const std::string& records) {
-    return std::string(16, '\0') + records;
+    std::string offsets(16, '\0');
+    offsets[7] = '\xff';
+    return offsets + records;
   }
 };
 
@@ -80,5 +83,46 @@
   EXPECT_FALSE(DecodeExpectedSequence(R"({"reason":"fenced"})"));
 }
 
+// One record of another writer must not keep the others from being read.
+TEST_F(StoreCodecTest, OddRecordOnNewestPage_IsLeftOut_TheOthersAreRead) {
+  for (const char* odd :
+       {R"({"key":7,"value":"","offset":1})",
+        R"({"key":"k","value":"not base64!","offset":1})",
+        R"({"key":"k","value":[[[]]],"offset":1})",
+        R"({"key":"k","value":"","offset":-1})",
+        R"({"key":"k","value":"","offset":1e300})", "7", "null",
+        "{\"key\":\"\xff\xfe\",\"value\":\"\",\"offset\":1}"}) {
+    const auto page = DecodeNewest(
+        std::string(R"({"items":[)") + odd +
+        R"(,{"key":"good","value":"eA==","offset":2}],"end_offset":3})");
+    ASSERT_TRUE(page) << odd;
+    ASSERT_FALSE(page->records.empty()) << odd;
+    EXPECT_EQ(page->records.back().key, "good") << odd;
+    EXPECT_EQ(page->records.back().value, "x") << odd;
+  }
+}
+
+TEST_F(StoreCodecTest, NewestPage_WithoutProperEndOffset_IsRefused) {
+  for (const char* end : {"-1", "1.5", "1e300", "\"3\"", "null"}) {
+    EXPECT_FALSE(
+        DecodeNewest(std::string(R"({"items":[],"end_offset":)") + end + "}"))
+        << end;
+  }
+  EXPECT_FALSE(
+      DecodeNewest(R"({"items":[],"more_pages":"yes","end_offset":3})"));
+}
+
+// A tail page that was asked for at another offset would be counted from the
+// wrong place, so that records are skipped for good.
+TEST_F(StoreCodecTest, TailPage_ThatEndsAfterItsEnd_IsRefused) {
+  std::string page(15, '\0');
+  page.insert(7, 1, '\2');
+  const std::string records =
+      BodyOf({{.key = "a", .value = "1"}, {.key = "b", .value = "2"}});
+  EXPECT_TRUE(DecodeTail(page + records, 0));
+  EXPECT_FALSE(DecodeTail(page + records, 1));
+  EXPECT_FALSE(DecodeTail(page, 3));
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::platform
