--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fuchsiadrum/core/duration.h"
+#include "fuchsiadrum/serving/answer_proof.h"
 #include "gateway/answer_notices.h"
 #include "gateway/clock.h"
 #include "platform/request_codec.h"
@@ -44,8 +45,6 @@
 /// that the upstream sends right at the limit still arrives.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(40);
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 RequestTask::RequestTask(GatewayCore& gateway_core,
@@ -259,6 +258,7 @@
                                        .runs = this->runs,
                                        .unexecuted = this->unexecuted,
                                        .delivered = this->relay.HasBegun(),
+                                       .can_resume = this->can_resume,
                                        .time_left = this->TimeLeft()};
   const bool may_retry =
       serving::MayRetry(*this->route, state) &&
@@ -350,7 +350,13 @@
     if (outcome == AttemptOutcome::kComplete ||
         outcome == AttemptOutcome::kFailed ||
         outcome == AttemptOutcome::kRejected) {
-      this->core.Pool().Release(upstream.entry.id, connection,
+      // A connection whose answers do not name their requests can carry only
+      // one: the next answer could belong to either.
+      if (this->answer.request_id.empty() ||
+          serving::IsFromOtherUpstream(this->answer)) {
+        connection->Close();
+      }
+      this->core.Pool().Release(upstream.entry, connection,
                                 this->answer.keep_alive);
     } else {
       connection->Close();
@@ -370,7 +376,7 @@
 
 asio::awaitable<std::shared_ptr<HttpConnection>> RequestTask::OpenConnection(
     const serving::FleetUpstream& upstream) {
-  auto connection = this->core.Pool().TakeIdle(upstream.entry.id,
+  auto connection = this->core.Pool().TakeIdle(upstream.entry, this->request.id,
                                                this->route->IsIdempotent());
   if (connection) co_return connection;
 
@@ -394,33 +400,39 @@
       co_await this->ReadMatchingHead(*choice.upstream, connection);
   if (head == nullptr) co_return this->BrokenOutcome();
 
-  constexpr int kMisdirected = 421;
-  if (this->answer.not_executed || this->answer.status == kMisdirected) {
+  const serving::AnswerProof proof = serving::ProofOf(this->answer);
+  if (proof == serving::AnswerProof::kNotRun) {
+    this->LogRefusal(connection);
     connection.ExpireAt(Now() + kRejectionBodyTimeout);
     static_cast<void>(co_await this->ReadWholeBody(connection));
     connection.NeverExpire();
-    if (this->answer.status == kMisdirected) {
+    if (serving::IsFromOtherUpstream(this->answer)) {
       this->core.Upstreams().Erase(choice.upstream->entry.id);
     }
     co_return AttemptOutcome::kRejected;
   }
-  const bool usable = IsSuccess(this->answer.status) &&
-                      this->answer.has_signature && !this->answer.is_encoded;
-  if (usable && this->route->kind == serving::RequestKind::kStreaming) {
+  if (proof == serving::AnswerProof::kNothing) {
+    this->LogUnprovenAnswer(serving::UnprovenReason(this->answer));
+    connection.Close();
+    co_return this->BrokenOutcome();
+  }
+  if (this->relay.HasBegun() &&
+      !serving::ContinuesStream(this->begun_answer, this->answer)) {
+    this->LogUnprovenAnswer("not the rest of the stream");
+    connection.Close();
+    co_return this->BrokenOutcome();
+  }
+  if (proof == serving::AnswerProof::kRan &&
+      this->route->kind == serving::RequestKind::kStreaming) {
     co_return co_await this->RelayEvents(choice, connection);
   }
   const AttemptOutcome outcome = co_await this->ReadWholeBody(connection);
   if (outcome != AttemptOutcome::kComplete) co_return outcome;
-  if (usable) {
-    this->RecordFirstByte(choice);
-    co_return AttemptOutcome::kComplete;
-  }
-  // A failure without a signature does not come from the upstream itself.
-  if (IsSuccess(this->answer.status) || !this->answer.has_signature) {
-    connection.Close();
-    co_return this->BrokenOutcome();
+  if (proof == serving::AnswerProof::kRanAndFailed) {
+    co_return AttemptOutcome::kFailed;
   }
-  co_return AttemptOutcome::kFailed;
+  this->RecordFirstByte(choice);
+  co_return AttemptOutcome::kComplete;
 }
 
 void RequestTask::SendRequest(const serving::FleetUpstream& upstream,
@@ -440,6 +452,7 @@
   if (this->has_permit) this->core.Metrics().CountLimitedSend(this->service);
   this->answer = {};
   this->answer_body.clear();
+  connection.RememberRequest(this->request.id);
   connection.StartSend(platform::EncodeUpstreamRequest(this->request, call),
                        std::shared_ptr<const std::string>(this->shared_request,
                                                           &this->request.body));
@@ -451,12 +464,15 @@
     const platform::HttpAnswerHead* head = co_await connection.ReadHead();
     if (head == nullptr) co_return nullptr;
     this->answer = platform::DecodeAnswer(*head);
-    this->ApplyAnswerHead(upstream);
-    if (this->answer.request_id == this->request.id ||
-        this->answer.not_executed) {
+    upstream.OnBytesReceived(Now());
+    const serving::Exchange exchange = {.request_id = this->request.id,
+                                        .number = connection.Exchanges()};
+    if (serving::OriginOf(this->answer, exchange) ==
+        serving::AnswerOrigin::kThisExchange) {
+      this->ApplyAnswerHead(upstream);
       co_return head;
     }
-    // This is a late answer to an earlier request on the connection.
+    // The answer to this request may still follow.
     this->LogMismatchedAnswer();
     if (co_await this->ReadWholeBody(connection) != AttemptOutcome::kComplete) {
       co_return nullptr;
@@ -482,6 +498,7 @@
 
 asio::awaitable<AttemptOutcome> RequestTask::RelayEvents(
     const serving::PlacementChoice& choice, HttpConnection& connection) {
+  const bool is_resumed = this->relay.HasBegun();
   serving::EventSplitter splitter(this->last_event);
   std::string bytes;
   std::string events;
@@ -496,8 +513,14 @@
     }
     const int count = splitter.Feed(bytes, events);
     if (splitter.IsOverlong()) break;
-    if (splitter.HasGap() && this->relay.HasBegun()) {
-      co_return AttemptOutcome::kBrokenMidway;
+    if (splitter.HasGap() || (is_resumed && splitter.HasUnnumbered())) {
+      this->LogUnprovenAnswer("not the next event of the stream");
+      co_return this->BrokenOutcome();
+    }
+    if (read_status == BodyReadStatus::kEnd && is_resumed &&
+        splitter.IsInsideEvent()) {
+      this->LogUnprovenAnswer("the stream ends inside an event");
+      read_status = BodyReadStatus::kBroken;
     }
     if (read_status == BodyReadStatus::kEnd) events.append(splitter.Rest());
     if (read_status == BodyReadStatus::kBroken && events.empty()) break;
@@ -506,6 +529,8 @@
     if (this->events_relayed == 0) this->RecordFirstByte(choice);
     this->events_relayed += count;
     this->last_event = splitter.LastEvent();
+    this->can_resume = this->can_resume && !splitter.HasUnnumbered();
+    if (!this->relay.HasBegun()) this->begun_answer = this->answer;
     if (!co_await this->relay.RelayEvents(
             this->answer, events, read_status == BodyReadStatus::kEnd)) {
       co_return this->timed_out ? AttemptOutcome::kTimedOut
@@ -517,6 +542,7 @@
 }
 
 asio::awaitable<bool> RequestTask::RelayWholeAnswer() {
+  if (this->relay.HasBegun()) co_return this->AbortAnswer("stream has begun");
   // From here on, neither the deadline nor the watch for the caller's close
   // interrupts the delivery of the complete answer.
   this->caller.Disarm();
@@ -530,6 +556,7 @@
     GatewayAnswer gateway_answer) {
   this->caller.Disarm();
   this->SettleTokens();
+  if (this->relay.HasBegun()) co_return this->AbortAnswer("stream has begun");
   if (this->caller_gone) {
     this->LogEnd(0, "caller-gone", gateway_answer.reason);
     co_return false;
@@ -560,17 +587,18 @@
 }
 
 void RequestTask::ApplyAnswerHead(serving::FleetUpstream& upstream) {
-  const TimePoint now = Now();
-  upstream.OnBytesReceived(now);
-  if (this->answer.load) upstream.OnReport(now, *this->answer.load);
+  if (serving::IsFromOtherUpstream(this->answer)) return;
+  if (this->answer.load) upstream.OnReport(Now(), *this->answer.load);
   ApplyNotices(this->core, upstream, this->answer,
                {.id = this->request.id, .sent_at = this->sent_at});
 }
 
 void RequestTask::RecordOutcome(const serving::PlacementChoice& choice,
                                 AttemptOutcome outcome) {
-  this->core.Metrics().CountAttempt(this->service,
-                                    serving::AttemptOutcomeName(outcome));
+  const std::string_view name = serving::AttemptOutcomeName(outcome);
+  this->core.Metrics().CountAttempt(this->service, name);
+  if (!this->outcomes_text.empty()) this->outcomes_text += ',';
+  this->outcomes_text += name;
   serving::FleetUpstream& upstream = *choice.upstream;
   switch (outcome) {
     case AttemptOutcome::kNotSent:
@@ -625,10 +653,43 @@
 }
 
 void RequestTask::LogMismatchedAnswer() {
+  if (this->answer.not_executed) {
+    this->core.Metrics().CountRefusal(this->NamesOfAnswer());
+  }
   this->core.Log().Write("mismatched-answer",
                          {{"id", this->request.id},
                           {"answered", this->answer.request_id},
-                          {"upstream", this->tried_upstreams.back()}});
+                          {"upstream", this->tried_upstreams.back()},
+                          {"status", int64_t{this->answer.status}},
+                          {"not_run", this->answer.not_executed}});
+}
+
+void RequestTask::LogRefusal(const HttpConnection& connection) {
+  const std::string_view names = this->NamesOfAnswer();
+  this->core.Metrics().CountRefusal(names);
+  this->core.Log().Write(
+      "upstream-refusal",
+      {{"id", this->request.id},
+       {"names", names},
+       {"upstream", this->tried_upstreams.back()},
+       {"status", int64_t{this->answer.status}},
+       {"exchange", static_cast<int64_t>(connection.Exchanges())},
+       {"ms", ToMilliseconds(Now() - this->sent_at)}});
+}
+
+void RequestTask::LogUnprovenAnswer(std::string_view reason) {
+  this->core.Log().Write("upstream-answer-unproven",
+                         {{"id", this->request.id},
+                          {"upstream", this->tried_upstreams.back()},
+                          {"status", int64_t{this->answer.status}},
+                          {"not_run", this->answer.not_executed},
+                          {"reason", reason}});
+}
+
+std::string_view RequestTask::NamesOfAnswer() const {
+  const std::string& named = this->answer.request_id;
+  if (named.empty()) return "no request";
+  return named == this->request.id ? "this request" : "other request";
 }
 
 void RequestTask::LogEnd(int status, std::string_view outcome,
@@ -648,6 +709,7 @@
        {"outcome", outcome},
        {"reason", reason},
        {"upstreams", this->tried_upstreams_text},
+       {"outcomes", this->outcomes_text},
        {"candidates", static_cast<int64_t>(this->candidate_count)},
        {"prompt", this->request.prompt_tokens.value_or(Tokens(0)).count},
        {"uncached", this->uncached_tokens},
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -83,16 +83,18 @@
   /// stream are relayed as they arrive; other answers are only buffered.
   asio::awaitable<serving::AttemptOutcome> Exchange(
       const serving::PlacementChoice& choice, HttpConnection& connection);
-  /// Reads the head of the answer with this request's id, or of a rejection;
-  /// skips late answers to earlier requests on the connection. Returns nullptr
-  /// if the connection fails or too many answers were skipped.
+  /// Reads the head of the answer to this request; skips answers to earlier
+  /// requests on the connection, and those that nothing proves to be of this
+  /// exchange. Returns nullptr if the connection fails or too many answers were
+  /// skipped.
   asio::awaitable<const platform::HttpAnswerHead*> ReadMatchingHead(
       serving::FleetUpstream& upstream, HttpConnection& connection);
   /// Reads the rest of the answer into `answer_body`.
   asio::awaitable<serving::AttemptOutcome> ReadWholeBody(
       HttpConnection& connection);
   /// Reads the events of a stream from the upstream and forwards them to the
-  /// caller.
+  /// caller. If the stream has begun in an earlier attempt, only events that
+  /// follow the last one are forwarded.
   asio::awaitable<serving::AttemptOutcome> RelayEvents(
       const serving::PlacementChoice& choice, HttpConnection& connection);
   /// Forwards `answer` with `answer_body`. Returns false if the caller is gone.
@@ -107,8 +109,8 @@
   /// has left, else kBrokenMidway if part of the answer has been sent to it,
   /// else kTimedOut if the deadline has passed, else kBroken.
   serving::AttemptOutcome BrokenOutcome() const;
-  /// Applies what the answer head says about the upstream: its load and its
-  /// notices.
+  /// Applies what the head of an answer of this exchange says about the
+  /// upstream: its load and its notices.
   void ApplyAnswerHead(serving::FleetUpstream& upstream);
   /// Counts the outcome for this request, the metrics and the upstream's
   /// failure statistics.
@@ -121,6 +123,11 @@
   /// first. Unlike `deadline` it includes no slack for a late answer.
   Duration TimeLeft() const;
   void LogMismatchedAnswer();
+  /// Logs and counts an answer which proves that the request did not run.
+  void LogRefusal(const HttpConnection& connection);
+  void LogUnprovenAnswer(std::string_view reason);
+  /// Says which request the answer names, for the log.
+  std::string_view NamesOfAnswer() const;
   /// Logs and counts the end of the request. `outcome` says what the caller got
   /// (for example "complete" or "own-answer"), `reason` why it is not a
   /// complete answer of an upstream.
@@ -154,6 +161,8 @@
   int unexecuted = 0;
   std::vector<std::string> tried_upstreams;
   std::string tried_upstreams_text;
+  /// Outcomes of the ended attempts, in the order of tried_upstreams.
+  std::string outcomes_text;
   /// When the current attempt began to send the request.
   TimePoint sent_at;
   /// True while the prompt's tokens count as pending at the upstream: from the
@@ -191,6 +200,10 @@
   /// so that a retry resumes after it.
   std::optional<uint64_t> last_event;
   int events_relayed = 0;
+  /// Head with which a stream has begun, and whether it can be resumed after
+  /// `last_event`.
+  serving::UpstreamAnswer begun_answer;
+  bool can_resume = true;
   /// Time from the arrival of the request to RecordFirstByte, for the log.
   double first_byte_ms = 0;
 };
