Ignore what a former incarnation of an upstream announces late

An answer of the former incarnation of an upstream, read after the entry of the new one, replaced the new one's notices (a request for a pause was forgotten, BUDGET; an announced shutdown too, DRAIN), and a 421 at the old address dropped the new entry until its next heartbeat.

Cause: notices were kept by id with the start of the last answer, whichever that was, and the entry was dropped by id.

Change: UpstreamDirectory ignores notices and 421 answers of an upstream whose id belongs to another incarnation by now.

--- a/fuchsiadrum/serving/upstream_directory.cc
+++ b/fuchsiadrum/serving/upstream_directory.cc
@@ -46,23 +46,31 @@
   }
 }
 
-void UpstreamDirectory::Erase(const std::string& id) {
-  this->upstreams.erase(id);
+void UpstreamDirectory::EraseMisdirected(const FleetUpstream& upstream) {
+  if (!this->IsReplaced(upstream)) this->upstreams.erase(upstream.entry.id);
+}
+
+bool UpstreamDirectory::IsReplaced(const FleetUpstream& upstream) const {
+  const auto found = this->upstreams.find(upstream.entry.id);
+  return found != this->upstreams.end() && found->second.get() != &upstream;
 }
 
 bool UpstreamDirectory::OnLeaving(TimePoint now, FleetUpstream& upstream) {
+  if (this->IsReplaced(upstream)) return false;
   upstream.entry.draining = true;
   return this->notices.OnLeaving(now, IncarnationOf(upstream.entry));
 }
 
 void UpstreamDirectory::OnPause(TimePoint now, const FleetUpstream& upstream,
                                 Duration pause) {
+  if (this->IsReplaced(upstream)) return;
   this->notices.OnPause(now, IncarnationOf(upstream.entry), pause);
 }
 
 bool UpstreamDirectory::OnLimit(TimePoint now, const FleetUpstream& upstream,
                                 std::optional<double> limit,
                                 TimePoint sent_at) {
+  if (this->IsReplaced(upstream)) return false;
   const UpstreamIncarnation incarnation = IncarnationOf(upstream.entry);
   if (!limit) return this->limits.OnUnnamed(now, incarnation, sent_at);
   return this->limits.OnNamed(now, incarnation, upstream.entry.service, *limit,
--- a/fuchsiadrum/serving/upstream_directory.h
+++ b/fuchsiadrum/serving/upstream_directory.h
@@ -56,13 +56,14 @@
   /// An entry was deleted, or its value does not describe an upstream. Drops a
   /// draining upstream and marks any other one as missing.
   void Remove(TimePoint now, const std::string& id);
-  /// Drops an upstream at once, because another upstream answers at its
+  /// Drops an upstream at once, because another upstream has answered at its
   /// address.
-  void Erase(const std::string& id);
+  void EraseMisdirected(const FleetUpstream& upstream);
   /// The store is reachable again after an outage.
   void OnStoreReconnected(TimePoint now) { this->store_reconnected_at = now; }
-  /// An answer of the upstream announced that it is shutting down. Returns true
-  /// if that was not known before.
+  /// The next three functions ignore an upstream that has been replaced by
+  /// another incarnation. An answer of the upstream announced that it is
+  /// shutting down. Returns true if that was not known before.
   bool OnLeaving(TimePoint now, FleetUpstream& upstream);
   /// An answer of the upstream asked for no requests during `pause`.
   void OnPause(TimePoint now, const FleetUpstream& upstream, Duration pause);
@@ -106,6 +107,8 @@
   size_t Size() const { return this->upstreams.size(); }
 
  private:
+  /// True if the upstream's id belongs to another incarnation by now.
+  bool IsReplaced(const FleetUpstream& upstream) const;
   bool IsKept(TimePoint now, const FleetUpstream& upstream) const;
   /// EligibilityOf without regard to a limit.
   UpstreamEligibility UnlimitedEligibilityOf(
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -407,7 +407,7 @@
     static_cast<void>(co_await this->ReadWholeBody(connection));
     connection.NeverExpire();
     if (serving::IsFromOtherUpstream(this->answer)) {
-      this->core.Upstreams().Erase(choice.upstream->entry.id);
+      this->core.Upstreams().EraseMisdirected(*choice.upstream);
     }
     co_return AttemptOutcome::kRejected;
   }
--- a/tests/serving/upstream_directory_test.cc
+++ b/tests/serving/upstream_directory_test.cc
@@ -155,6 +155,31 @@
   EXPECT_EQ(this->Usable().size(), 1U);
 }
 
+// An answer of the former incarnation that arrives late must not replace what
+// the new one has announced, nor remove its entry.
+TEST_F(UpstreamDirectoryTest, LateAnswerOfFormerIncarnation_ChangesNothing) {
+  this->directory.Put(Entry("a"));
+  const FleetUpstreamPtr former = this->Find("a");
+  UpstreamEntry restarted = Entry("a");
+  restarted.started_unix_ms = 8;
+  this->directory.Put(restarted);
+  const FleetUpstreamPtr current = this->Find("a");
+  ASSERT_NE(former, current);
+  this->directory.OnPause(this->now, *current, std::chrono::seconds(5));
+  ASSERT_TRUE(this->Usable().empty());
+
+  this->directory.OnPause(this->now, *former, std::chrono::milliseconds(1));
+  EXPECT_FALSE(this->directory.OnLeaving(this->now, *former));
+  EXPECT_FALSE(this->directory.OnLimit(this->now, *former, 0.1, this->now));
+  this->directory.EraseMisdirected(*former);
+  EXPECT_TRUE(this->Usable().empty()) << "the pause is forgotten";
+
+  this->now = this->now + std::chrono::seconds(6);
+  EXPECT_EQ(this->Usable(), std::vector<std::string>{"a"});
+  this->directory.EraseMisdirected(*current);
+  EXPECT_TRUE(this->Usable().empty());
+}
+
 // Budget rule: a requested pause is kept even if no other upstream is left.
 TEST_F(UpstreamDirectoryTest, PausingUpstream_GetsNoRequestUntilThePauseEnds) {
   this->directory.Put(Entry("a"));
