Keep idle connections of one start of an upstream only

A connection to the former process of an upstream that has started anew under its id and address is dead, and a request sent on it ends with an unknown outcome. Found while listing what proves that a connection belongs to an upstream; the key of the pool now includes the start. 87 tests of the gateway pass.

--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -7,7 +7,8 @@
 namespace fuchsiadrum::gateway {
 
 std::string UpstreamPool::KeyOf(const serving::UpstreamEntry& entry) {
-  return entry.id + '@' + entry.address;
+  return entry.id + '@' + entry.address + '/' +
+         std::to_string(entry.started_unix_ms);
 }
 
 std::shared_ptr<HttpConnection> UpstreamPool::TakeIdle(
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -25,8 +25,8 @@
   double keep_alive_fraction = 0.6;
 };
 
-/// Idle connections to upstreams. An upstream that is listed at another address
-/// than before gets new connections.
+/// Idle connections to upstreams. An upstream that is listed with another
+/// address or start than before gets new connections.
 class UpstreamPool {
  public:
   UpstreamPool(const UpstreamPoolOptions& opts, asio::io_context& io_context,
@@ -68,7 +68,7 @@
   asio::io_context& context;
   Watchdog& watchdog;
   serving::LinkLoad& link;
-  /// Connections by the upstream's id and address.
+  /// Connections by the upstream's id, address and start.
   std::unordered_map<std::string, std::vector<IdleConnection>> idle;
   uint64_t opened = 0;
 };
