Failing tests of a review: proofs that are still too weak

A refusal without an id after another request's answer gives 503 although the upstream runs the request; so does one with two ids. An interim answer 103 ends the exchange and is relayed as the answer. A refusal with an empty Not-Executed gives 502. A late 421 drops the entry that has replaced the one it is about: 503. A first stream that its upstream's close cuts off inside an event is completed with part of the event. A stream's answer 204 is followed by the framing of a body. A 412 that belongs to an earlier append counts as the outcome of one that was applied: the book counts its grant twice. 'id: 3x' counts as number 3, 'id: 3' before 'id: 7' as 3. A notice of the former process of an id erases the pause of the new one.

--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -295,6 +295,30 @@
   EXPECT_GE(book.book().accounts(0).granted_tokens(), 31000);
 }
 
+// BUDGET: a rejection that belongs to an earlier append, when the partition was
+// shorter, must not count as the outcome of a grant that was recorded: its
+// tokens would be counted twice, and no other gateway could use them.
+TEST_F(GatewayTest, GrantWithRejectionOfAnEarlierAppend_IsCountedOnce) {
+  LoopbackServer upstream(AnswerOneEvent);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+  ASSERT_EQ(this->Call(Request("/draft/x", "1000,10")).result_int(), 200U);
+
+  this->store.earlier_account_mismatches = 1;
+  EXPECT_EQ(this->Call(Request("/draft/x", "30000,10")).result_int(), 200U);
+  EXPECT_EQ(this->store.earlier_account_mismatches, 0);
+  pb::FleetRecord book;
+  ASSERT_TRUE(book.ParseFromString(
+      this->store.Newest("keyed.fuchsiadrum-accounts", "book")));
+  pb::FleetRecord grant;
+  ASSERT_TRUE(grant.ParseFromString(this->store.Newest(
+      "keyed.fuchsiadrum-accounts",
+      "grant/parish/vm-1/" + std::to_string(daemon::StartIncarnation()))));
+  EXPECT_EQ(book.book().accounts(0).granted_tokens(),
+            grant.grant().granted_tokens());
+}
+
 // Guards against a configuration that is never read: 195 gateways read one with
 // 1,320 routes at the same time, and each answer took longer than the timeout
 // of a call. An answer that keeps arriving must be read to its end, because
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -133,6 +133,9 @@
   /// Number of next appends to the accounts that are not applied, and answered
   /// with the answer to the append before.
   std::atomic<int> repeated_account_answers{0};
+  /// Number of next appends to the accounts that are applied, and answered as
+  /// if the partition had ended earlier: an answer 412 to an earlier append.
+  std::atomic<int> earlier_account_mismatches{0};
   /// Time that an append takes, in milliseconds.
   std::atomic<int> append_ms{0};
 
@@ -165,6 +168,12 @@
     }
     HttpAnswer answer = this->Handle(request);
     if (writes_account) this->last_account_answer = answer;
+    if (writes_account && this->earlier_account_mismatches > 0) {
+      --this->earlier_account_mismatches;
+      HttpAnswer earlier(http::status::precondition_failed, 11);
+      earlier.body() = nlohmann::json{{"end_offset", 0}}.dump();
+      return earlier;
+    }
     if (writes_account && this->lost_account_answers > 0) {
       --this->lost_account_answers;
       return std::nullopt;
--- a/tests/platform/upstream_refusal_test.cc
+++ b/tests/platform/upstream_refusal_test.cc
@@ -337,6 +337,86 @@
   EXPECT_EQ(status, 200U);
 }
 
+// REFUSED: an answer to another request has shown that this connection carries
+// answers that belong elsewhere, so a refusal without an id proves nothing.
+TEST_F(UpstreamRefusalTest,
+       RefusalWithoutId_AfterAnotherRequestsAnswer_PromisesNothing) {
+  FaultyUpstream upstream(
+      [this](const HttpRequest& request, Tcp::socket& socket) {
+        Write(socket, Refusal("r0"));
+        Write(socket, Refusal(""));
+        return std::optional(this->Run(request));
+      });
+  this->Start({&upstream});
+
+  EXPECT_NE(this->Book("r1").result_int(), 503U);
+  EXPECT_EQ(this->runs, 1);
+}
+
+// REFUSED: an answer that names two requests contradicts itself.
+TEST_F(UpstreamRefusalTest, RefusalWithTwoIds_PromisesNothing) {
+  HttpAnswer stray = Refusal("r2");
+  stray.insert("Attempt-Id", "r1");
+  FaultyUpstream upstream(this->RefuseThenWrite(stray));
+  this->Start({&upstream});
+
+  EXPECT_EQ(this->Book("r1").result_int(), 503U);
+  EXPECT_NE(this->Book("r2").result_int(), 503U);
+  EXPECT_EQ(this->runs, 1);
+}
+
+// An interim answer is not the end of the exchange: the caller must not get it
+// as its answer.
+TEST_F(UpstreamRefusalTest, InterimAnswer_IsFollowedByTheAnswer) {
+  FaultyUpstream upstream([this](const HttpRequest& request,
+                                 Tcp::socket& socket) {
+    ErrorCode ignored;
+    asio::write(socket,
+                asio::buffer(
+                    std::string("HTTP/1.1 103 Early Hints\r\nAttempt-Id: r1\r\n"
+                                "Runner-Signature: s1\r\n\r\n")),
+                ignored);
+    return std::optional(this->Run(request));
+  });
+  this->Start({&upstream});
+
+  EXPECT_EQ(this->Book("r1").result_int(), 200U);
+  EXPECT_EQ(this->runs, 1);
+}
+
+// A refusal is marked by the presence of the field, whatever its value.
+TEST_F(UpstreamRefusalTest, RefusalWithEmptyMark_Is503) {
+  FaultyUpstream upstream([](const HttpRequest& request, Tcp::socket&) {
+    HttpAnswer answer = Refusal(std::string(request["Attempt-Id"]));
+    answer.set("Not-Executed", "");
+    return std::optional(answer);
+  });
+  this->Start({&upstream});
+
+  EXPECT_EQ(this->Book("r1").result_int(), 503U);
+}
+
+// A late answer 421 is about the entry with which the request was sent, not
+// about the one that has replaced it since.
+TEST_F(UpstreamRefusalTest, MisdirectedAnswer_LeavesTheNewEntryInUse) {
+  FaultyUpstream other([](const HttpRequest& request, Tcp::socket&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    HttpAnswer answer(http::status::misdirected_request, 11);
+    answer.set("Attempt-Id", request["Attempt-Id"]);
+    return std::optional(answer);
+  });
+  FaultyUpstream moved([this](const HttpRequest& request, Tcp::socket&) {
+    return std::optional(this->Run(request));
+  });
+  this->Start({&other});
+  std::thread booking([this] { this->Book("r1"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  this->PutUpstream("u1", moved.Server());
+  booking.join();
+
+  EXPECT_EQ(this->Book("r2").result_int(), 200U);
+}
+
 /// Upstreams that misbehave at random, and many bookings with different ids.
 class RandomRefusalTest : public UpstreamRefusalTest {
  protected:
--- a/tests/platform/upstream_stream_test.cc
+++ b/tests/platform/upstream_stream_test.cc
@@ -150,6 +150,54 @@
   }
 }
 
+// ORDER: an upstream that ends in the middle of an event has not ended its
+// stream, also if the end of its connection is the only end of its answer.
+TEST_F(UpstreamStreamTest, FirstStream_ThatEndsInsideAnEvent_IsNotComplete) {
+  const auto script = [](const HttpRequest& request, Tcp::socket& socket) {
+    ErrorCode ignored;
+    const bool is_repeat = !request["Last-Event-Id"].empty();
+    const std::string cut = "HTTP/1.1 200 OK\r\n" + std::string(kSigned) +
+                            kEventStream + "\r\n" + Event(1) + Event(2) +
+                            "id: 3\nda";
+    asio::write(socket, asio::buffer(is_repeat ? Events(3, 3) : cut), ignored);
+    return std::optional<HttpAnswer>();
+  };
+  LoopbackServer first(script);
+  LoopbackServer second(script);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", first);
+  this->PutUpstream("u2", second);
+  this->StartGateway();
+  HttpRequest request = Request("/draft/x", "100,50");
+  request.set("Connection", "close");
+
+  const HttpAnswer answer = this->Call(request);
+  EXPECT_EQ(answer.result_int(), 200U);
+  EXPECT_EQ(answer.body(), Event(1) + Event(2) + Event(3));
+}
+
+// MIXED: an answer 204 has no body, so that the framing of a body after it is
+// read by the caller as bytes that are no answer.
+TEST_F(UpstreamStreamTest, AnswerWithoutContent_IsFollowedByNoBytes) {
+  LoopbackServer upstream([](const HttpRequest&, Tcp::socket& socket) {
+    ErrorCode ignored;
+    asio::write(socket,
+                asio::buffer("HTTP/1.1 204 No Content\r\n" +
+                             std::string(kSigned) + "\r\n"),
+                ignored);
+    return std::optional<HttpAnswer>();
+  });
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+  HttpRequest request = Request("/draft/x", "100,50");
+  request.set("Connection", "close");
+
+  const std::string bytes = this->ReadStream(request);
+  EXPECT_TRUE(bytes.ends_with("\r\n\r\n")) << bytes;
+  EXPECT_EQ(bytes.find("\r\n\r\n") + 4, bytes.size()) << bytes;
+}
+
 // A caller that resumes a stream itself must not miss an event either.
 TEST_F(UpstreamStreamTest, FirstEvent_AfterAGap_IsNotDelivered) {
   LoopbackServer upstream([](const HttpRequest& request, Tcp::socket&) {
--- a/tests/serving/event_splitter_test.cc
+++ b/tests/serving/event_splitter_test.cc
@@ -71,6 +71,23 @@
   }
 }
 
+// A number that is followed by other text is none: the line may be an error.
+TEST_F(EventSplitterTest, NumberFollowedByText_IsNoNumber) {
+  for (const char* text : {"id: 3x\n\n", "id: 3 of 9 failed\n\n"}) {
+    EventSplitter splitter(2);
+    splitter.Feed(text, this->out);
+    EXPECT_TRUE(splitter.HasUnnumbered()) << text;
+    EXPECT_EQ(splitter.LastEvent(), 2U) << text;
+  }
+}
+
+// ORDER: of two numbers of one event, clients take the last.
+TEST_F(EventSplitterTest, EventWithTwoNumbers_IsNotTheNext) {
+  EventSplitter splitter(2);
+  splitter.Feed("id: 3\nid: 7\ndata: x\n\n", this->out);
+  EXPECT_TRUE(splitter.HasGap() || splitter.HasUnnumbered());
+}
+
 TEST_F(EventSplitterTest, IsInsideEvent_IsFalseAfterWholeEvents) {
   EventSplitter splitter(std::nullopt);
   splitter.Feed("id: 1\n\n\n", this->out);
--- a/tests/serving/upstream_directory_test.cc
+++ b/tests/serving/upstream_directory_test.cc
@@ -172,6 +172,22 @@
   EXPECT_EQ(this->Usable(), std::vector<std::string>{"a"});
 }
 
+// DRAIN: a late answer of the process that had the id before is no reason to
+// forget what the new one has announced.
+TEST_F(UpstreamDirectoryTest,
+       NoticeOfTheFormerProcess_LeavesTheNewOnesInForce) {
+  this->directory.Put(Entry("a"));
+  const FleetUpstreamPtr former = this->Find("a");
+  UpstreamEntry restarted = Entry("a");
+  restarted.started_unix_ms = 8;
+  this->directory.Put(restarted);
+  this->directory.OnPause(this->now, *this->Find("a"), std::chrono::seconds(1));
+  ASSERT_TRUE(this->Usable().empty());
+
+  this->directory.OnLeaving(this->now, *former);
+  EXPECT_TRUE(this->Usable().empty());
+}
+
 TEST_F(UpstreamDirectoryTest, PauseWithoutEnd_IsBounded) {
   this->directory.Put(Entry("a"));
   this->directory.OnPause(this->now, *this->Find("a"), std::chrono::hours(500));
