--- a/tests/platform/entry_trouble_test.cc
+++ b/tests/platform/entry_trouble_test.cc
@@ -145,6 +145,25 @@
   EXPECT_EQ(odd_runs, 0);
 }
 
+// ROUTE: an entry of another writer, with fields missing or of another type,
+// names no upstream to use.
+TEST_F(EntryTroubleTest, EntryWithMistypedFields_NamesNoUpstream) {
+  std::atomic<int> odd_runs{0};
+  LoopbackServer odd(this->Counting(odd_runs));
+  const nlohmann::json valid = Valid(odd.Address());
+  nlohmann::json without_slots = valid;
+  without_slots.erase("slots");
+  this->PutConfig(1, 100000);
+  this->store.Put(kTopicUpstreams, "o1", With(valid, "sequence", "\"4\""));
+  this->store.Put(kTopicUpstreams, "o2", With(valid, "cold_left_ms", "[]"));
+  this->store.Put(kTopicUpstreams, "o3", without_slots.dump());
+  this->StartGateway();
+
+  EXPECT_EQ(this->Metric("upstreams"), "0");
+  EXPECT_EQ(this->Call(Request("/book/robes")).result_int(), 503U);
+  EXPECT_EQ(odd_runs, 0);
+}
+
 // An odd entry under the id of an upstream in use names no upstream any more,
 // until the upstream writes its own again.
 TEST_F(EntryTroubleTest, OddEntry_InPlaceOfAnUpstream_RemovesItUntilItsOwn) {
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -319,6 +319,20 @@
             grant.grant().granted_tokens());
 }
 
+// A record of another writer at the end of the accounts must not keep the
+// gateways from granting tokens.
+TEST_F(GatewayTest, GrantAfterARecordOfAnotherWriter_IsWritten) {
+  LoopbackServer upstream(AnswerOneEvent);
+  this->PutConfig(1, 100000);
+  this->PutUpstream("u1", upstream);
+  this->StartGateway();
+  ASSERT_EQ(this->Call(Request("/draft/x", "1000,10")).result_int(), 200U);
+
+  this->store.PutToAll("keyed.fuchsiadrum-accounts", "note", "not ours");
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  EXPECT_EQ(this->Call(Request("/draft/x", "30000,10")).result_int(), 200U);
+}
+
 // Guards against a configuration that is never read: 195 gateways read one with
 // 1,320 routes at the same time, and each answer took longer than the timeout
 // of a call. An answer that keeps arriving must be read to its end, because
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -107,6 +107,16 @@
     this->streams[topic].emplace_back(static_cast<char>(key.size()) + key +
                                       value);
   }
+  /// Appends a record to each partition that exists of the topics whose names
+  /// start with `topic`.
+  void PutToAll(const std::string& topic, const std::string& key,
+                const std::string& value) {
+    const std::lock_guard lock(this->mutex);
+    for (auto& [name, stream] : this->streams) {
+      if (!name.starts_with(topic)) continue;
+      stream.emplace_back(static_cast<char>(key.size()) + key + value);
+    }
+  }
   /// Value of the last record with that key in the partitions of all topics
   /// whose names start with `topic`; empty if there is none.
   std::string Newest(const std::string& topic, const std::string& key) {
--- a/tests/platform/upstream_refusal_test.cc
+++ b/tests/platform/upstream_refusal_test.cc
@@ -417,6 +417,57 @@
   EXPECT_EQ(this->Book("r2").result_int(), 200U);
 }
 
+// An answer to another request whose end only a close can tell takes in all
+// that follows: waiting for the answer is in vain, and a request that may be
+// repeated is repeated at once.
+TEST_F(UpstreamRefusalTest, AnswerToAnotherWithoutLength_DoesNotHoldTheCaller) {
+  const auto script = [this](const HttpRequest& request, Tcp::socket& socket) {
+    ErrorCode ignored;
+    if (++this->runs == 1) {
+      asio::write(socket,
+                  asio::buffer(std::string("HTTP/1.1 503 Full\r\n"
+                                           "Attempt-Id: r0\r\n"
+                                           "Not-Executed: 1\r\n\r\n")),
+                  ignored);
+    }
+    HttpAnswer answer = Signed(request);
+    answer.body() = Event(1);
+    return std::optional(answer);
+  };
+  FaultyUpstream first(script);
+  FaultyUpstream second(script);
+  this->Start({&first, &second});
+
+  const auto begin = std::chrono::steady_clock::now();
+  EXPECT_EQ(this->Call(Request("/draft/x", "100,50")).result_int(), 200U);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(1));
+}
+
+// A refusal on a kept connection that names no request is not proven, but a
+// request that may be repeated need not wait for an answer that never comes.
+TEST_F(UpstreamRefusalTest, RefusalWithoutId_OnKeptConnection_HoldsNoStream) {
+  std::atomic<bool> refusing{false};
+  const auto script = [&refusing](const HttpRequest& request, Tcp::socket&) {
+    if (refusing.exchange(false)) return std::optional(Refusal(""));
+    HttpAnswer answer = Signed(request);
+    answer.body() = Event(1);
+    return std::optional(answer);
+  };
+  FaultyUpstream first(script);
+  FaultyUpstream second(script);
+  this->Start({&first, &second});
+  for (int i = 1; i <= 8; ++i) {
+    HttpRequest request = Request("/draft/x", "100,50");
+    request.set("Attempt-Id", "r" + std::to_string(i));
+    ASSERT_EQ(this->Call(request).result_int(), 200U);
+  }
+
+  refusing = true;
+  const auto begin = std::chrono::steady_clock::now();
+  EXPECT_EQ(this->Call(Request("/draft/x", "100,50")).result_int(), 200U);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(1));
+}
+
 /// Upstreams that misbehave at random, and many bookings with different ids.
 class RandomRefusalTest : public UpstreamRefusalTest {
  protected:
--- a/tests/platform/upstream_stream_test.cc
+++ b/tests/platform/upstream_stream_test.cc
@@ -150,6 +150,14 @@
   }
 }
 
+// ORDER: the next upstream ends right after its head. Without a length, nothing
+// tells that the stream was at its end.
+TEST_F(UpstreamStreamTest, EmptyRestWithoutLength_CutsTheStreamOff) {
+  EXPECT_EQ(this->Resume("HTTP/1.1 200 OK\r\n" + std::string(kSigned) +
+                         kEventStream + "\r\n"),
+            this->begun);
+}
+
 // ORDER: an upstream that ends in the middle of an event has not ended its
 // stream, also if the end of its connection is the only end of its answer.
 TEST_F(UpstreamStreamTest, FirstStream_ThatEndsInsideAnEvent_IsNotComplete) {
