Failing test of a review: a grant whose sequence number was used before

Fails at: the fake store answers a repeated sequence number with its first answer, as the protocol says. After one false 412 AccountShard::Append repeats its write every 50 ms without end (25 unproven answers in 1.3 s) and all further requests of the partition's organisations get 503.

--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -317,6 +317,10 @@
       "grant/parish/vm-1/" + std::to_string(daemon::StartIncarnation()))));
   EXPECT_EQ(book.book().accounts(0).granted_tokens(),
             grant.grant().granted_tokens());
+  // The store must not have got a sequence number a second time either: it
+  // would answer with the offset of the first append for ever.
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  EXPECT_EQ(this->Call(Request("/draft/x", "40000,10")).result_int(), 200U);
 }
 
 // A record of another writer at the end of the accounts must not keep the
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -218,6 +218,15 @@
     const std::string part = Parameter(target, "part");
     auto& stream = this->streams[part == "0" ? topic : topic + "/" + part];
     if (target.starts_with("/log-append")) {
+      // A repeat of an append gets its first answer again.
+      const std::string producer = Parameter(target, "producer");
+      const std::string repeat = topic + "/" + part + "/" + producer + "/" +
+                                 Parameter(target, "epoch") + "/" +
+                                 Parameter(target, "sequence");
+      const auto first_answer = this->answered.find(repeat);
+      if (!producer.empty() && first_answer != this->answered.end()) {
+        return first_answer->second;
+      }
       const std::string at = Parameter(target, "at");
       const size_t first = stream.size();
       if (!at.empty() && std::stoul(at) != first) {
@@ -229,6 +238,7 @@
           {"offset", first},
           {"end_offset",
            stream.size()}}.dump();
+      if (answer.result_int() == 200) this->answered[repeat] = answer;
     } else if (target.starts_with("/log-newest")) {
       answer.body() = NewestPage(stream);
     } else {
@@ -272,6 +282,9 @@
 
   std::mutex mutex;
   std::map<std::string, std::vector<std::string>> streams;
+  /// Answers to appends that were applied, by their partition, producer, epoch
+  /// and sequence.
+  std::map<std::string, HttpAnswer> answered;
   HttpAnswer last_account_answer;
   LoopbackServer server;
 };
