--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -107,6 +107,16 @@
     this->streams[topic].emplace_back(static_cast<char>(key.size()) + key +
                                       value);
   }
+  /// Appends a record to each partition that exists of the topics whose names
+  /// start with `topic`.
+  void PutToAll(const std::string& topic, const std::string& key,
+                const std::string& value) {
+    const std::lock_guard lock(this->mutex);
+    for (auto& [name, stream] : this->streams) {
+      if (!name.starts_with(topic)) continue;
+      stream.emplace_back(static_cast<char>(key.size()) + key + value);
+    }
+  }
   /// Value of the last record with that key in the partitions of all topics
   /// whose names start with `topic`; empty if there is none.
   std::string Newest(const std::string& topic, const std::string& key) {
@@ -133,6 +143,9 @@
   /// Number of next appends to the accounts that are not applied, and answered
   /// with the answer to the append before.
   std::atomic<int> repeated_account_answers{0};
+  /// Number of next appends to the accounts that are applied, and answered as
+  /// if the partition had ended earlier: an answer 412 to an earlier append.
+  std::atomic<int> earlier_account_mismatches{0};
   /// Time that an append takes, in milliseconds.
   std::atomic<int> append_ms{0};
 
@@ -165,6 +178,12 @@
     }
     HttpAnswer answer = this->Handle(request);
     if (writes_account) this->last_account_answer = answer;
+    if (writes_account && this->earlier_account_mismatches > 0) {
+      --this->earlier_account_mismatches;
+      HttpAnswer earlier(http::status::precondition_failed, 11);
+      earlier.body() = nlohmann::json{{"end_offset", 0}}.dump();
+      return earlier;
+    }
     if (writes_account && this->lost_account_answers > 0) {
       --this->lost_account_answers;
       return std::nullopt;
@@ -199,6 +218,15 @@
     const std::string part = Parameter(target, "part");
     auto& stream = this->streams[part == "0" ? topic : topic + "/" + part];
     if (target.starts_with("/log-append")) {
+      // A repeat of an append gets its first answer again.
+      const std::string producer = Parameter(target, "producer");
+      const std::string repeat = topic + "/" + part + "/" + producer + "/" +
+                                 Parameter(target, "epoch") + "/" +
+                                 Parameter(target, "sequence");
+      const auto first_answer = this->answered.find(repeat);
+      if (!producer.empty() && first_answer != this->answered.end()) {
+        return first_answer->second;
+      }
       const std::string at = Parameter(target, "at");
       const size_t first = stream.size();
       if (!at.empty() && std::stoul(at) != first) {
@@ -210,6 +238,7 @@
           {"offset", first},
           {"end_offset",
            stream.size()}}.dump();
+      if (answer.result_int() == 200) this->answered[repeat] = answer;
     } else if (target.starts_with("/log-newest")) {
       answer.body() = NewestPage(stream);
     } else {
@@ -253,6 +282,9 @@
 
   std::mutex mutex;
   std::map<std::string, std::vector<std::string>> streams;
+  /// Answers to appends that were applied, by their partition, producer, epoch
+  /// and sequence.
+  std::map<std::string, HttpAnswer> answered;
   HttpAnswer last_account_answer;
   LoopbackServer server;
 };
