Rejections of the store need a later end; foreign records do not stop accounts

A 412 that belonged to an earlier append, with a lower end or none, counted as 'the end has moved': a grant that was written was counted twice, or its sequence number was used again and the store gave it the first append's answer for ever (25 store-answer-unproven lines in 1.3 s, callers got 503). A record of another writer at the end of an accounts partition stopped all grants of its organisations.

Change: a rejection must name a later end. After three answers that do not fit, the append is given up under a new epoch, so that it cannot be applied later; heartbeats likewise. The book is the last one on the page; if other records follow it, they are read up to the partition's end, which shows that no later book is among them. A page of which nothing can be read counts as a failed read, and bodies in the log are cut.

--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -30,6 +30,8 @@
 /// more than a read.
 constexpr Duration kMaxBookAge = std::chrono::milliseconds(200);
 constexpr int kTooManyCalls = 429;
+/// Answers of the store that do not fit an append after which it is given up.
+constexpr int kMaxUnprovenAnswers = 3;
 /// Epoch used to fence off a process that has ended. It is higher than any
 /// epoch that a process reaches by itself, because a process starts a new epoch
 /// only when the store has rejected its sequence number.
@@ -213,14 +215,23 @@
   // end is as expected, so the write is retried until its outcome is known.
   bool is_outcome_unknown = false;
   Duration timeout = this->options.initial_timeout;
+  int unproven = 0;
   while (true) {
     StoreReply reply = co_await client.Call(text, timeout);
     if (!this->IsAnswerToAppend(reply)) {
       this->event_log.Write("store-answer-unproven",
                             {{"status", static_cast<int64_t>(reply.status)},
-                             {"body", reply.body}});
+                             {"body", LogExcerpt(reply.body)}});
       client.Disconnect();
       reply = StoreReply();
+      if (++unproven >= kMaxUnprovenAnswers) {
+        // The store may give this sequence number the answer to another append
+        // for ever. A new epoch excludes that this append is applied later.
+        this->end.reset();
+        ++this->writer.epoch;
+        this->writer.sequence = 0;
+        co_return Outcome::kUnknown;
+      }
     }
     if (reply.status == platform::kStoreOk) {
       ++this->writer.sequence;
@@ -261,7 +272,9 @@
     return this->end && platform::DecodeAppendOffset(reply.body) == this->end;
   }
   if (reply.status == platform::kStoreEndMismatch) {
-    return platform::DecodeEndOffset(reply.body) != this->end;
+    // A partition never becomes shorter.
+    const auto end_offset = platform::DecodeEndOffset(reply.body);
+    return end_offset && *end_offset > *this->end;
   }
   return true;
 }
@@ -323,7 +336,10 @@
       co_return true;
     }
     if (page->next_offset == page->end_offset && !page->records.empty()) {
-      co_return this->LoadBook(page->records.back(), page->end_offset);
+      const std::optional<budget::AccountBook> last = this->LastBook(*page);
+      if (!last) co_return co_await this->ReadBookFromNewest(client);
+      this->SetBook(*last, page->end_offset);
+      co_return true;
     }
     from = page->end_offset - 1;
     is_known = false;
@@ -337,27 +353,55 @@
   if (!page) co_return false;
   const auto found = std::ranges::find(page->records, std::string(kBookKey),
                                        &store::KeyedRecord::key);
-  // Another gateway has written between two pages: the next sync reads that.
-  if (found == page->records.end() || found->offset + 1 != page->end_offset) {
-    co_return false;
+  if (found == page->records.end()) co_return false;
+  const std::optional<budget::AccountBook> newest =
+      this->ReadBookRecord(*found);
+  if (!newest) co_return false;
+  if (found->offset + 1 == page->end_offset) {
+    this->SetBook(*newest, page->end_offset);
+    co_return true;
+  }
+
+  // Other records follow the book. Only if they are read up to the partition's
+  // end is it known that no later book is among them.
+  const uint64_t from = found->offset + 1;
+  const StoreReply reply =
+      co_await client.Call(this->EncodeRead(from), kReadTimeout);
+  if (reply.status != platform::kStoreOk) co_return false;
+  const auto tail = platform::DecodeTail(reply.body, from);
+  if (!tail || tail->next_offset != tail->end_offset) co_return false;
+  const std::optional<budget::AccountBook> later = this->LastBook(*tail);
+  this->SetBook(later ? *later : *newest, tail->end_offset);
+  co_return true;
+}
+
+std::optional<budget::AccountBook> AccountShard::LastBook(
+    const store::TailPage& page) {
+  for (size_t i = page.records.size(); i-- > 0;) {
+    if (auto found = this->ReadBookRecord(page.records[i])) return found;
   }
-  co_return this->LoadBook(*found, page->end_offset);
+  return std::nullopt;
 }
 
-bool AccountShard::LoadBook(const store::KeyedRecord& record,
-                            uint64_t end_offset) {
+std::optional<budget::AccountBook> AccountShard::ReadBookRecord(
+    const store::KeyedRecord& record) {
+  if (record.key.starts_with(kGrantKeyPrefix)) return std::nullopt;
   pb::FleetRecord content;
-  if (!record.value || !content.ParseFromString(*record.value) ||
-      !content.has_book()) {
+  if (record.key != kBookKey || !record.value ||
+      !content.ParseFromString(*record.value) || !content.has_book()) {
     this->event_log.Write(
         "bad-account-record",
         {{"key", record.key}, {"offset", static_cast<int64_t>(record.offset)}});
-    return false;
+    return std::nullopt;
   }
-  this->book = DecodeBook(content.book());
+  return DecodeBook(content.book());
+}
+
+void AccountShard::SetBook(const budget::AccountBook& current,
+                           uint64_t end_offset) {
+  this->book = current;
   this->end = end_offset;
   this->book_at = Now();
-  return true;
 }
 
 asio::awaitable<void> AccountShard::Fence(StoreClient& client,
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -103,7 +103,12 @@
   /// Makes the store reject writes of that process which are still in transit,
   /// by using a higher epoch under its name.
   asio::awaitable<void> Fence(StoreClient& client, std::string dead_holder);
-  bool LoadBook(const store::KeyedRecord& record, uint64_t end_offset);
+  /// The last book among the records; nullopt if there is none. Records of
+  /// other writers may follow it.
+  std::optional<budget::AccountBook> LastBook(const store::TailPage& page);
+  std::optional<budget::AccountBook> ReadBookRecord(
+      const store::KeyedRecord& record);
+  void SetBook(const budget::AccountBook& current, uint64_t end_offset);
   std::string EncodeRead(uint64_t from) const;
   void LogWritten(const Change& change);
 
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -11,6 +11,9 @@
 constexpr std::string_view kMemberKeyPrefix = "member/";
 /// Delay before a write with an unknown outcome is retried.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+/// Answers of the store that do not fit a write after which it gets another
+/// epoch.
+constexpr int kMaxUnprovenAnswers = 3;
 /// Number of records before the predecessor's last heartbeat, from which on the
 /// heartbeats of other VMs are read. Three VMs that appear both there and after
 /// this process's first heartbeat are enough.
@@ -97,6 +100,7 @@
   this->write_begun = Now();
   // Retried with the same sequence number until the outcome is known, so that
   // the store applies a delayed write and its retry only once.
+  int unproven = 0;
   while (true) {
     std::string text = platform::EncodeAppend(this->options.store_address,
                                               partition, this->writer, records);
@@ -108,8 +112,14 @@
         (!offset || offset <= this->last_offset)) {
       this->event_log.Write("store-answer-unproven",
                             {{"status", static_cast<int64_t>(reply.status)},
-                             {"body", reply.body}});
+                             {"body", LogExcerpt(reply.body)}});
       this->write_client.Disconnect();
+      // The store may give this sequence number another answer for ever.
+      if (++unproven >= kMaxUnprovenAnswers) {
+        unproven = 0;
+        ++this->writer.epoch;
+        this->writer.sequence = 0;
+      }
       co_await this->timer.Wait(kRetryInterval);
       continue;
     }
--- a/gateway/limit_client.cc
+++ b/gateway/limit_client.cc
@@ -120,7 +120,7 @@
     if (!is_proven) {
       this->event_log.Write("store-answer-unproven",
                             {{"status", int64_t{reply.status}},
-                             {"body", std::string_view(reply.body)}});
+                             {"body", LogExcerpt(reply.body)}});
       this->writer.Disconnect();
       reply = StoreReply();
     }
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -77,10 +77,12 @@
     if (reply.status != platform::kStoreOk) co_return std::nullopt;
     const auto page = platform::DecodeNewest(reply.body);
     if (!page) co_return std::nullopt;
+    // Without a key there is nowhere to continue.
+    if (page->more && page->records.empty()) co_return std::nullopt;
     all.end_offset = page->end_offset;
     all.records.insert(all.records.end(), page->records.begin(),
                        page->records.end());
-    if (!page->more || page->records.empty()) co_return all;
+    if (!page->more) co_return all;
     after_key = page->records.back().key;
   }
 }
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -88,7 +88,8 @@
     }
   } else {
     const auto page = platform::DecodeNewest(reply.body);
-    if (!page) return false;
+    // Without a key there is nowhere to continue.
+    if (!page || (page->more && page->records.empty())) return false;
     this->LogUnreadable(page->unreadable);
     this->view.OnNewest(*page);
   }
