--- a/fuchsiadrum/serving/answer_proof.cc
+++ b/fuchsiadrum/serving/answer_proof.cc
@@ -12,11 +12,6 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
-/// True if the answer says that its request did not run, proven or not.
-bool ClaimsNotRun(const UpstreamAnswer& answer) {
-  return answer.not_executed || answer.status == kMisdirected;
-}
-
 }  // namespace
 
 AnswerOrigin OriginOf(const UpstreamAnswer& answer, const Exchange& exchange) {
@@ -25,7 +20,8 @@
                ? AnswerOrigin::kThisExchange
                : AnswerOrigin::kOtherExchange;
   }
-  const bool is_only_possible = exchange.number == 1 && ClaimsNotRun(answer);
+  const bool is_only_possible =
+      exchange.number == 1 && exchange.skipped == 0 && ClaimsNotRun(answer);
   return is_only_possible ? AnswerOrigin::kThisExchange
                           : AnswerOrigin::kUnknown;
 }
@@ -52,10 +48,25 @@
   return {};
 }
 
+bool ClaimsNotRun(const UpstreamAnswer& answer) {
+  return answer.not_executed || answer.status == kMisdirected;
+}
+
+bool IsInterim(const UpstreamAnswer& answer) {
+  constexpr int kFirstFinalStatus = 200;
+  return answer.status < kFirstFinalStatus;
+}
+
 bool IsFromOtherUpstream(const UpstreamAnswer& answer) {
   return answer.status == kMisdirected;
 }
 
+bool HasNoContent(const UpstreamAnswer& answer) {
+  constexpr int kNoContent = 204;
+  constexpr int kResetContent = 205;
+  return answer.status == kNoContent || answer.status == kResetContent;
+}
+
 bool ContinuesStream(const UpstreamAnswer& begun, const UpstreamAnswer& next) {
   return next.status == begun.status && next.media_type == begun.media_type;
 }
--- a/fuchsiadrum/serving/answer_proof.h
+++ b/fuchsiadrum/serving/answer_proof.h
@@ -12,6 +12,8 @@
   std::string_view request_id;
   /// Number of requests that the connection has carried, including this one.
   uint64_t number = 1;
+  /// Number of answers of this exchange that did not belong to it.
+  int skipped = 0;
 };
 
 /// The exchange to which an answer belongs. An upstream may write an answer
@@ -24,7 +26,8 @@
 
 /// Returns where the answer belongs. The request's id on it proves that it
 /// belongs to this exchange, because no connection carries a request twice. A
-/// refusal without an id counts if nothing else was asked on the connection.
+/// refusal without an id counts if nothing else was asked or answered on the
+/// connection.
 AnswerOrigin OriginOf(const UpstreamAnswer& answer, const Exchange& exchange);
 
 /// What an answer of this exchange proves about its request.
@@ -43,10 +46,19 @@
 /// Returns why an answer proves nothing, for the log.
 std::string_view UnprovenReason(const UpstreamAnswer& answer);
 
+/// True if the answer says that its request did not run, proven or not.
+bool ClaimsNotRun(const UpstreamAnswer& answer);
+
+/// True for an interim answer (1xx), which the answer follows.
+bool IsInterim(const UpstreamAnswer& answer);
+
 /// True if another upstream has answered at the address of the one that was
 /// asked. What the answer announces is about that other one.
 bool IsFromOtherUpstream(const UpstreamAnswer& answer);
 
+/// True if the status excludes a body.
+bool HasNoContent(const UpstreamAnswer& answer);
+
 /// True if the body of `next` can be the rest of a stream that began with the
 /// head `begun` and broke off.
 bool ContinuesStream(const UpstreamAnswer& begun, const UpstreamAnswer& next);
--- a/fuchsiadrum/serving/event_splitter.cc
+++ b/fuchsiadrum/serving/event_splitter.cc
@@ -31,23 +31,29 @@
   return true;
 }
 
+/// Returns the event's number; nullopt if it has none, several, or one that is
+/// followed by other text.
 std::optional<uint64_t> EventId(std::string_view event) {
+  std::optional<uint64_t> found;
   while (!event.empty()) {
     const size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
     if (line.starts_with(kIdField)) {
       line.remove_prefix(kIdField.size());
       while (line.starts_with(' ')) line.remove_prefix(1);
       uint64_t id = 0;
-      const auto result =
-          std::from_chars(line.data(), line.data() + line.size(), id);
-      if (result.ec == std::errc()) return id;
-      return std::nullopt;
+      const char* const line_end = line.data() + line.size();
+      const auto result = std::from_chars(line.data(), line_end, id);
+      if (found || result.ec != std::errc() || result.ptr != line_end) {
+        return std::nullopt;
+      }
+      found = id;
     }
     if (end == std::string_view::npos) break;
     event.remove_prefix(end + 1);
   }
-  return std::nullopt;
+  return found;
 }
 
 }  // namespace
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -121,6 +121,10 @@
                                     : BodyReadStatus::kMore;
 }
 
+bool HttpConnection::EndsWithConnection() const {
+  return this->parser && this->parser->get().need_eof();
+}
+
 bool HttpConnection::IsReusable() {
   if (!this->socket.is_open() || this->sending || !this->parser) return false;
   if (!this->parser->is_done() || !this->parser->keep_alive()) return false;
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -45,6 +45,8 @@
   /// Reads the next part of the body and appends it to `out`.
   asio::awaitable<BodyReadStatus> ReadBody(std::string& out);
 
+  /// True if only the end of the connection ends the current answer.
+  bool EndsWithConnection() const;
   /// True if another request can be sent: the last answer was read whole and
   /// permits keep-alive, the whole request was sent, and since then neither
   /// bytes nor a close have arrived.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -26,6 +26,8 @@
 /// Number of answers to other requests that are skipped on an upstream
 /// connection before the connection is given up.
 constexpr int kMaxMismatchedAnswers = 2;
+/// Number of interim answers (1xx) that are skipped in one exchange.
+constexpr int kMaxInterimAnswers = 8;
 /// Non-streaming answers are buffered whole up to this size, so that the
 /// request can be repeated after a truncated answer before the caller has seen
 /// any of it.
@@ -422,6 +424,12 @@
     connection.Close();
     co_return this->BrokenOutcome();
   }
+  if (this->route->kind == serving::RequestKind::kStreaming &&
+      serving::HasNoContent(this->answer)) {
+    this->LogUnprovenAnswer("no content in place of a stream");
+    connection.Close();
+    co_return this->BrokenOutcome();
+  }
   if (proof == serving::AnswerProof::kRan &&
       this->route->kind == serving::RequestKind::kStreaming) {
     co_return co_await this->RelayEvents(choice, connection);
@@ -460,20 +468,28 @@
 
 asio::awaitable<const platform::HttpAnswerHead*> RequestTask::ReadMatchingHead(
     serving::FleetUpstream& upstream, HttpConnection& connection) {
-  for (int skipped = 0; skipped <= kMaxMismatchedAnswers; ++skipped) {
+  int interim = 0;
+  for (int skipped = 0; skipped <= kMaxMismatchedAnswers;) {
     const platform::HttpAnswerHead* head = co_await connection.ReadHead();
     if (head == nullptr) co_return nullptr;
     this->answer = platform::DecodeAnswer(*head);
     upstream.OnBytesReceived(Now());
+    if (serving::IsInterim(this->answer)) {
+      if (++interim > kMaxInterimAnswers) co_return nullptr;
+      continue;
+    }
     const serving::Exchange exchange = {.request_id = this->request.id,
-                                        .number = connection.Exchanges()};
-    if (serving::OriginOf(this->answer, exchange) ==
-        serving::AnswerOrigin::kThisExchange) {
+                                        .number = connection.Exchanges(),
+                                        .skipped = skipped};
+    const serving::AnswerOrigin origin =
+        serving::OriginOf(this->answer, exchange);
+    if (origin == serving::AnswerOrigin::kThisExchange) {
       this->ApplyAnswerHead(upstream);
       co_return head;
     }
-    // The answer to this request may still follow.
     this->LogMismatchedAnswer();
+    ++skipped;
+    if (!this->MayAnswerFollow(origin, connection)) co_return nullptr;
     if (co_await this->ReadWholeBody(connection) != AttemptOutcome::kComplete) {
       co_return nullptr;
     }
@@ -482,6 +498,14 @@
   co_return nullptr;
 }
 
+bool RequestTask::MayAnswerFollow(serving::AnswerOrigin origin,
+                                  const HttpConnection& connection) const {
+  if (connection.EndsWithConnection()) return false;
+  // A request that may be repeated does not wait for what may never come.
+  return origin != serving::AnswerOrigin::kUnknown ||
+         !serving::ClaimsNotRun(this->answer) || !this->route->IsIdempotent();
+}
+
 asio::awaitable<AttemptOutcome> RequestTask::ReadWholeBody(
     HttpConnection& connection) {
   BodyReadStatus read_status = BodyReadStatus::kMore;
@@ -502,6 +526,7 @@
   serving::EventSplitter splitter(this->last_event);
   std::string bytes;
   std::string events;
+  int received = 0;
   BodyReadStatus read_status = BodyReadStatus::kMore;
   while (read_status == BodyReadStatus::kMore) {
     bytes.clear();
@@ -517,10 +542,16 @@
       this->LogUnprovenAnswer("not the next event of the stream");
       co_return this->BrokenOutcome();
     }
-    if (read_status == BodyReadStatus::kEnd && is_resumed &&
-        splitter.IsInsideEvent()) {
-      this->LogUnprovenAnswer("the stream ends inside an event");
-      read_status = BodyReadStatus::kBroken;
+    received += count;
+    if (read_status == BodyReadStatus::kEnd) {
+      const bool ends_with_connection = connection.EndsWithConnection();
+      const bool is_cut =
+          (is_resumed || ends_with_connection) && splitter.IsInsideEvent();
+      const bool is_empty = is_resumed && ends_with_connection && received == 0;
+      if (is_cut || is_empty) {
+        this->LogUnprovenAnswer("nothing tells that the stream was at its end");
+        read_status = BodyReadStatus::kBroken;
+      }
     }
     if (read_status == BodyReadStatus::kEnd) events.append(splitter.Rest());
     if (read_status == BodyReadStatus::kBroken && events.empty()) break;
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fuchsiadrum/serving/answer_proof.h"
 #include "fuchsiadrum/serving/attempt_policy.h"
 #include "fuchsiadrum/serving/caller_request.h"
 #include "fuchsiadrum/serving/event_splitter.h"
@@ -89,6 +90,10 @@
   /// skipped.
   asio::awaitable<const platform::HttpAnswerHead*> ReadMatchingHead(
       serving::FleetUpstream& upstream, HttpConnection& connection);
+  /// True if it is worth waiting for the answer to this request after one that
+  /// does not belong to it.
+  bool MayAnswerFollow(serving::AnswerOrigin origin,
+                       const HttpConnection& connection) const;
   /// Reads the rest of the answer into `answer_body`.
   asio::awaitable<serving::AttemptOutcome> ReadWholeBody(
       HttpConnection& connection);
--- a/tests/platform/config_codec_test.cc
+++ b/tests/platform/config_codec_test.cc
@@ -69,7 +69,8 @@
   const auto entry = DecodeUpstreamEntry(
       "i-1",
       R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":64,
-          "state":"draining","born":1700000000123})",
+          "state":"draining","born":1700000000123,"cold_left_ms":0,
+          "sequence":4})",
       this->reason);
   ASSERT_TRUE(entry) << this->reason;
 
--- a/tests/platform/entry_trouble_test.cc
+++ b/tests/platform/entry_trouble_test.cc
@@ -19,7 +19,7 @@
     return {{"service", "engine"}, {"address", address},
             {"zone", "a"},         {"slots", 8},
             {"state", "ready"},    {"born", 1700000000000},
-            {"sequence", 4}};
+            {"sequence", 4},       {"cold_left_ms", 0}};
   }
   static std::string With(nlohmann::json entry, const std::string& field,
                           const std::string& value) {
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -331,7 +331,8 @@
     const nlohmann::json entry = {
         {"service", "engine"},   {"address", upstream.Address()},
         {"zone", "a"},           {"slots", 8},
-        {"born", 1700000000000}, {"state", state}};
+        {"born", 1700000000000}, {"state", state},
+        {"cold_left_ms", 0},     {"sequence", 4}};
     this->store.Put(kTopicUpstreams, id, entry.dump());
   }
 
--- a/tests/platform/upstream_stream_test.cc
+++ b/tests/platform/upstream_stream_test.cc
@@ -74,7 +74,9 @@
     this->PutConfig(1, 100000);
     this->PutUpstream("u1", first);
     this->PutUpstream("u2", second);
-    this->StartGateway();
+    // All gateways of one test process have one incarnation, so that each needs
+    // a name of its own to be another writer for the store.
+    this->gateway = this->StartVm("vm-" + std::to_string(++this->starts));
     HttpRequest request = Request("/draft/x", "100,50");
     request.set("Connection", "close");
     const std::string bytes = this->ReadStream(request);
@@ -83,6 +85,7 @@
     return head_end == std::string::npos ? bytes : bytes.substr(head_end + 4);
   }
 
+  int starts = 0;
   const std::string begun = Chunk(Event(1) + Event(2));
 };
 
