Daemon: do not keep a connection on which bytes follow the answer

What callers would see: a request is answered "not run", or with the answer of another request, because an answer that the upstream wrote once more came in the same segment as the end of the one before and was read for the next request on the kept connection. The same connections carry load polls, reads of the log and appends.

Cause: HttpClientConnection::IsReusable looked only at the socket. Bytes that had been read already lie in the connection's buffer.

Evidence: ExchangeTest.Connection_WithBytesAfterTheAnswer_IsNotKept failed before: the second request was answered 503 with X-Outcome: not-run by a refusal that had come with the first answer.

Change: a connection whose buffer holds bytes is closed instead of kept.

--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -165,6 +165,8 @@
 bool HttpClientConnection::IsReusable() {
   Io& state = *this->io;
   if (state.closed || !state.idle || !state.parser->keep_alive()) return false;
+  // Bytes that came with the last answer would be read as the next one.
+  if (state.buffer.size() > 0) return false;
 
   // Readable while idle: closed by the other side, or bytes nobody asked for.
   char byte = 0;
