Daemon: an interim answer is not the answer

What callers would see: status 100 with outcome "complete" and no body, while the answer itself stayed on the connection. For GET and completions it would have been read for the next request on that connection.

Cause: UpstreamAttempt::TakeHead took a status below 200 for the final one.

Evidence: ExchangeTest.InterimAnswer_IsNotRelayed failed before with "HTTP/1.1 100 Status" and "X-Outcome: complete".

Change: an attempt whose answer begins with a status below 200 ends as broken (the request may have run), with a log line. The daemon asks for no interim answer.

--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "daemon/clock.h"
+#include "daemon/logging.h"
 
 namespace fuchsiadrum::daemon {
 
@@ -57,6 +58,13 @@
 
 void UpstreamAttempt::TakeHead() {
   const int status = this->head.status;
+  // An interim answer was not asked for; the answer itself would follow it.
+  if (status < 200) {
+    LogLine("warning", "upstream: interim answer with status " +
+                           std::to_string(status) + " from " +
+                           this->order.action.address);
+    return this->End(AttemptEventKind::kBroken);
+  }
   if (this->head.not_run && (status == 503 || status == 429)) {
     return this->End(AttemptEventKind::kRejected);
   }
--- a/tests/daemon/exchange_test.cc
+++ b/tests/daemon/exchange_test.cc
@@ -75,5 +75,17 @@
       << answer;
 }
 
+// Guards against an interim answer that is relayed as the answer.
+TEST_F(ExchangeTest, InterimAnswer_IsNotRelayed) {
+  this->Start([](const std::string&, Tcp::socket& socket) {
+    return Put(socket, "HTTP/1.1 100 Continue\r\n\r\n" +
+                           HttpResponse{.body = "booked"}.ToText());
+  });
+  const std::string answer = this->Exchange(RequestText(
+      "POST", "/services/book/rooms/3", "test",
+      {{"Authorization", "Bearer key"}, {"Connection", "close"}}, "{}"));
+  EXPECT_FALSE(answer.starts_with("HTTP/1.1 100 ")) << answer;
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::daemon
