Daemon: take an answer only for the request and attempt that it belongs to

What callers would see: a completion that ran is answered "not run" or runs a second time at another upstream, or a caller gets the stream, the completion or the service's answer of another caller.

Cause: UpstreamAttempt::TakeHead took every head that it read for the answer to the request that waits. Completions and GETs use kept connections, on which an upstream may write an earlier answer late or twice.

Evidence: ExchangeTest, on loopback connections. Before this change these tests failed: an earlier refusal with another name and one without a name were answered 503 "not-run"; a stream, a completion and a service's body of the first request were given to the second; a refusal with status 200 counted as complete; a refusal with two names counted as a refusal; X-Leaving of another request's answer marked the upstream as leaving.

Change: upstream::OriginOf and ProofOf decide without I/O. An answer belongs to the attempt if it repeats X-Request-Id and X-Attempt, or if it names nothing and its connection has carried no other request. Any other answer ends the attempt as broken, with a log line, and its notices are dropped. A refusal with a status below 400 proves nothing. Only connections whose answers name the attempt are kept. The stand-ins name the request in their answers.

A true refusal on a kept connection is still "not-run", and three named requests used one connection (Refusal_OfThisRequestOnKeptConnection_IsNotRun, which passed before and passes now).

--- a/daemon/chat_attempt.cc
+++ b/daemon/chat_attempt.cc
@@ -141,7 +141,7 @@
         if (error || !piece.empty() || !last) {
           return self->connection->Close();
         }
-        self->pool.Give(self->order.action.address, self->connection);
+        self->GiveConnection();
       });
 }
 
--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -17,6 +17,19 @@
 constexpr size_t kPieceBytes = 16384;
 constexpr uint32_t kMaxHeaderBytes = 65536;
 
+/// Value of a field that must come once; sets `ambiguous` if it came with two
+/// values.
+template <typename Fields>
+std::string OnlyValue(const Fields& fields, const char* name, bool& ambiguous) {
+  const auto [begin, end] = fields.equal_range(name);
+  if (begin == end) return {};
+  const std::string value = begin->value().to_string();
+  for (auto field = begin; field != end; ++field) {
+    if (field->value() != value) ambiguous = true;
+  }
+  return value;
+}
+
 }  // namespace
 
 struct HttpClientConnection::Io {
@@ -32,6 +45,7 @@
   bool timed_out = false;
   bool closed = false;
   bool idle = false;
+  uint64_t exchanges = 0;
 };
 
 HttpClientConnection::HttpClientConnection(asio::io_context& context)
@@ -90,6 +104,7 @@
                                 OnSent handler) {
   Io& state = *this->io;
   state.idle = false;
+  ++state.exchanges;
   state.outgoing = std::move(text);
   this->Arm(timeout);
   asio::async_write(
@@ -121,7 +136,10 @@
           const auto& message = parser.get();
           head.status = static_cast<int>(message.result_int());
           head.content_type = message[http::field::content_type].to_string();
-          head.not_run = message["X-Not-Run"] == "true";
+          head.not_run =
+              OnlyValue(message, "X-Not-Run", head.ambiguous) == "true";
+          head.request_id = OnlyValue(message, "X-Request-Id", head.ambiguous);
+          head.attempt = OnlyValue(message, "X-Attempt", head.ambiguous);
           head.leaving = message["X-Leaving"] == "true";
           head.framed = !message.need_eof();
           head.keep_alive = message.keep_alive();
@@ -177,6 +195,8 @@
   return error == asio::error::would_block;
 }
 
+uint64_t HttpClientConnection::Exchanges() const { return this->io->exchanges; }
+
 void HttpClientConnection::Close() {
   Io& state = *this->io;
   if (state.closed) return;
--- a/daemon/http_client_connection.h
+++ b/daemon/http_client_connection.h
@@ -18,6 +18,11 @@
   bool not_run = false;
   /// X-Leaving: true, the upstream is leaving.
   bool leaving = false;
+  /// X-Request-Id and X-Attempt, by which it names its request.
+  std::string request_id;
+  std::string attempt;
+  /// X-Not-Run or a part of the name came with two values.
+  bool ambiguous = false;
   /// The end of the body can be told from a broken connection.
   bool framed = false;
   bool keep_alive = false;
@@ -53,6 +58,8 @@
   /// True if the connection is open, its last answer was read to the end and
   /// the other side has not closed it.
   bool IsReusable();
+  /// Number of requests that it has carried.
+  uint64_t Exchanges() const;
   void Close();
 
  private:
--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -57,20 +57,37 @@
 }
 
 void UpstreamAttempt::TakeHead() {
-  const int status = this->head.status;
-  // An interim answer was not asked for; the answer itself would follow it.
-  if (status < 200) {
-    LogLine("warning", "upstream: interim answer with status " +
-                           std::to_string(status) + " from " +
-                           this->order.action.address);
-    return this->End(AttemptEventKind::kBroken);
+  const upstream::AnswerHead answer{.status = this->head.status,
+                                    .request_id = this->head.request_id,
+                                    .attempt = this->head.attempt,
+                                    .is_ambiguous = this->head.ambiguous,
+                                    .not_run = this->head.not_run};
+  const std::string attempt = std::to_string(this->order.action.attempt);
+  this->origin = upstream::OriginOf(
+      answer, {.request_id = this->order.request->start.request_id,
+               .attempt = attempt,
+               .is_first_on_connection = this->connection->Exchanges() == 1});
+  if (!upstream::IsOfExchange(this->origin)) {
+    return this->EndUnproven(
+        "names " + std::string(upstream::AnswerOriginName(this->origin)));
   }
-  if (this->head.not_run && (status == 503 || status == 429)) {
-    return this->End(AttemptEventKind::kRejected);
+
+  switch (upstream::ProofOf(answer)) {
+    case upstream::AnswerProof::kNotRun:
+      return this->End(AttemptEventKind::kRejected);
+    case upstream::AnswerProof::kNothing:
+      return this->EndUnproven("proves nothing");
+    case upstream::AnswerProof::kAnswer:
+      return this->OnHead();
   }
-  // An upstream that failed may have run the request.
-  if (status >= 500) return this->End(AttemptEventKind::kBroken);
-  this->OnHead();
+}
+
+void UpstreamAttempt::EndUnproven(const std::string& reason) {
+  LogLine("warning", "upstream: answer with status " +
+                         std::to_string(this->head.status) + " from " +
+                         this->order.action.address + " to request " +
+                         this->order.request->start.request_id + " " + reason);
+  this->End(AttemptEventKind::kBroken);
 }
 
 void UpstreamAttempt::ReadWhole() {
@@ -105,7 +122,8 @@
   event.attempt = this->order.action.attempt;
   event.status = this->head.status;
   event.delivered = this->order.request->pipe.HasDelivered();
-  event.upstream_leaving = this->head.leaving;
+  event.upstream_leaving =
+      this->head.leaving && upstream::IsOfExchange(this->origin);
   return event;
 }
 
@@ -117,7 +135,7 @@
 void UpstreamAttempt::End(AttemptEventKind kind) {
   if (!this->on_event) return;
   if (kind == AttemptEventKind::kCompleted) {
-    this->pool.Give(this->order.action.address, this->connection);
+    this->GiveConnection();
   } else {
     this->connection->Close();
   }
@@ -128,6 +146,13 @@
   ended(this->Event(kind));
 }
 
+void UpstreamAttempt::GiveConnection() {
+  if (!upstream::MayKeepConnection(this->origin)) {
+    return this->connection->Close();
+  }
+  this->pool.Give(this->order.action.address, this->connection);
+}
+
 void UpstreamAttempt::Cancel() {
   this->on_event = nullptr;
   if (this->connection) this->connection->Close();
--- a/daemon/upstream_attempt.h
+++ b/daemon/upstream_attempt.h
@@ -8,6 +8,7 @@
 #include "daemon/http_call.h"
 #include "daemon/http_message.h"
 #include "daemon/messages.h"
+#include "fuchsiadrum/upstream/exchange_proof.h"
 
 namespace fuchsiadrum::daemon {
 
@@ -59,12 +60,16 @@
   HttpHeaders CommonHeaders() const;
   /// Marks the first byte of the body.
   void OnFirstByte();
+  /// Gives the connection back to the pool if its next answer can be told from
+  /// this one, otherwise closes it.
+  void GiveConnection();
 
   DispatchOrder order;
   AttemptLimits limits;
   ConnectionPool& pool;
   std::shared_ptr<HttpClientConnection> connection;
   HttpHead head;
+  upstream::AnswerOrigin origin = upstream::AnswerOrigin::kUnknown;
   std::string body;
   bool first_byte = false;
   /// Filled by the subclass before End.
@@ -75,6 +80,8 @@
   void Send();
   void ReadHead();
   void TakeHead();
+  /// Ends the attempt as one that may have run.
+  void EndUnproven(const std::string& reason);
 };
 
 }  // namespace fuchsiadrum::daemon
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -66,6 +66,7 @@
   while (this->silent) {
     co_await out.Sleep(kQueueStep);
   }
+  out.NameRequest(request);
   if (this->leaving) out.Set("X-Leaving", "true");
   // The check takes every co_await for the same statement.
   // NOLINTNEXTLINE(bugprone-branch-clone)
--- a/standin/http_server.cc
+++ b/standin/http_server.cc
@@ -23,6 +23,13 @@
 
 }  // namespace
 
+void Responder::NameRequest(const Request& request) {
+  for (const char* name : {"X-Request-Id", "X-Attempt"}) {
+    const auto value = request[name];
+    if (!value.empty()) this->Set(name, {value.data(), value.size()});
+  }
+}
+
 asio::awaitable<void> Responder::Send(int status, std::string content_type,
                                       std::string body) {
   http::response<http::string_body> response(static_cast<http::status>(status),
--- a/standin/http_server.h
+++ b/standin/http_server.h
@@ -34,6 +34,9 @@
   void Set(const std::string& name, const std::string& value) {
     this->headers[name] = value;
   }
+  /// Names the request and its attempt in the answer, so that the daemon can
+  /// tell it from the answers to other requests on the connection.
+  void NameRequest(const Request& request);
   /// Sends a whole answer.
   asio::awaitable<void> Send(int status, std::string content_type,
                              std::string body);
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -24,6 +24,7 @@
   while (this->silent) {
     co_await out.Sleep(kSilentStep);
   }
+  out.NameRequest(request);
   if (this->leaving) out.Set("X-Leaving", "true");
   if (target == "/v1/load") {
     co_await out.SendJson(200, this->Load());
--- a/tests/daemon/exchange_test.cc
+++ b/tests/daemon/exchange_test.cc
@@ -61,6 +61,135 @@
   std::set<Tcp::socket*> sockets;
 };
 
+// Guards against an earlier refusal, written once more, that refuses the next
+// request on its connection.
+TEST_F(ExchangeTest, Refusal_OfEarlierRequest_MayHaveRun) {
+  this->StartWithSecond(
+      [](const HttpHeaders& first) { return Refusal(first); });
+  EXPECT_NE(this->Chat().find("X-Outcome: complete\r\n"), std::string::npos);
+  const std::string answer = this->Chat();
+  EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos) << answer;
+}
+
+// Guards against a refusal without a name on a connection that has carried
+// another request.
+TEST_F(ExchangeTest, Refusal_WithoutNameOnKeptConnection_MayHaveRun) {
+  this->StartWithSecond([](const HttpHeaders&) { return Refusal({}); });
+  EXPECT_NE(this->Chat().find("X-Outcome: complete\r\n"), std::string::npos);
+  const std::string answer = this->Chat();
+  EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos) << answer;
+  EXPECT_EQ(this->Connections(), 1U);
+}
+
+// Guards against safety paid for with service: true refusals and kept
+// connections.
+TEST_F(ExchangeTest, Refusal_OfThisRequestOnKeptConnection_IsNotRun) {
+  this->Start([this](const std::string& request, Tcp::socket& socket) {
+    const std::lock_guard lock(this->mutex);
+    this->sockets.insert(&socket);
+    return Put(socket, ++this->requests == 3 ? Refusal(NameOf(request))
+                                             : Stream("own", NameOf(request)));
+  });
+  EXPECT_NE(this->Chat().find("X-Outcome: complete\r\n"), std::string::npos);
+  EXPECT_NE(this->Chat(true).find("X-Outcome: complete\r\n"),
+            std::string::npos);
+  const std::string answer = this->Chat();
+  EXPECT_NE(answer.find("X-Outcome: not-run\r\n"), std::string::npos) << answer;
+  EXPECT_EQ(this->Connections(), 1U);
+}
+
+// Guards against an upstream that names nothing and writes an answer twice: a
+// connection carries one request of it.
+TEST_F(ExchangeTest, Connection_OfUpstreamWithoutNames_IsNotKept) {
+  this->Start([this](const std::string&, Tcp::socket& socket) {
+    const std::lock_guard lock(this->mutex);
+    const bool fresh = this->sockets.insert(&socket).second;
+    return Put(socket, fresh ? Stream("own", {}) : Refusal({}));
+  });
+  for (int i = 0; i < 3; ++i) {
+    const std::string answer = this->Chat(i == 1);
+    EXPECT_NE(answer.find("X-Outcome: complete\r\n"), std::string::npos)
+        << answer;
+  }
+  EXPECT_EQ(this->Connections(), 3U);
+}
+
+// Guards against a whole answer given to the caller of another request.
+TEST_F(ExchangeTest, Answer_OfEarlierRequest_IsNotRelayed) {
+  this->StartWithSecond(
+      [](const HttpHeaders& first) { return Stream("other", first); });
+  this->Chat();
+  const std::string answer = this->Chat();
+  EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("other"), std::string::npos);
+  EXPECT_NE(this->Chat().find("X-Outcome: complete\r\n"), std::string::npos);
+}
+
+// Guards against a stream given to the caller of another request.
+TEST_F(ExchangeTest, Stream_OfEarlierRequest_IsNotRelayed) {
+  this->StartWithSecond(
+      [](const HttpHeaders& first) { return Stream("other", first); });
+  this->Chat(true);
+  const std::string answer = this->Chat(true);
+  EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("other"), std::string::npos);
+}
+
+// Guards against a plain service's answer to another caller's GET.
+TEST_F(ExchangeTest, ServiceAnswer_OfEarlierRequest_IsNotRelayed) {
+  this->Start([this](const std::string& request, Tcp::socket& socket) {
+    const std::lock_guard lock(this->mutex);
+    if (++this->requests == 1) this->first_name = NameOf(request);
+    return Put(socket,
+               HttpResponse{.headers = this->first_name, .body = "booking 1"}
+                   .ToText());
+  });
+  const std::string get = RequestText(
+      "GET", "/services/book/rooms/3", "test",
+      {{"Authorization", "Bearer key"}, {"Connection", "close"}}, {});
+  EXPECT_NE(this->Exchange(get).find("booking 1"), std::string::npos);
+  const std::string answer = this->Exchange(get);
+  EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("booking"), std::string::npos);
+}
+
+// Guards against an answer that says that it did not run and that it did.
+TEST_F(ExchangeTest, Refusal_WithSuccess_ProvesNothing) {
+  this->Start([](const std::string& request, Tcp::socket& socket) {
+    HttpHeaders headers = NameOf(request);
+    headers.emplace_back("X-Not-Run", "true");
+    return Put(socket, Stream("own", headers));
+  });
+  const std::string answer = this->Chat();
+  EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos) << answer;
+}
+
+// Guards against a refusal that names two requests.
+TEST_F(ExchangeTest, Refusal_WithTwoNames_ProvesNothing) {
+  this->StartWithSecond([](const HttpHeaders& first) {
+    HttpHeaders names = first;
+    names.emplace_back("X-Request-Id", "another");
+    return Refusal(names);
+  });
+  this->Chat();
+  const std::string answer = this->Chat();
+  EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos) << answer;
+}
+
+// Guards against an upstream that is taken for leaving by an answer that may
+// be another one's.
+TEST_F(ExchangeTest, Leaving_InAnswerOfEarlierRequest_IsNoNotice) {
+  this->StartWithSecond([](HttpHeaders first) {
+    first.emplace_back("X-Leaving", "true");
+    return Refusal(first);
+  });
+  this->Chat();
+  this->Chat();
+  node::AttemptEvent event;
+  ASSERT_TRUE(this->core->WaitFor(AttemptEventKind::kBroken, &event));
+  EXPECT_FALSE(event.upstream_leaving);
+}
+
 // Guards against bytes that came with an answer, and are read as the head of
 // the next one.
 TEST_F(ExchangeTest, Connection_WithBytesAfterTheAnswer_IsNotKept) {
