Daemon: take a load report only from the answer to its poll

What operators would see: an upstream is shown and used with the load, models or leaving notice of an earlier poll, whose report was read late or twice on the kept connection.

Cause: load polls carried no name, and UpstreamClient::OnLoad took any answer on the connection, X-Leaving of answers that are not whole included.

Evidence: ExchangeTest.LoadPoll_AnswerOfEarlierPoll_IsNotTaken and LoadPoll_OfUpstreamWithoutNames_HasItsOwnConnection failed before: the load of another poll and its leaving notice reached the core, and polls of an upstream that names nothing shared a connection.

Change: polls are named like requests (X-Request-Id: load-N, X-Attempt: 1) and judged by upstream::OriginOf. An answer that is not to the poll is logged and counts as a failed poll. Connections are kept only if the answer named the poll.

--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -48,6 +48,14 @@
   uint64_t exchanges = 0;
 };
 
+upstream::AnswerHead HttpHead::ToAnswerHead() const {
+  return {.status = this->status,
+          .request_id = this->request_id,
+          .attempt = this->attempt,
+          .is_ambiguous = this->ambiguous,
+          .not_run = this->not_run};
+}
+
 HttpClientConnection::HttpClientConnection(asio::io_context& context)
     : io(std::make_unique<Io>(context)) {}
 
--- a/daemon/http_client_connection.h
+++ b/daemon/http_client_connection.h
@@ -7,6 +7,7 @@
 
 #include "daemon/asio.h"
 #include "fuchsiadrum/core/types.h"
+#include "fuchsiadrum/upstream/exchange_proof.h"
 
 namespace fuchsiadrum::daemon {
 
@@ -26,6 +27,9 @@
   /// The end of the body can be told from a broken connection.
   bool framed = false;
   bool keep_alive = false;
+
+  /// What it says about its request; valid as long as this head.
+  upstream::AnswerHead ToAnswerHead() const;
 };
 
 /// Client side of one HTTP connection. One operation at a time; each ends by
--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -57,11 +57,7 @@
 }
 
 void UpstreamAttempt::TakeHead() {
-  const upstream::AnswerHead answer{.status = this->head.status,
-                                    .request_id = this->head.request_id,
-                                    .attempt = this->head.attempt,
-                                    .is_ambiguous = this->head.ambiguous,
-                                    .not_run = this->head.not_run};
+  const upstream::AnswerHead answer = this->head.ToAnswerHead();
   const std::string attempt = std::to_string(this->order.action.attempt);
   this->origin = upstream::OriginOf(
       answer, {.request_id = this->order.request->start.request_id,
--- a/daemon/upstream_client.cc
+++ b/daemon/upstream_client.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/chat_attempt.h"
 #include "daemon/load_report.h"
+#include "daemon/logging.h"
 #include "daemon/service_attempt.h"
 
 namespace fuchsiadrum::daemon {
@@ -10,6 +11,8 @@
 constexpr size_t kMaxLoadBytes = 1U << 20U;
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
+// A poll is sent once.
+constexpr std::string_view kPollAttempt = "1";
 
 }  // namespace
 
@@ -98,16 +101,28 @@
   auto connection = this->poll_pool.Take(upstream.address);
   const bool open = connection != nullptr;
   if (!open) connection = this->poll_pool.New();
+  const std::string name = "load-" + std::to_string(++this->last_poll);
   const auto call = std::make_shared<HttpCall>(
       connection, this->poll_limits,
-      [this, upstream, connection](const HttpAnswer& answer) {
+      [this, upstream, connection, name](const HttpAnswer& answer) {
         this->polls.erase(upstream.upstream);
-        if (answer.whole) this->poll_pool.Give(upstream.address, connection);
-        this->OnLoad(upstream, answer);
+        const auto origin = upstream::OriginOf(
+            answer.head.ToAnswerHead(),
+            {.request_id = name,
+             .attempt = kPollAttempt,
+             .is_first_on_connection = connection->Exchanges() == 1});
+        if (answer.whole && upstream::MayKeepConnection(origin)) {
+          this->poll_pool.Give(upstream.address, connection);
+        } else {
+          connection->Close();
+        }
+        this->OnLoad(upstream, answer, origin);
       });
   this->polls[upstream.upstream] = call;
 
-  std::string text = RequestText("GET", "/v1/load", upstream.address, {}, {});
+  std::string text = RequestText(
+      "GET", "/v1/load", upstream.address,
+      {{"X-Request-Id", name}, {"X-Attempt", std::string(kPollAttempt)}}, {});
   if (open) {
     call->Start(std::move(text));
   } else {
@@ -138,13 +153,19 @@
 }
 
 void UpstreamClient::OnLoad(const node::UpstreamAddress& upstream,
-                            const HttpAnswer& answer) {
+                            const HttpAnswer& answer,
+                            upstream::AnswerOrigin origin) {
   node::UpstreamReport report;
-  if (answer.whole && answer.head.status == 200) {
+  const bool is_ours = upstream::IsOfExchange(origin);
+  if (answer.whole && !is_ours) {
+    LogLine("warning", "upstream: load of " + upstream.upstream + " names " +
+                           std::string(upstream::AnswerOriginName(origin)));
+  }
+  if (answer.whole && is_ours && answer.head.status == kOk) {
     report = ParseLoadReport(answer.body);
   }
   report.upstream = upstream.upstream;
-  report.leaving = report.leaving || answer.head.leaving;
+  report.leaving = report.leaving || (is_ours && answer.head.leaving);
   this->Send(std::move(report));
 }
 
--- a/daemon/upstream_client.h
+++ b/daemon/upstream_client.h
@@ -30,7 +30,9 @@
   void Poll(const node::UpstreamAddress& upstream);
   /// Sends a placement order on a connection of its own.
   void Order(const upstream::PlacementOrder& order);
-  void OnLoad(const node::UpstreamAddress& upstream, const HttpAnswer& answer);
+  /// The answer to a poll; `origin` tells whether it is.
+  void OnLoad(const node::UpstreamAddress& upstream, const HttpAnswer& answer,
+              upstream::AnswerOrigin origin);
   void Send(FromUpstream item);
 
   AttemptLimits limits;
@@ -42,6 +44,8 @@
   ConnectionPool poll_pool;
   std::map<AttemptKey, std::shared_ptr<UpstreamAttempt>> attempts;
   std::map<std::string, std::shared_ptr<HttpCall>> polls;
+  /// Number of the last poll, by which its answer is known.
+  uint64_t last_poll = 0;
   std::map<std::string, std::shared_ptr<HttpCall>> placements;
 };
 
--- a/tests/daemon/exchange_test.cc
+++ b/tests/daemon/exchange_test.cc
@@ -216,5 +216,54 @@
   EXPECT_FALSE(answer.starts_with("HTTP/1.1 100 ")) << answer;
 }
 
+// Guards against the report of an earlier poll, or of none, that is taken for
+// the answer to the present one, and its notice with it.
+TEST_F(ExchangeTest, LoadPoll_AnswerOfEarlierPoll_IsNotTaken) {
+  ScriptedServer engine([this](const std::string& request,
+                               Tcp::socket& socket) {
+    const std::lock_guard lock(this->mutex);
+    ++this->requests;
+    this->sockets.insert(&socket);
+    HttpResponse load{.headers = NameOf(request), .body = R"({"running":5})"};
+    if (this->requests == 1) this->first_name = load.headers;
+    if (this->requests == 3) {
+      load.headers = this->first_name;
+      load.headers.emplace_back("X-Leaving", "true");
+      load.body = R"({"running":99,"leaving":true})";
+    }
+    if (this->requests > 3) load.body = R"({"running":7})";
+    return Put(socket, load.ToText());
+  });
+  this->settings.mutable_upstream()->set_load_poll_ms(20);
+  this->core->address = engine.Address();
+  this->StartDaemon();
+  EXPECT_TRUE(this->core->WaitFor("load 5 0"));
+  EXPECT_TRUE(this->core->WaitFor("load 7 0"));
+  EXPECT_FALSE(this->core->HasNote("load 99 0"));
+  EXPECT_FALSE(this->core->HasNote("leaving"));
+  // The connection is kept until the answer that names another poll.
+  EXPECT_EQ(this->Connections(), 2U);
+  this->daemon.reset();
+}
+
+// Guards against polls that share a connection whose answers name no poll.
+TEST_F(ExchangeTest, LoadPoll_OfUpstreamWithoutNames_HasItsOwnConnection) {
+  ScriptedServer engine([this](const std::string&, Tcp::socket& socket) {
+    const std::lock_guard lock(this->mutex);
+    const bool fresh = this->sockets.insert(&socket).second;
+    const std::string running = this->sockets.size() < 3 ? "5" : "7";
+    return Put(
+        socket,
+        HttpResponse{.body = "{\"running\":" + (fresh ? running : "99") + "}"}
+            .ToText());
+  });
+  this->settings.mutable_upstream()->set_load_poll_ms(20);
+  this->core->address = engine.Address();
+  this->StartDaemon();
+  EXPECT_TRUE(this->core->WaitFor("load 7 0"));
+  EXPECT_FALSE(this->core->HasNote("load 99 0"));
+  this->daemon.reset();
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::daemon
--- a/tests/daemon/fake_core.h
+++ b/tests/daemon/fake_core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -110,6 +111,7 @@
       this->Note("load " + std::to_string(report.running) + " " +
                  std::to_string(report.cached_prefixes.size()));
     }
+    if (report.leaving) this->Note("leaving");
   }
   node::Node::AdminAnswer OnAdmin(TimePoint /*now*/, const std::string& method,
                                   const std::string& target,
@@ -151,6 +153,11 @@
       return false;
     });
   }
+  /// True if this note was taken.
+  bool HasNote(const std::string& note) const {
+    const std::lock_guard lock(this->mutex);
+    return std::ranges::find(this->notes, note) != this->notes.end();
+  }
 
  private:
   void Note(std::string note) {
