Daemon: an engine's error within a stream is not a part of the answer

What callers would see: the text of an engine's error, addresses included, stands in their stream, which then ends with [DONE] and X-Outcome: complete; a completion without a stream is complete with the part that came before the error.

Cause: ChatAnswer relayed each event that looks like a JSON object, and SseParser dropped the type of an event.

Chat_AttemptAfterBegunStream_EndsWithError shows the second way to the same sight: if an attempt is ordered after a stream has begun, an answer with status 400, an error event and a second start ended the stream as complete. The core does not order it (RetryBudget, "partly delivered"), so no caller could see this one.

Change: an event of type "error", or with a field "error" that is not null, ends the attempt as broken with a log line. UpstreamClient sends no attempt of a request whose stream has begun.

--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -28,6 +28,16 @@
   return choices->front();
 }
 
+// True for an engine's report that it failed within the stream.
+bool IsError(std::string_view data) {
+  // Quotes in the text of an answer are escaped, so most events are not parsed.
+  if (data.find("\"error\"") == std::string_view::npos) return false;
+  const json chunk = json::parse(data, nullptr, false);
+  if (!chunk.is_object()) return false;
+  const auto error = chunk.find("error");
+  return error != chunk.end() && !error->is_null();
+}
+
 bool HasText(const json& object, const char* key) {
   const auto found = object.find(key);
   return found != object.end() && found->is_string() &&
@@ -45,6 +55,7 @@
     this->Keep("data: [DONE]\n\n");
     return Event::kDone;
   }
+  if (IsError(data)) return Event::kError;
 
   // Most events carry one token and are relayed as they are, unparsed.
   const bool plain =
--- a/daemon/chat_answer.h
+++ b/daemon/chat_answer.h
@@ -17,7 +17,7 @@
   /// `keep` bounds the bytes of the whole answer; with 0 a stream is not kept.
   ChatAnswer(const CallerRequest& caller_request, size_t max_kept);
 
-  enum class Event { kToken, kOther, kDone, kMalformed };
+  enum class Event { kToken, kOther, kDone, kMalformed, kError };
 
   /// Takes the data of one event. The bytes that a streaming caller has to get
   /// are appended to `relay`.
--- a/daemon/chat_attempt.cc
+++ b/daemon/chat_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "daemon/logging.h"
 #include "daemon/problem.h"
 
 namespace fuchsiadrum::daemon {
@@ -84,16 +85,27 @@
   // All events of one read are relayed together.
   std::string relay;
   const bool fits = this->parser.Feed(piece, [&](std::string_view data) {
-    if (this->done || this->malformed) return;
-    const ChatAnswer::Event event = this->answer.OnData(data, relay);
+    if (this->done || this->failed) return;
+    const ChatAnswer::Event event = this->parser.IsError()
+                                        ? ChatAnswer::Event::kError
+                                        : this->answer.OnData(data, relay);
     if (event == ChatAnswer::Event::kToken) this->OnFirstByte();
     this->done = event == ChatAnswer::Event::kDone;
-    this->malformed = event == ChatAnswer::Event::kMalformed;
+    this->failed = event == ChatAnswer::Event::kMalformed ||
+                   event == ChatAnswer::Event::kError;
+    if (this->failed) {
+      LogLine("warning",
+              "upstream: stream of request " +
+                  this->order.request->start.request_id + " from " +
+                  this->order.action.address +
+                  (event == ChatAnswer::Event::kError ? " reports an error"
+                                                      : " is malformed"));
+    }
   });
   this->result.streamed = this->answer.Streamed();
 
   const bool go_on = this->Deliver(relay);
-  if (this->malformed || !fits) return this->End(AttemptEventKind::kBroken);
+  if (this->failed || !fits) return this->End(AttemptEventKind::kBroken);
   if (this->done) return this->Complete(last);
   // The end of the connection is not the end mark.
   if (last) return this->End(AttemptEventKind::kBroken);
--- a/daemon/chat_attempt.h
+++ b/daemon/chat_attempt.h
@@ -28,7 +28,8 @@
   ChatAnswer answer;
   SseParser parser;
   bool done = false;
-  bool malformed = false;
+  /// An event was malformed or reported an error.
+  bool failed = false;
 };
 
 }  // namespace fuchsiadrum::daemon
--- a/daemon/sse_parser.cc
+++ b/daemon/sse_parser.cc
@@ -30,9 +30,11 @@
     if (this->has_data) handler(this->data);
     this->data.clear();
     this->has_data = false;
+    this->is_error = false;
     return;
   }
 
+  if (line == "event: error" || line == "event:error") this->is_error = true;
   static constexpr std::string_view kData = "data:";
   if (!line.starts_with(kData)) return;
   line.remove_prefix(kData.size());
--- a/daemon/sse_parser.h
+++ b/daemon/sse_parser.h
@@ -16,6 +16,8 @@
 
   /// Adds bytes; false if an event is longer than the limit.
   bool Feed(std::string_view bytes, const OnData& handler);
+  /// During a call of the handler: the event has the type "error".
+  bool IsError() const { return this->is_error; }
 
  private:
   void TakeLine(std::string_view line, const OnData& handler);
@@ -24,6 +26,7 @@
   std::string partial_line;
   std::string data;
   bool has_data = false;
+  bool is_error = false;
 };
 
 }  // namespace fuchsiadrum::daemon
--- a/daemon/upstream_client.cc
+++ b/daemon/upstream_client.cc
@@ -63,6 +63,21 @@
     this->OnEvent(std::move(event));
   };
 
+  // Nothing that a second attempt answers is the rest of a stream that has
+  // begun; the core does not order it.
+  if (order.request->pipe.HasDelivered()) {
+    LogLine("error", "upstream: attempt " +
+                         std::to_string(order.action.attempt) + " of request " +
+                         order.request->start.request_id +
+                         " is not sent, its stream has begun");
+    node::AttemptEvent event;
+    event.kind = node::AttemptEventKind::kNotSent;
+    event.handle = key.first;
+    event.attempt = key.second;
+    event.delivered = true;
+    return this->OnEvent(std::move(event));
+  }
+
   std::shared_ptr<UpstreamAttempt> attempt;
   if (chat) {
     attempt = std::make_shared<ChatAttempt>(std::move(order), this->limits,
--- a/tests/daemon/relay_test.cc
+++ b/tests/daemon/relay_test.cc
@@ -159,6 +159,89 @@
   EXPECT_EQ(answer.find("old"), std::string::npos);
 }
 
+// Guards against an engine's error that stands in the stream as if it were a
+// part of the answer, and a stream that ends as if it were complete.
+TEST_F(RelayTest, Chat_ErrorEventInStream_EndsWithError) {
+  const std::vector<std::string> errors = {
+      Event(R"({"error":{"message":"out of memory at 10.0.0.7"}})"),
+      Event(R"({"object":"error", "error" : "out of memory at 10.0.0.7"})"),
+      Chunk("event: error\ndata: {\"message\":\"at 10.0.0.7\"}\n\n")};
+  std::atomic<size_t> index{0};
+  this->Start([&](const std::string&, Tcp::socket& socket) {
+    return Put(socket,
+               StreamHead() + TokenEvent("a") + errors[index] + EndOfStream());
+  });
+  for (index = 0; index < errors.size(); ++index) {
+    for (const bool stream : {true, false}) {
+      const std::string answer = this->Exchange(this->ChatText(stream));
+      EXPECT_EQ(answer.find("10.0.0.7"), std::string::npos) << answer;
+      EXPECT_EQ(answer.find("[DONE]"), std::string::npos) << answer;
+      EXPECT_EQ(answer.find("X-Outcome: complete"), std::string::npos);
+      EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos);
+    }
+  }
+}
+
+// Guards against a word of the answer that is taken for an engine's error.
+TEST_F(RelayTest, Chat_WordErrorInContent_IsRelayed) {
+  this->Start([](const std::string&, Tcp::socket& socket) {
+    return Put(socket, StreamHead() + TokenEvent(R"({\"error\": 1})") +
+                           Event(R"({"id":"c","error":null,"choices":[]})") +
+                           UsageEvent() + EndOfStream());
+  });
+  const std::string answer = this->Exchange(this->ChatText(true));
+  EXPECT_NE(answer.find("error"), std::string::npos);
+  EXPECT_NE(answer.find(": X-Outcome: complete\n\ndata: [DONE]\n\n"),
+            std::string::npos)
+      << answer;
+}
+
+// Guards against an answer of a later attempt in a stream that has begun: the
+// caller must find neither its text nor the end mark.
+TEST_F(RelayTest, Chat_AttemptAfterBegunStream_EndsWithError) {
+  this->core->on_event = [this](const node::AttemptEvent& event,
+                                node::NodeActions& out) {
+    node::RequestAction action;
+    action.handle = event.handle;
+    action.attempt = event.attempt;
+    if (event.kind == AttemptEventKind::kBroken && event.attempt == 1) {
+      action.kind = node::RequestActionKind::kDispatch;
+      action.attempt = 2;
+      action.address = this->core->address;
+    } else if (event.kind == AttemptEventKind::kBroken ||
+               event.kind == AttemptEventKind::kNotSent) {
+      action.kind = node::RequestActionKind::kReply;
+      action.status = 502;
+      action.outcome = node::Outcome::kUnknown;
+    } else {
+      return;
+    }
+    out.requests.push_back(action);
+  };
+  const std::string problem = R"({"error":"no such lora at 10.0.0.7"})";
+  const std::vector<std::string> later = {
+      HttpResponse{.status = 400, .body = problem}.ToText(),
+      HttpResponse{.status = 200, .body = problem}.ToText(),
+      StreamHead() + Event(problem) + EndOfStream(),
+      StreamHead() + TokenEvent("again") + UsageEvent() + EndOfStream()};
+  std::atomic<size_t> index{0};
+  this->Start([&](const std::string& request, Tcp::socket& socket) {
+    if (request.find("X-Attempt: 1\r\n") != std::string::npos) {
+      Put(socket, StreamHead() + TokenEvent("a"));
+      return false;
+    }
+    return Put(socket, later[index]);
+  });
+  for (index = 0; index < later.size(); ++index) {
+    const std::string answer = this->Exchange(this->ChatText(true));
+    EXPECT_NE(answer.find("event: error\n"), std::string::npos)
+        << index << " " << answer;
+    EXPECT_EQ(answer.find("[DONE]"), std::string::npos) << index;
+    EXPECT_EQ(answer.find("10.0.0.7"), std::string::npos) << index;
+    EXPECT_EQ(answer.find("again"), std::string::npos) << index;
+  }
+}
+
 // Guards against work for a caller who is gone.
 TEST_F(RelayTest, Chat_CallerCloses_CancelsTheUpstream) {
   std::promise<void> cancelled;
