--- a/daemon/http_client_connection.h
+++ b/daemon/http_client_connection.h
@@ -7,6 +7,7 @@
 
 #include "daemon/asio.h"
 #include "fuchsiadrum/core/types.h"
+#include "fuchsiadrum/upstream/exchange_proof.h"
 
 namespace fuchsiadrum::daemon {
 
@@ -18,9 +19,17 @@
   bool not_run = false;
   /// X-Leaving: true, the upstream is leaving.
   bool leaving = false;
+  /// X-Request-Id and X-Attempt, by which it names its request.
+  std::string request_id;
+  std::string attempt;
+  /// X-Not-Run or a part of the name came with two values.
+  bool ambiguous = false;
   /// The end of the body can be told from a broken connection.
   bool framed = false;
   bool keep_alive = false;
+
+  /// What it says about its request; valid as long as this head.
+  upstream::AnswerHead ToAnswerHead() const;
 };
 
 /// Client side of one HTTP connection. One operation at a time; each ends by
@@ -53,6 +62,8 @@
   /// True if the connection is open, its last answer was read to the end and
   /// the other side has not closed it.
   bool IsReusable();
+  /// Number of requests that it has carried.
+  uint64_t Exchanges() const;
   void Close();
 
  private:
