--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -23,7 +23,7 @@
 std::string OnlyValue(const Fields& fields, const char* name, bool& ambiguous) {
   const auto [begin, end] = fields.equal_range(name);
   if (begin == end) return {};
-  const std::string value = begin->value().to_string();
+  std::string value = begin->value().to_string();
   for (auto field = begin; field != end; ++field) {
     if (field->value() != value) ambiguous = true;
   }
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -337,7 +337,9 @@
     }
     if (page->next_offset == page->end_offset && !page->records.empty()) {
       const std::optional<budget::AccountBook> last = this->LastBook(*page);
-      if (!last) co_return co_await this->ReadBookFromNewest(client);
+      if (!last) {
+        co_return co_await this->ReadBookFromNewest(client);
+      }
       this->SetBook(*last, page->end_offset);
       co_return true;
     }
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -111,10 +111,10 @@
   /// start with `topic`.
   void PutToAll(const std::string& topic, const std::string& key,
                 const std::string& value) {
+    const std::string record = static_cast<char>(key.size()) + key + value;
     const std::lock_guard lock(this->mutex);
     for (auto& [name, stream] : this->streams) {
-      if (!name.starts_with(topic)) continue;
-      stream.emplace_back(static_cast<char>(key.size()) + key + value);
+      if (name.starts_with(topic)) stream.push_back(record);
     }
   }
   /// Value of the last record with that key in the partitions of all topics
