Daemon: bound the nesting and the numbers of documents from connections

What callers would have seen: one completion whose JSON nests 1,000,000 deep, in a body of 2 MB and before its key was checked, ended fuchsiadrumd; so did an engine's event that nests 400,000 deep. Two token counts of 9e18 added up to a negative use, and an engine's counts of requests overflowed where they are added.

Cause: writing a parsed document takes stack for each level, and counts were added without a bound.

Evidence: LargeBodyTest.Chat_DeeplyNestedBody_IsRefused and RelayTest.Chat_DeeplyNestedEvent_IsBroken ended with rc 139 on the code before, RelayTest.Chat_UsageOutOfRange_IsNoReport and PartsTest.LoadReport_NumbersTooLarge_AreBounded failed.

--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -1,6 +1,7 @@
 #include "daemon/chat_answer.h"
 
 #include "daemon/problem.h"
+#include "fuchsiadrum/core/bounded_json.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
@@ -32,7 +33,7 @@
 bool IsError(std::string_view data) {
   // Quotes in the text of an answer are escaped, so most events are not parsed.
   if (data.find("\"error\"") == std::string_view::npos) return false;
-  const json chunk = json::parse(data, nullptr, false);
+  const json chunk = ParseBoundedJson(data);
   if (!chunk.is_object()) return false;
   const auto error = chunk.find("error");
   return error != chunk.end() && !error->is_null();
@@ -62,7 +63,7 @@
       this->request.stream && data.find("\"usage\"") == std::string_view::npos;
   if (plain) return this->Relay(data, relay);
 
-  json chunk = json::parse(data, nullptr, false);
+  json chunk = ParseBoundedJson(data);
   if (!chunk.is_object()) return Event::kMalformed;
   this->TakeUsage(chunk);
   if (!this->request.stream) return this->Assemble(chunk);
@@ -118,6 +119,9 @@
   return Event::kToken;
 }
 
+/// Larger counts of one request are no report; sums of them would overflow.
+constexpr int64_t kMaxTokensReported = 1000000000;
+
 void ChatAnswer::TakeUsage(const json& chunk) {
   const auto found = chunk.find("usage");
   if (found == chunk.end() || !found->is_object()) return;
@@ -125,11 +129,10 @@
   for (const char* key : {"prompt_tokens", "completion_tokens"}) {
     const auto count = found->find(key);
     // A report that cannot be right is no report.
-    if (count == found->end() || !count->is_number_integer() ||
-        count->get<int64_t>() < 0) {
-      return;
-    }
-    total += count->get<int64_t>();
+    if (count == found->end() || !count->is_number_integer()) return;
+    const auto tokens = count->get<int64_t>();
+    if (tokens < 0 || tokens > kMaxTokensReported) return;
+    total += tokens;
   }
   this->usage = *found;
   this->used = Tokens(total);
--- a/daemon/load_report.cc
+++ b/daemon/load_report.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <cstring>
-#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "fuchsiadrum/core/bounded_json.h"
 #include "fuchsiadrum/core/hash.h"
 
 namespace fuchsiadrum::daemon {
@@ -12,21 +12,24 @@
 
 using nlohmann::json;
 
+/// Larger counts of requests would overflow where they are added up.
+constexpr int64_t kMaxRequests = 1000000;
+constexpr uint64_t kMaxCacheSequence = uint64_t{1} << 53U;
 constexpr size_t kMaxModels = 64;
 constexpr size_t kMaxPrefixes = 4096;
 
 int Count(const json& body, const char* key) {
   const auto found = body.find(key);
   if (found == body.end() || !found->is_number_integer()) return 0;
-  return static_cast<int>(std::clamp<int64_t>(found->get<int64_t>(), 0,
-                                              std::numeric_limits<int>::max()));
+  return static_cast<int>(
+      std::clamp<int64_t>(found->get<int64_t>(), 0, kMaxRequests));
 }
 
 }  // namespace
 
 node::UpstreamReport ParseLoadReport(const std::string& text) {
   node::UpstreamReport out;
-  const json body = json::parse(text, nullptr, false);
+  const json body = ParseBoundedJson(text);
   if (!body.is_object()) return out;
 
   out.reachable = true;
@@ -43,7 +46,8 @@
   const auto leaving = body.find("leaving");
   out.leaving = leaving != body.end() && *leaving == true;
   const auto sequence = body.find("cache_sequence");
-  if (sequence != body.end() && sequence->is_number_unsigned()) {
+  if (sequence != body.end() && sequence->is_number_unsigned() &&
+      sequence->get<uint64_t>() <= kMaxCacheSequence) {
     out.cache_sequence = sequence->get<uint64_t>();
   }
 
--- a/daemon/platform_json.cc
+++ b/daemon/platform_json.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fuchsiadrum/core/base64.h"
+#include "fuchsiadrum/core/bounded_json.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
@@ -20,7 +21,7 @@
 }  // namespace
 
 std::optional<LogRead> ParseLogRead(const std::string& text) {
-  const json body = json::parse(text, nullptr, false);
+  const json body = ParseBoundedJson(text);
   if (!body.is_object()) return std::nullopt;
   const auto first = Number(body, "first");
   const auto end = Number(body, "end");
@@ -43,7 +44,7 @@
 
 std::optional<std::vector<node::ListedVm>> ParseVmList(
     const std::string& text) {
-  const json body = json::parse(text, nullptr, false);
+  const json body = ParseBoundedJson(text);
   if (!body.is_object()) return std::nullopt;
   const auto vms = body.find("vms");
   if (vms == body.end() || !vms->is_array()) return std::nullopt;
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "fuchsiadrum/core/bounded_json.h"
 #include "fuchsiadrum/core/hash.h"
 
 namespace fuchsiadrum::daemon {
@@ -168,7 +169,7 @@
 
 bool RequestReader::ReadChat(const HttpRequest& request, CallerRequest& out) {
   out.chat = true;
-  auto body = nlohmann::json::parse(request.body, nullptr, false);
+  auto body = ParseBoundedJson(request.body);
   if (!body.is_object()) {
     return this->Refuse(400, "bad-json", "the body is not a JSON object");
   }
--- a/fuchsiadrum/node/admin_api.cc
+++ b/fuchsiadrum/node/admin_api.cc
@@ -4,6 +4,7 @@
 
 #include "fuchsiadrum/catalogue/edit_signature.h"
 #include "fuchsiadrum/catalogue/entry_schema.h"
+#include "fuchsiadrum/core/bounded_json.h"
 #include "fuchsiadrum/core/hash.h"
 #include "fuchsiadrum/node/entry_json.h"
 
@@ -122,7 +123,7 @@
     call.query[pair.substr(0, equals)] = pair.substr(equals + 1);
   }
   if (method == "POST") {
-    call.body = nlohmann::json::parse(body, nullptr, false);
+    call.body = ParseBoundedJson(body);
     if (!call.body.is_object()) {
       return Fail(400, "the body is not a JSON object");
     }
--- a/tests/daemon/front_test.cc
+++ b/tests/daemon/front_test.cc
@@ -38,6 +38,17 @@
   }
 };
 
+class LargeBodyTest : public DaemonFixture {
+ protected:
+  void SetUp() override {
+    this->settings.mutable_front()->set_max_body_bytes(4U << 20U);
+    this->Start([](const std::string&, Tcp::socket& socket) {
+      return Put(socket,
+                 StreamHead() + TokenEvent("a") + UsageEvent() + EndOfStream());
+    });
+  }
+};
+
 // Guards against bad HTTP that hangs, crashes or is taken for a request.
 TEST_F(FrontTest, Http_Bad_GetsItsStatus) {
   this->ExpectBadInput("nonsense\r\n\r\n", 400, "malformed-http");
@@ -154,5 +165,19 @@
   }
 }
 
+// Guards against a caller who ends the process with a body that nests deeply.
+TEST_F(LargeBodyTest, Chat_DeeplyNestedBody_IsRefused) {
+  constexpr size_t kDepth = 1'000'000;
+  const std::string body =
+      R"({"model":"m","messages":[{"role":"user","content":"hello"}],"x":)" +
+      std::string(kDepth, '[') + std::string(kDepth, ']') + "}";
+  const std::string answer = this->Exchange(RequestText(
+      "POST", "/v1/chat/completions", "test",
+      {{"Authorization", "Bearer key"}, {"Connection", "close"}}, body));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << answer.substr(0, 200);
+  EXPECT_TRUE(
+      this->Exchange(this->ChatText(false)).starts_with("HTTP/1.1 200 "));
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::daemon
--- a/tests/daemon/parts_test.cc
+++ b/tests/daemon/parts_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "daemon/answer_pipe.h"
 #include "daemon/frame_codec.h"
 #include "daemon/load_report.h"
@@ -193,5 +195,41 @@
   EXPECT_EQ(report.cached_prefixes, std::vector<uint64_t>{1});
 }
 
+// Guards against numbers of a load report that leave their range when they are
+// added up.
+TEST_F(PartsTest, LoadReport_NumbersTooLarge_AreBounded) {
+  const auto report = ParseLoadReport(
+      R"({"running":2147483647,"queued":18446744073709551615,
+          "tokens_per_second":1e308,"cache_sequence":18446744073709551615})");
+  EXPECT_TRUE(report.reachable);
+  EXPECT_LE(int64_t{report.running} + report.queued,
+            std::numeric_limits<int>::max() / 2);
+  EXPECT_EQ(report.cache_sequence, 0U);
+  EXPECT_FALSE(ParseLoadReport(R"({"running":1e999})").reachable);
+}
+
+// Guards against odd documents of the platform and of upstreams that end the
+// process.
+TEST_F(PartsTest, Documents_Odd_AreNothing) {
+  const std::string deep = std::string(1U << 20U, '[');
+  const std::string closed = deep + std::string(1U << 20U, ']');
+  for (const std::string& odd :
+       {deep, closed, std::string("7"), std::string("null"),
+        std::string("\"\xff\""), std::string("-1e400"), std::string()}) {
+    for (const char* key : {"vms", "records", "models", "running", "first"}) {
+      const std::string text =
+          "{\"first\":1,\"end\":2,\"" + std::string(key) + "\":" + odd + "}";
+      const auto read = ParseLogRead(text);
+      EXPECT_TRUE(!read || read->batches.empty());
+      EXPECT_FALSE(ParseVmList(text));
+      EXPECT_TRUE(ParseLoadReport(text).models.empty());
+    }
+  }
+  EXPECT_FALSE(ParseVmList(R"({"vms":[{"name":7}]})"));
+  EXPECT_FALSE(ParseLogRead(R"({"first":-1,"end":3})"));
+  EXPECT_FALSE(ParseLogRead(R"({"first":1.5,"end":3})"));
+  EXPECT_FALSE(ParseLogRead(R"({"first":0,"end":36893488147419103232})"));
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::daemon
--- a/tests/daemon/relay_test.cc
+++ b/tests/daemon/relay_test.cc
@@ -1,3 +1,4 @@
+#include "daemon/chat_answer.h"
 #include "tests/daemon/daemon_fixture.h"
 
 namespace fuchsiadrum::daemon {
@@ -242,6 +243,39 @@
   }
 }
 
+// Guards against an engine that ends the process with an event that nests
+// deeply.
+TEST_F(RelayTest, Chat_DeeplyNestedEvent_IsBroken) {
+  constexpr size_t kDepth = 400'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  this->Start([&](const std::string&, Tcp::socket& socket) {
+    Put(socket, StreamHead() +
+                    Event(R"({"usage":{"prompt_tokens":1,)"
+                          R"("completion_tokens":1,"x":)" +
+                          deep + "}}") +
+                    EndOfStream());
+    return false;
+  });
+  for (const bool stream : {true, false}) {
+    const std::string answer = this->Exchange(this->ChatText(stream));
+    EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos)
+        << answer.substr(0, 200);
+  }
+}
+
+// Guards against counts of tokens whose sum exceeds the number's range.
+TEST_F(RelayTest, Chat_UsageOutOfRange_IsNoReport) {
+  for (const std::string count : {"9000000000000000000", "3000000000"}) {
+    std::string relay;
+    CallerRequest request(1U << 16U);
+    ChatAnswer answer(request, 1U << 20U);
+    answer.OnData(R"({"choices":[],"usage":{"prompt_tokens":)" + count +
+                      R"(,"completion_tokens":)" + count + "}}",
+                  relay);
+    EXPECT_FALSE(answer.Used()) << answer.Used()->count;
+  }
+}
+
 // Guards against work for a caller who is gone.
 TEST_F(RelayTest, Chat_CallerCloses_CancelsTheUpstream) {
   std::promise<void> cancelled;
