--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "daemon/clock.h"
+#include "daemon/logging.h"
 
 namespace fuchsiadrum::daemon {
 
@@ -56,13 +57,33 @@
 }
 
 void UpstreamAttempt::TakeHead() {
-  const int status = this->head.status;
-  if (this->head.not_run && (status == 503 || status == 429)) {
-    return this->End(AttemptEventKind::kRejected);
+  const upstream::AnswerHead answer = this->head.ToAnswerHead();
+  const std::string attempt = std::to_string(this->order.action.attempt);
+  this->origin = upstream::OriginOf(
+      answer, {.request_id = this->order.request->start.request_id,
+               .attempt = attempt,
+               .is_first_on_connection = this->connection->Exchanges() == 1});
+  if (!upstream::IsOfExchange(this->origin)) {
+    return this->EndUnproven(
+        "names " + std::string(upstream::AnswerOriginName(this->origin)));
   }
-  // An upstream that failed may have run the request.
-  if (status >= 500) return this->End(AttemptEventKind::kBroken);
-  this->OnHead();
+
+  switch (upstream::ProofOf(answer)) {
+    case upstream::AnswerProof::kNotRun:
+      return this->End(AttemptEventKind::kRejected);
+    case upstream::AnswerProof::kNothing:
+      return this->EndUnproven("proves nothing");
+    case upstream::AnswerProof::kAnswer:
+      return this->OnHead();
+  }
+}
+
+void UpstreamAttempt::EndUnproven(const std::string& reason) {
+  LogLine("warning", "upstream: answer with status " +
+                         std::to_string(this->head.status) + " from " +
+                         this->order.action.address + " to request " +
+                         this->order.request->start.request_id + " " + reason);
+  this->End(AttemptEventKind::kBroken);
 }
 
 void UpstreamAttempt::ReadWhole() {
@@ -97,7 +118,8 @@
   event.attempt = this->order.action.attempt;
   event.status = this->head.status;
   event.delivered = this->order.request->pipe.HasDelivered();
-  event.upstream_leaving = this->head.leaving;
+  event.upstream_leaving =
+      this->head.leaving && upstream::IsOfExchange(this->origin);
   return event;
 }
 
@@ -109,7 +131,7 @@
 void UpstreamAttempt::End(AttemptEventKind kind) {
   if (!this->on_event) return;
   if (kind == AttemptEventKind::kCompleted) {
-    this->pool.Give(this->order.action.address, this->connection);
+    this->GiveConnection();
   } else {
     this->connection->Close();
   }
@@ -120,6 +142,13 @@
   ended(this->Event(kind));
 }
 
+void UpstreamAttempt::GiveConnection() {
+  if (!upstream::MayKeepConnection(this->origin)) {
+    return this->connection->Close();
+  }
+  this->pool.Give(this->order.action.address, this->connection);
+}
+
 void UpstreamAttempt::Cancel() {
   this->on_event = nullptr;
   if (this->connection) this->connection->Close();
