--- a/gateway/answer_notices.h
+++ b/gateway/answer_notices.h
@@ -15,10 +15,9 @@
   TimePoint sent_at;
 };
 
-/// Applies what an upstream announces about itself in the head of an answer
-/// that is proven to be to this request: a
-/// time for which it asks to get no requests, its limit, or that it is shutting
-/// down.
+/// Applies what an upstream announces about itself in the head of an answer of
+/// this exchange: a time for which it asks to get no requests, its limit, or
+/// that it is shutting down.
 void ApplyNotices(GatewayCore& core, serving::FleetUpstream& upstream,
                   const serving::UpstreamAnswer& answer,
                   const AnsweredRequest& request);
--- a/tests/daemon/relay_test.cc
+++ b/tests/daemon/relay_test.cc
@@ -269,9 +269,12 @@
     std::string relay;
     CallerRequest request(1U << 16U);
     ChatAnswer answer(request, 1U << 20U);
-    answer.OnData(R"({"choices":[],"usage":{"prompt_tokens":)" + count +
-                      R"(,"completion_tokens":)" + count + "}}",
-                  relay);
+    std::string event = R"({"choices":[],"usage":{"prompt_tokens":)";
+    event += count;
+    event += R"(,"completion_tokens":)";
+    event += count;
+    event += "}}";
+    answer.OnData(event, relay);
     EXPECT_FALSE(answer.Used()) << answer.Used()->count;
   }
 }
