--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -30,8 +30,6 @@
 /// more than a read.
 constexpr Duration kMaxBookAge = std::chrono::milliseconds(200);
 constexpr int kTooManyCalls = 429;
-/// Answers of the store that do not fit an append after which it is given up.
-constexpr int kMaxUnprovenAnswers = 3;
 /// Epoch used to fence off a process that has ended. It is higher than any
 /// epoch that a process reaches by itself, because a process starts a new epoch
 /// only when the store has rejected its sequence number.
@@ -219,14 +217,10 @@
   while (true) {
     StoreReply reply = co_await client.Call(text, timeout);
     if (!this->IsAnswerToAppend(reply)) {
-      this->event_log.Write("store-answer-unproven",
-                            {{"status", static_cast<int64_t>(reply.status)},
-                             {"body", LogExcerpt(reply.body)}});
-      client.Disconnect();
+      client.DropUnproven(reply, this->event_log);
       reply = StoreReply();
       if (++unproven >= kMaxUnprovenAnswers) {
-        // The store may give this sequence number the answer to another append
-        // for ever. A new epoch excludes that this append is applied later.
+        // A new epoch excludes that this append is applied later.
         this->end.reset();
         ++this->writer.epoch;
         this->writer.sequence = 0;
--- a/gateway/event_log.cc
+++ b/gateway/event_log.cc
@@ -33,11 +33,6 @@
 
 }  // namespace
 
-std::string_view LogExcerpt(std::string_view text) {
-  constexpr size_t kMaxBytes = 200;
-  return text.substr(0, kMaxBytes);
-}
-
 EventLog::EventLog(const EventLogOptions& opts) : options(opts) {
   const int flags = fcntl(opts.descriptor, F_GETFL);
   if (flags >= 0) fcntl(opts.descriptor, F_SETFL, flags | O_NONBLOCK);
--- a/gateway/event_log.h
+++ b/gateway/event_log.h
@@ -16,9 +16,6 @@
   std::variant<std::string_view, int64_t, double, bool> value;
 };
 
-/// Returns the beginning of a text that may be long, for a field of the log.
-std::string_view LogExcerpt(std::string_view text);
-
 /// Options of an EventLog.
 struct EventLogOptions {
   /// Name of the VM, written into each line.
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -11,9 +11,6 @@
 constexpr std::string_view kMemberKeyPrefix = "member/";
 /// Delay before a write with an unknown outcome is retried.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
-/// Answers of the store that do not fit a write after which it gets another
-/// epoch.
-constexpr int kMaxUnprovenAnswers = 3;
 /// Number of records before the predecessor's last heartbeat, from which on the
 /// heartbeats of other VMs are read. Three VMs that appear both there and after
 /// this process's first heartbeat are enough.
@@ -110,11 +107,7 @@
     // Each heartbeat has a higher offset than the one before.
     if (reply.status == platform::kStoreOk &&
         (!offset || offset <= this->last_offset)) {
-      this->event_log.Write("store-answer-unproven",
-                            {{"status", static_cast<int64_t>(reply.status)},
-                             {"body", LogExcerpt(reply.body)}});
-      this->write_client.Disconnect();
-      // The store may give this sequence number another answer for ever.
+      this->write_client.DropUnproven(reply, this->event_log);
       if (++unproven >= kMaxUnprovenAnswers) {
         unproven = 0;
         ++this->writer.epoch;
--- a/gateway/limit_client.cc
+++ b/gateway/limit_client.cc
@@ -118,10 +118,7 @@
     const bool is_proven =
         offset && (update.ChangesLimits() ? *offset == end : *offset >= end);
     if (!is_proven) {
-      this->event_log.Write("store-answer-unproven",
-                            {{"status", int64_t{reply.status}},
-                             {"body", LogExcerpt(reply.body)}});
-      this->writer.Disconnect();
+      this->writer.DropUnproven(reply, this->event_log);
       reply = StoreReply();
     }
   }
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -65,6 +65,16 @@
   this->connection.reset();
 }
 
+void StoreClient::DropUnproven(const StoreReply& reply, EventLog& log) {
+  // A body may have megabytes.
+  constexpr size_t kMaxLoggedBytes = 200;
+  const std::string_view body = reply.body;
+  log.Write("store-answer-unproven",
+            {{"status", int64_t{reply.status}},
+             {"body", body.substr(0, kMaxLoggedBytes)}});
+  this->Disconnect();
+}
+
 asio::awaitable<std::optional<store::NewestPage>> ReadAllNewest(
     StoreClient& client, platform::StreamPartition partition,
     Duration timeout) {
@@ -77,8 +87,6 @@
     if (reply.status != platform::kStoreOk) co_return std::nullopt;
     const auto page = platform::DecodeNewest(reply.body);
     if (!page) co_return std::nullopt;
-    // Without a key there is nowhere to continue.
-    if (page->more && page->records.empty()) co_return std::nullopt;
     all.end_offset = page->end_offset;
     all.records.insert(all.records.end(), page->records.begin(),
                        page->records.end());
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "gateway/asio.h"
+#include "gateway/event_log.h"
 #include "gateway/http_connection.h"
 #include "gateway/watchdog.h"
 #include "platform/store_codec.h"
@@ -17,6 +18,11 @@
   std::string body;
 };
 
+/// Answers of the store that do not fit a write after which the write gets
+/// another epoch: the store may give its sequence number another answer for
+/// ever.
+constexpr int kMaxUnprovenAnswers = 3;
+
 /// Client of the platform's store over one connection, which is opened again
 /// after a failure. Only one call may be pending at a time.
 class StoreClient {
@@ -34,6 +40,8 @@
   /// Closes the connection: its last answer was none to the call that was made,
   /// so that the next one may be that answer.
   void Disconnect();
+  /// Disconnects and logs the reply, which does not fit the call.
+  void DropUnproven(const StoreReply& reply, EventLog& log);
   const std::string& Address() const { return this->address; }
   /// Calls made, answered or not.
   uint64_t Calls() const { return this->calls; }
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -88,8 +88,7 @@
     }
   } else {
     const auto page = platform::DecodeNewest(reply.body);
-    // Without a key there is nowhere to continue.
-    if (!page || (page->more && page->records.empty())) return false;
+    if (!page) return false;
     this->LogUnreadable(page->unreadable);
     this->view.OnNewest(*page);
   }
