Keep two fields of a stream's head instead of a copy of the answer

Each stream copied the whole head of its answer, with all header fields, when its first event was relayed; only status and media type are compared when it is resumed.

--- a/fuchsiadrum/serving/answer_proof.cc
+++ b/fuchsiadrum/serving/answer_proof.cc
@@ -67,7 +67,7 @@
   return answer.status == kNoContent || answer.status == kResetContent;
 }
 
-bool ContinuesStream(const UpstreamAnswer& begun, const UpstreamAnswer& next) {
+bool ContinuesStream(const StreamHead& begun, const UpstreamAnswer& next) {
   return next.status == begun.status && next.media_type == begun.media_type;
 }
 
--- a/fuchsiadrum/serving/answer_proof.h
+++ b/fuchsiadrum/serving/answer_proof.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "fuchsiadrum/serving/caller_request.h"
@@ -59,9 +60,15 @@
 /// True if the status excludes a body.
 bool HasNoContent(const UpstreamAnswer& answer);
 
-/// True if the body of `next` can be the rest of a stream that began with the
-/// head `begun` and broke off.
-bool ContinuesStream(const UpstreamAnswer& begun, const UpstreamAnswer& next);
+/// What the caller has of the head of a stream that broke off.
+struct StreamHead {
+  int status = 0;
+  std::string media_type;
+};
+
+/// True if the body of `next` can be the rest of the stream that began with the
+/// head `begun`.
+bool ContinuesStream(const StreamHead& begun, const UpstreamAnswer& next);
 
 /// True if a caller takes the status as a promise that its request did not run
 /// and never will.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -419,7 +419,7 @@
     co_return this->BrokenOutcome();
   }
   if (this->relay.HasBegun() &&
-      !serving::ContinuesStream(this->begun_answer, this->answer)) {
+      !serving::ContinuesStream(this->begun_head, this->answer)) {
     this->LogUnprovenAnswer("not the rest of the stream");
     connection.Close();
     co_return this->BrokenOutcome();
@@ -561,7 +561,10 @@
     this->events_relayed += count;
     this->last_event = splitter.LastEvent();
     this->can_resume = this->can_resume && !splitter.HasUnnumbered();
-    if (!this->relay.HasBegun()) this->begun_answer = this->answer;
+    if (!this->relay.HasBegun()) {
+      this->begun_head = {.status = this->answer.status,
+                          .media_type = this->answer.media_type};
+    }
     if (!co_await this->relay.RelayEvents(
             this->answer, events, read_status == BodyReadStatus::kEnd)) {
       co_return this->timed_out ? AttemptOutcome::kTimedOut
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -207,7 +207,7 @@
   int events_relayed = 0;
   /// Head with which a stream has begun, and whether it can be resumed after
   /// `last_event`.
-  serving::UpstreamAnswer begun_answer;
+  serving::StreamHead begun_head;
   bool can_resume = true;
   /// Time from the arrival of the request to RecordFirstByte, for the log.
   double first_byte_ms = 0;
--- a/tests/serving/answer_proof_test.cc
+++ b/tests/serving/answer_proof_test.cc
@@ -74,13 +74,14 @@
 }
 
 TEST_F(AnswerProofTest, ContinuesStream_OtherStatusOrType_IsNot) {
-  UpstreamAnswer begun = Signed(200);
-  begun.media_type = "text/event-stream";
-  UpstreamAnswer next = begun;
-  EXPECT_TRUE(ContinuesStream(begun, next));
+  const StreamHead begun = {.status = 200, .media_type = "text/event-stream"};
+  UpstreamAnswer rest = Signed(200);
+  rest.media_type = "text/event-stream";
+  EXPECT_TRUE(ContinuesStream(begun, rest));
+  UpstreamAnswer next = rest;
   next.media_type = "text/plain";
   EXPECT_FALSE(ContinuesStream(begun, next));
-  next = begun;
+  next = rest;
   next.status = 204;
   EXPECT_FALSE(ContinuesStream(begun, next));
 }
