Tests send requests and check skipped answers by one function each

The reader of whole streams repeated the fixture's connect and send, and two tests of refusals repeated another but for the stray answer. The assertions are the same.

--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+/// Larger counts of one request are no report; sums of them would overflow.
+constexpr int64_t kMaxTokensReported = 1000000000;
+
 std::string Dump(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -119,9 +122,6 @@
   return Event::kToken;
 }
 
-/// Larger counts of one request are no report; sums of them would overflow.
-constexpr int64_t kMaxTokensReported = 1000000000;
-
 void ChatAnswer::TakeUsage(const json& chunk) {
   const auto found = chunk.find("usage");
   if (found == chunk.end() || !found->is_object()) return;
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -422,10 +422,8 @@
   /// Returns status 0 if the connection ended before the whole answer arrived.
   HttpAnswer Call(uint16_t port, const HttpRequest& request) {
     asio::io_context context;
-    Tcp::socket socket(context);
     ErrorCode error;
-    socket.connect({asio::ip::address_v4::loopback(), port}, error);
-    http::write(socket, request, error);
+    Tcp::socket socket = Send(context, port, request, error);
     boost::beast::flat_buffer buffer;
     HttpAnswer answer;
     http::read(socket, buffer, answer, error);
@@ -437,12 +435,17 @@
   /// answer.
   void CallAndDisconnect(const HttpRequest& request) {
     asio::io_context context;
-    Tcp::socket socket(context);
     ErrorCode error;
-    socket.connect(
-        {asio::ip::address_v4::loopback(), this->gateway->CallersPort()},
-        error);
+    Send(context, this->gateway->CallersPort(), request, error);
+  }
+
+  /// Sends a request on a new connection, which is returned.
+  static Tcp::socket Send(asio::io_context& context, uint16_t port,
+                          const HttpRequest& request, ErrorCode& error) {
+    Tcp::socket socket(context);
+    socket.connect({asio::ip::address_v4::loopback(), port}, error);
     http::write(socket, request, error);
+    return socket;
   }
 
   static HttpAnswer Signed(const HttpRequest& request) {
--- a/tests/platform/upstream_refusal_test.cc
+++ b/tests/platform/upstream_refusal_test.cc
@@ -104,6 +104,17 @@
     };
   }
 
+  /// Expects that a booking is served and runs once if its upstream writes
+  /// `stray` before the answer, on a connection that has carried a refusal.
+  void ExpectServedOnceAfter(HttpAnswer stray) {
+    FaultyUpstream upstream(this->RefuseThenWrite(std::move(stray)));
+    this->Start({&upstream});
+
+    EXPECT_EQ(this->Book("r1").result_int(), 503U);
+    EXPECT_EQ(this->Book("r2").result_int(), 200U);
+    EXPECT_EQ(this->runs, 1);
+  }
+
   std::atomic<int> runs{0};
 };
 
@@ -152,23 +163,13 @@
 }
 
 TEST_F(UpstreamRefusalTest, RefusalWithoutId_OnKeptConnection_PromisesNothing) {
-  FaultyUpstream upstream(this->RefuseThenWrite(Refusal("")));
-  this->Start({&upstream});
-
-  EXPECT_EQ(this->Book("r1").result_int(), 503U);
-  EXPECT_EQ(this->Book("r2").result_int(), 200U);
-  EXPECT_EQ(this->runs, 1);
+  this->ExpectServedOnceAfter(Refusal(""));
 }
 
 TEST_F(UpstreamRefusalTest, MisdirectedAnswerToAnother_PromisesNothing) {
   HttpAnswer misdirected(http::status::misdirected_request, 11);
   misdirected.set("Attempt-Id", "r1");
-  FaultyUpstream upstream(this->RefuseThenWrite(misdirected));
-  this->Start({&upstream});
-
-  EXPECT_EQ(this->Book("r1").result_int(), 503U);
-  EXPECT_EQ(this->Book("r2").result_int(), 200U);
-  EXPECT_EQ(this->runs, 1);
+  this->ExpectServedOnceAfter(misdirected);
 }
 
 // A caller that repeats an id: a refusal with that id may be the earlier one.
--- a/tests/platform/upstream_stream_test.cc
+++ b/tests/platform/upstream_stream_test.cc
@@ -45,12 +45,9 @@
   /// the connection.
   std::string ReadStream(const HttpRequest& request) {
     asio::io_context context;
-    Tcp::socket socket(context);
     ErrorCode error;
-    socket.connect(
-        {asio::ip::address_v4::loopback(), this->gateway->CallersPort()},
-        error);
-    http::write(socket, request, error);
+    Tcp::socket socket =
+        Send(context, this->gateway->CallersPort(), request, error);
     std::string bytes;
     asio::read(socket, asio::dynamic_buffer(bytes), error);
     return bytes;
