Gateway: log how answers of upstreams are framed

`request` and `upstream-attempt-broken` get `framing`: length, chunks, or connection where only the end of the connection ends the answer. No decision changes.

--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -125,6 +125,13 @@
                                     : BodyReadStatus::kMore;
 }
 
+serving::AnswerFraming HttpConnection::Framing() const {
+  if (this->EndsWithConnection()) return serving::AnswerFraming::kConnection;
+  const bool is_chunked = this->parser && this->parser->get().chunked();
+  return is_chunked ? serving::AnswerFraming::kChunks
+                    : serving::AnswerFraming::kLength;
+}
+
 bool HttpConnection::EndsWithConnection() const {
   return this->parser && this->parser->get().need_eof();
 }
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fuchsiadrum/serving/answer_framing.h"
 #include "fuchsiadrum/serving/link_load.h"
 #include "gateway/asio.h"
 #include "gateway/watchdog.h"
@@ -49,6 +50,8 @@
   bool IsSending() const { return this->sending; }
   /// Why the last read failed; empty if none has.
   const std::string& LastError() const { return this->last_error; }
+  /// What marks the end of the current answer.
+  serving::AnswerFraming Framing() const;
   /// True if only the end of the connection ends the current answer.
   bool EndsWithConnection() const;
   /// True if nothing tells where the next answer begins: the status of the
--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -4,6 +4,15 @@
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
+namespace {
+
+/// Name of the framing of the answer on the connection; empty before its head.
+std::string_view FramingText(const HttpConnection& connection, bool has_head) {
+  return has_head ? serving::AnswerFramingName(connection.Framing())
+                  : std::string_view();
+}
+
+}  // namespace
 
 void RequestLog::OnInterimAnswer(const serving::UpstreamAnswer& answer,
                                  bool has_body) {
@@ -53,6 +62,7 @@
        {"exchange", static_cast<int64_t>(connection.Exchanges())},
        {"sent_whole", !connection.IsSending()},
        {"has_head", has_head},
+       {"framing", FramingText(connection, has_head)},
        {"error", connection.LastError()},
        {"ms", ToMilliseconds(Now() - sent_at)}});
 }
@@ -99,6 +109,7 @@
        {"attempt_ms", figures.attempt_first_byte_ms},
        {"tokens", figures.reserved_tokens.count},
        {"events", static_cast<int64_t>(figures.events_relayed)},
+       {"framing", figures.framing},
        {"first_ms", figures.first_byte_ms},
        {"ms", ToMilliseconds(Now() - ended.arrived)}});
 }
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -25,6 +25,9 @@
   double first_byte_ms = 0;
   Tokens reserved_tokens;
   int events_relayed = 0;
+  /// Name of the framing of the last answer that an upstream has begun; empty
+  /// if none has.
+  std::string_view framing;
 };
 
 /// Logs and counts what happens to one request.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -309,6 +309,8 @@
     co_return this->BrokenOutcome();
   }
 
+  const serving::AnswerFraming framing = connection.Framing();
+  this->figures.framing = serving::AnswerFramingName(framing);
   const serving::UpstreamAnswer& answer = this->reader.Answer();
   const serving::AnswerProof proof = serving::ProofOf(answer);
   if (proof == serving::AnswerProof::kNotRun) {
