Pass on the framing of an answer that ends with its connection

Cause: an answer without length and chunks ends with its connection, and an upstream that breaks off closes its connection as well. The gateway took any close after a whole event for the end of the stream and wrote the last chunk; plain answers got the length of what had arrived. It said more than it had been told.

Evidence: UnframedAnswerTest on: closed after each event that is not the last, framed as whole each time, at both kinds of streams and in the rest of a resumed one; stopped inside an event or reset at each byte of seven dialects, never.

Change: JudgeStreamEnd tells a proven end, an unproven one and a cut apart. The caller's answer has the framing that was received, ends its connection, and is reset unless its end is in order, also if the gateway is killed. At an unproven end a new connection to the upstream is opened: one that takes none has died, and its answer counts as broken. A stream that may be resumed is asked for its rest elsewhere, within its attempts, half of the retry allowance and the longest pause that callers expect. A stream in chunks whose rest comes unframed gets no last chunk.

--- a/fuchsiadrum/serving/attempt_history.cc
+++ b/fuchsiadrum/serving/attempt_history.cc
@@ -18,6 +18,7 @@
       return false;
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kBrokenMidway:
+    case AttemptOutcome::kUnprovenEnd:
       return true;
     case AttemptOutcome::kComplete:
     case AttemptOutcome::kFailed:
--- a/fuchsiadrum/serving/attempt_policy.cc
+++ b/fuchsiadrum/serving/attempt_policy.cc
@@ -8,9 +8,9 @@
 namespace fuchsiadrum::serving {
 
 std::string_view AttemptOutcomeName(AttemptOutcome outcome) {
-  static constexpr std::array<std::string_view, 9> kNames = {
-      "complete",      "not-sent",    "rejected",  "failed",  "broken",
-      "broken-midway", "caller-gone", "timed-out", "withheld"};
+  static constexpr std::array<std::string_view, 10> kNames = {
+      "complete",      "not-sent",    "rejected",  "failed",   "broken",
+      "broken-midway", "caller-gone", "timed-out", "withheld", "unproven-end"};
   return kNames[static_cast<size_t>(outcome)];
 }
 
@@ -34,6 +34,7 @@
              state.runs < route.attempt_limit;
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kBrokenMidway:
+    case AttemptOutcome::kUnprovenEnd:
       return route.IsIdempotent() && state.runs < route.attempt_limit;
     case AttemptOutcome::kComplete:
     case AttemptOutcome::kCallerGone:
@@ -64,7 +65,8 @@
   if (may_retry && MayRetry(route, state)) return NextStep::kRetry;
   // After part of an answer was delivered, no other answer can be sent.
   if (state.delivered && state.outcome != AttemptOutcome::kComplete) {
-    return NextStep::kAbort;
+    const bool has_left = state.outcome == AttemptOutcome::kCallerGone;
+    return state.may_be_whole && !has_left ? NextStep::kDone : NextStep::kAbort;
   }
   switch (state.outcome) {
     case AttemptOutcome::kComplete:
@@ -82,6 +84,7 @@
       return state.runs == 0 ? NextStep::kRefuse : NextStep::kTimeOut;
     case AttemptOutcome::kBrokenMidway:
     case AttemptOutcome::kCallerGone:
+    case AttemptOutcome::kUnprovenEnd:
       return NextStep::kAbort;
   }
   return NextStep::kAbort;
--- a/fuchsiadrum/serving/attempt_policy.h
+++ b/fuchsiadrum/serving/attempt_policy.h
@@ -18,6 +18,7 @@
   kCallerGone,    // the caller closed its connection
   kTimedOut,      // the request's deadline has passed
   kWithheld,      // not sent: the upstream became ineligible meanwhile
+  kUnprovenEnd,   // a stream that may be whole (StreamEnd::kUnproven)
 };
 
 /// Returns the name of an outcome as used in log lines and metrics.
@@ -25,7 +26,7 @@
 
 /// What the gateway does after an attempt.
 enum class NextStep {
-  kDone,     // nothing: the caller has its answer
+  kDone,     // end the answer: the caller has all of it that is known
   kRetry,    // send the request to another upstream
   kRelay,    // forward the upstream's error to the caller
   kRefuse,   // answer that the request was not run
@@ -46,6 +47,9 @@
   /// True if another upstream can be told where to go on with a stream of which
   /// a part was delivered.
   bool can_resume = true;
+  /// True if an attempt has ended at StreamEnd::kUnproven, none has added an
+  /// event since, and the caller's answer, too, ends with its connection.
+  bool may_be_whole = false;
   Duration time_left = Duration::zero();
 };
 
--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "fuchsiadrum/core/types.h"
+#include "fuchsiadrum/serving/answer_framing.h"
 #include "fuchsiadrum/serving/fleet_upstream.h"
 
 namespace fuchsiadrum::serving {
@@ -68,6 +69,7 @@
   /// True if the body was transformed on the way (it has a content encoding).
   bool is_encoded = false;
   bool close = false;
+  AnswerFraming framing = AnswerFraming::kLength;
   /// How long the upstream keeps an idle connection open; empty if it did not
   /// say.
   std::optional<Duration> keep_alive;
--- a/fuchsiadrum/serving/retry_allowance.cc
+++ b/fuchsiadrum/serving/retry_allowance.cc
@@ -8,11 +8,15 @@
   window.requests.push_back(now);
 }
 
-bool RetryAllowance::Take(TimePoint now, const std::string& service) {
+bool RetryAllowance::Take(TimePoint now, const std::string& service,
+                          RetryPurpose purpose) {
   Window& window = this->windows[service];
   this->Expire(now, window);
+  const double usable = purpose == RetryPurpose::kConfirmation
+                            ? this->options.confirmation_fraction
+                            : 1.0;
   const double allowed =
-      this->options.margin *
+      usable * this->options.margin *
       (this->options.ratio * static_cast<double>(window.requests.size()) +
        this->options.slack / static_cast<double>(this->fleet_size));
   if (static_cast<double>(window.retries.size()) + 1 > allowed) return false;
--- a/fuchsiadrum/serving/retry_allowance.h
+++ b/fuchsiadrum/serving/retry_allowance.h
@@ -21,6 +21,15 @@
   /// Fraction of the allowance that is used, so that counting errors at the
   /// edges of a window cannot exceed it.
   double margin = 0.7;
+  /// Fraction of the allowance that confirmations may use, so that enough is
+  /// left for failures.
+  double confirmation_fraction = 0.5;
+};
+
+/// Why a request is sent again.
+enum class RetryPurpose {
+  kFailure,       // the attempt has failed
+  kConfirmation,  // the attempt's answer may be whole, and nothing proves it
 };
 
 /// Limits this gateway's share of the retries that the fleet may send in any
@@ -36,8 +45,10 @@
 
   /// A request for the service was received.
   void OnRequest(TimePoint now, const std::string& service);
-  /// Takes one retry; returns false if the allowance is used up.
-  bool Take(TimePoint now, const std::string& service);
+  /// Takes one retry; returns false if the allowance is used up, or the part of
+  /// it that `purpose` may use.
+  bool Take(TimePoint now, const std::string& service,
+            RetryPurpose purpose = RetryPurpose::kFailure);
 
  private:
   struct Window {
--- a/gateway/answer_reader.cc
+++ b/gateway/answer_reader.cc
@@ -37,6 +37,7 @@
     const platform::HttpAnswerHead* head = co_await connection.ReadHead();
     if (head == nullptr) co_return false;
     this->answer = platform::DecodeAnswer(*head);
+    this->answer.framing = connection.Framing();
     attempt.Upstream().OnBytesReceived(Now());
     // The framing of an answer bears on those that follow it.
     const serving::Exchange exchange = {
--- a/gateway/answer_relay.cc
+++ b/gateway/answer_relay.cc
@@ -17,6 +17,12 @@
 }  // namespace
 
 std::string AnswerRelay::MakeHead(const serving::UpstreamAnswer& answer) {
+  // The caller is told no more about the end of the answer than the upstream
+  // has told.
+  if (answer.framing == serving::AnswerFraming::kConnection) {
+    this->ends_with_connection = true;
+    this->caller.EndAnswerWithConnection();
+  }
   std::string head = platform::EncodeAnswerHead(answer);
   if (this->caller.AnnounceClose()) head += "Connection: close\r\n";
   return head;
@@ -26,18 +32,27 @@
     const serving::UpstreamAnswer& answer, std::string_view events, bool last) {
   std::string out;
   if (!this->begun) {
-    out = this->MakeHead(answer) + "Transfer-Encoding: chunked\r\n\r\n";
+    out = this->MakeHead(answer);
+    if (!this->ends_with_connection) out += "Transfer-Encoding: chunked\r\n";
+    out += "\r\n";
     this->begun = true;
   }
-  if (!events.empty()) AppendChunk(out, events);
-  if (last) out += "0\r\n\r\n";
+  if (this->ends_with_connection) {
+    out += events;
+  } else {
+    if (!events.empty()) AppendChunk(out, events);
+    if (last) out += "0\r\n\r\n";
+  }
   co_return co_await this->caller.Write(out);
 }
 
 asio::awaitable<bool> AnswerRelay::RelayWhole(
     const serving::UpstreamAnswer& answer, std::string_view body) {
   std::string out = this->MakeHead(answer);
-  out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  if (!this->ends_with_connection) {
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  out += "\r\n";
   out += body;
   co_return co_await this->caller.Write(out);
 }
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -1,5 +1,7 @@
 #include "gateway/caller_connection.h"
 
+#include <sys/socket.h>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
@@ -81,13 +83,14 @@
     const bool complete = co_await task.Run();
     this->Disarm();
     this->request_bytes.Resize(0);
+    if (complete) this->SetResetOnClose(false);
     if (complete && this->close_announced) {
       co_await this->Linger();
     }
     if (!complete || this->close_announced) break;
   }
   ErrorCode ignored;
-  if (this->socket.is_open()) {
+  if (this->socket.is_open() && !this->resets_on_close) {
     this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
   }
   this->socket.close(ignored);
@@ -234,6 +237,26 @@
   this->socket.close(ignored);
 }
 
+void CallerConnection::EndAnswerWithConnection() {
+  this->close_after = true;
+  this->SetResetOnClose(true);
+}
+
+void CallerConnection::SetResetOnClose(bool resets) {
+  if (this->resets_on_close == resets || !this->socket.is_open()) return;
+  // Set without Asio, which would clear it before it closes the socket in the
+  // destructor.
+  linger option{};
+  option.l_onoff = resets ? 1 : 0;
+  option.l_linger = 0;
+  if (setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+                 sizeof(option)) != 0) {
+    this->core.Log().Write("caller-option-failed", {{"option", "SO_LINGER"},
+                                                    {"errno", int64_t{errno}}});
+  }
+  this->resets_on_close = resets;
+}
+
 bool CallerConnection::AnnounceClose() {
   // Callers of a busy VM return on a new connection, which the load balancer
   // sends to another VM.
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -32,6 +32,10 @@
   asio::awaitable<bool> Write(std::string_view bytes);
   /// Closes the connection without completing the answer.
   void Abort();
+  /// Only the end of the connection will end the answer. From now on, the
+  /// connection is reset unless the answer is completed, also if the process
+  /// dies. Call it before AnnounceClose.
+  void EndAnswerWithConnection();
   /// True if the answer must announce that the connection will be closed. The
   /// connection then closes after it.
   bool AnnounceClose();
@@ -70,6 +74,8 @@
   void LogBadInput(int status, const std::string& reason);
   void WatchForClose();
   void Interrupt(bool caller_gone);
+  /// Sets whether closing the connection resets it.
+  void SetResetOnClose(bool resets);
 
   Tcp::socket socket;
   GatewayCore& core;
@@ -87,6 +93,7 @@
   /// True if the last answer announced that the connection will be closed.
   bool close_announced = false;
   bool close_after = false;
+  bool resets_on_close = false;
   bool has_served_request = false;
   /// True while a wait for the caller's close is pending.
   bool watching = false;
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -157,8 +157,12 @@
 }
 
 bool HttpConnection::IsReusable() {
-  if (!this->socket.is_open() || this->sending || !this->parser) return false;
-  if (!this->parser->is_done() || !this->parser->keep_alive()) return false;
+  if (!this->socket.is_open() || this->sending) return false;
+  const bool is_new = this->exchanges == 0;
+  if (!is_new && !this->parser) return false;
+  if (!is_new && (!this->parser->is_done() || !this->parser->keep_alive())) {
+    return false;
+  }
   return this->IsQuiet();
 }
 
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -58,9 +58,9 @@
   /// current answer excludes a body, but its head announces one or says that
   /// the connection ends, or the upstream switches to another protocol.
   bool HasContradictoryFraming() const;
-  /// True if another request can be sent: the last answer was read whole and
-  /// permits keep-alive, the whole request was sent, and since then neither
-  /// bytes nor a close have arrived.
+  /// True if another request can be sent: there was none, or the last answer
+  /// was read whole and permits keep-alive, the whole request was sent, and
+  /// since then neither bytes nor a close have arrived.
   bool IsReusable();
   /// True if nothing has arrived, neither bytes nor a close, since the last
   /// answer was read.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -47,6 +47,10 @@
 
 void RequestTask::CheckStall(TimePoint now) {
   if (!this->current_connection || this->current_attempt == nullptr) return;
+  if (this->stream.IsRestOverdue(now, this->active.route->target_gap)) {
+    this->current_connection->Close();
+    return;
+  }
   if (!this->current_attempt->IsStalled(now, this->history.Runs())) return;
   // The retry is taken from the retry allowance before the connection is
   // closed. Without a retry, the attempt at the silent upstream goes on,
@@ -59,7 +63,9 @@
 void RequestTask::EndForStop() {
   this->active.stopped = true;
   if (this->current_connection) this->current_connection->Close();
-  if (this->relay.HasBegun()) this->caller.Abort();
+  if (this->relay.HasBegun() && !this->stream.MayBeWhole()) {
+    this->caller.Abort();
+  }
 }
 
 asio::awaitable<bool> RequestTask::Run() {
@@ -114,7 +120,8 @@
     const std::optional<serving::PlacementChoice> choice =
         this->ChooseUpstream();
     if (!choice && this->relay.HasBegun()) {
-      co_return this->AbortAnswer("no upstream");
+      co_return this->stream.MayBeWhole() ? co_await this->FinishStream()
+                                          : this->AbortAnswer("no upstream");
     }
     if (!choice) {
       const GatewayAnswer refusal =
@@ -143,8 +150,7 @@
     }
     if (step == NextStep::kAbort) co_return this->AbortAnswer(reason);
     if (step == NextStep::kDone && this->relay.HasBegun()) {
-      this->LogEnd(this->reader.Answer().status, "complete", "");
-      co_return true;
+      co_return co_await this->FinishStream();
     }
     if (step == NextStep::kDone || step == NextStep::kRelay) {
       co_return co_await this->RelayWholeAnswer();
@@ -185,12 +191,14 @@
 
 NextStep RequestTask::DecideNextStep(AttemptOutcome outcome) {
   const serving::Route& route = *this->active.route;
-  const serving::AttemptState state = {.outcome = outcome,
-                                       .runs = this->history.Runs(),
-                                       .unexecuted = this->history.Unexecuted(),
-                                       .delivered = this->relay.HasBegun(),
-                                       .can_resume = this->stream.CanResume(),
-                                       .time_left = this->active.TimeLeft()};
+  const serving::AttemptState state = {
+      .outcome = outcome,
+      .runs = this->history.Runs(),
+      .unexecuted = this->history.Unexecuted(),
+      .delivered = this->relay.HasBegun(),
+      .can_resume = this->stream.CanResume(),
+      .may_be_whole = this->stream.MayBeWhole(),
+      .time_left = this->active.TimeLeft()};
   const TimePoint now = Now();
   const bool has_other = !this->UntriedUpstreams().empty();
   // A full upstream rejects urgent requests as often as others.
@@ -202,15 +210,33 @@
   // retry is taken from the allowance.
   const bool has_next =
       has_other || this->repeats_at_full || !serving::ReachedUpstream(outcome);
+  const serving::RetryPurpose purpose =
+      state.may_be_whole ? serving::RetryPurpose::kConfirmation
+                         : serving::RetryPurpose::kFailure;
   const bool may_retry =
       serving::MayRetry(route, state) && has_next &&
+      !this->stream.IsRestOverdue(now, route.target_gap) &&
       MaySendInStop(this->core, this->active) &&
       (this->retry_granted || !serving::ReachedUpstream(outcome) ||
-       this->core.Retries().Take(now, this->active.service));
+       this->core.Retries().Take(now, this->active.service, purpose));
   this->retry_granted = false;
   return serving::StepAfter(route, state, may_retry);
 }
 
+asio::awaitable<bool> RequestTask::FinishStream() {
+  // From here on, neither the deadline nor the watch for the caller's close
+  // interrupts the delivery of the answer.
+  this->caller.Disarm();
+  const serving::UpstreamAnswer& answer = this->reader.Answer();
+  const bool may_be_whole = this->stream.MayBeWhole();
+  if (may_be_whole && !co_await this->stream.Finish(answer)) {
+    co_return this->AbortAnswer("caller gone");
+  }
+  this->LogEnd(answer.status, "complete",
+               may_be_whole ? "end as received" : "");
+  co_return true;
+}
+
 bool RequestTask::AbortAnswer(std::string_view reason) {
   this->caller.Abort();
   this->LogEnd(0, this->active.caller_gone ? "caller-gone" : "aborted", reason);
@@ -270,7 +296,12 @@
                                  this->active.route->IsIdempotent());
   if (connection) co_return connection;
 
-  connection = this->core.Pool().MakeNew();
+  co_return co_await this->OpenNewConnection(upstream);
+}
+
+asio::awaitable<std::shared_ptr<HttpConnection>> RequestTask::OpenNewConnection(
+    const serving::FleetUpstream& upstream) {
+  auto connection = this->core.Pool().MakeNew();
   this->current_connection = connection;
   connection->ExpireAt(Now() + kConnectTimeout);
   const bool open = co_await connection->Connect(upstream.entry.address);
@@ -286,6 +317,20 @@
   co_return connection;
 }
 
+asio::awaitable<bool> RequestTask::IsStillReachable(
+    const serving::FleetUpstream& upstream) {
+  // An upstream that is leaving may end right after its last answer.
+  if (this->core.Upstreams().EligibilityOf(Now(), upstream) ==
+      serving::UpstreamEligibility::kIneligible) {
+    co_return true;
+  }
+  auto connection = co_await this->OpenNewConnection(upstream);
+  if (!connection) co_return this->active.timed_out || this->active.stopped;
+  // It takes the place of the one that has ended with the answer.
+  this->core.Pool().Release(upstream.entry, connection, std::nullopt);
+  co_return true;
+}
+
 void RequestTask::ReleaseConnection(
     const serving::FleetUpstream& upstream,
     const std::shared_ptr<HttpConnection>& connection, AttemptOutcome outcome) {
@@ -309,9 +354,8 @@
     co_return this->BrokenOutcome();
   }
 
-  const serving::AnswerFraming framing = connection.Framing();
-  this->figures.framing = serving::AnswerFramingName(framing);
   const serving::UpstreamAnswer& answer = this->reader.Answer();
+  this->figures.framing = serving::AnswerFramingName(answer.framing);
   const serving::AnswerProof proof = serving::ProofOf(answer);
   if (proof == serving::AnswerProof::kNotRun) {
     co_await this->FinishRefusal(attempt, connection);
@@ -328,8 +372,16 @@
     const std::function<void()> on_first = [this, &attempt] {
       this->RecordFirstByte(attempt);
     };
-    co_return co_await this->stream.RelayEvents(attempt, connection, answer,
-                                                on_first);
+    const AttemptOutcome outcome = co_await this->stream.RelayEvents(
+        attempt, connection, answer, on_first);
+    // An upstream whose process dies closes its connections, too.
+    if (outcome == AttemptOutcome::kUnprovenEnd && this->stream.MayBeWhole() &&
+        !co_await this->IsStillReachable(attempt.Upstream())) {
+      this->stream.OnUpstreamLost();
+      this->log.OnUnprovenAnswer(this->reader.Answer(), "upstream lost");
+      co_return this->BrokenOutcome();
+    }
+    co_return outcome;
   }
   if (!co_await this->reader.ReadWholeBody(connection)) {
     co_return this->BrokenOutcome();
@@ -399,13 +451,15 @@
   // If part of the answer has been sent, only closing the connection can tell
   // the caller that no more will come. Closing it also ends a write that is
   // blocked because the caller does not read.
-  if (gone || this->relay.HasBegun()) this->caller.Abort();
+  const bool is_cut = this->relay.HasBegun() && !this->stream.MayBeWhole();
+  if (gone || is_cut) this->caller.Abort();
 }
 
 void RequestTask::RecordAnswerTime(const UpstreamAttempt& attempt,
                                    AttemptOutcome outcome) {
   // An attempt that ran into its deadline took at least that long.
   const bool is_known = outcome == AttemptOutcome::kComplete ||
+                        outcome == AttemptOutcome::kUnprovenEnd ||
                         outcome == AttemptOutcome::kTimedOut;
   if (!is_known || !attempt.WasSent()) return;
   this->core.Times().Add(this->active.route->name, Now() - attempt.SentAt());
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -59,6 +59,8 @@
   std::vector<serving::FleetUpstreamPtr> UntriedUpstreams() const;
   std::optional<serving::PlacementChoice> ChooseUpstream();
   serving::NextStep DecideNextStep(serving::AttemptOutcome outcome);
+  /// Ends the answer to a stream. Returns the same as Run.
+  asio::awaitable<bool> FinishStream();
   /// Closes the caller's connection without completing the answer. Always
   /// returns false, which is then the result of Serve.
   bool AbortAnswer(std::string_view reason);
@@ -69,6 +71,12 @@
   /// if that fails, or if the caller left or the deadline passed meanwhile.
   asio::awaitable<std::shared_ptr<HttpConnection>> OpenConnection(
       const serving::FleetUpstream& upstream);
+  asio::awaitable<std::shared_ptr<HttpConnection>> OpenNewConnection(
+      const serving::FleetUpstream& upstream);
+  /// False if the upstream, whose answer has ended with its connection, takes
+  /// no further connection although nothing says that it is leaving.
+  asio::awaitable<bool> IsStillReachable(
+      const serving::FleetUpstream& upstream);
   /// Sends the request on the connection and reads its answer. The events of a
   /// stream are relayed as they arrive; other answers are only buffered.
   asio::awaitable<serving::AttemptOutcome> Exchange(UpstreamAttempt& attempt,
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -1,5 +1,7 @@
 #include "gateway/stream_relay.h"
 
+#include "gateway/clock.h"
+
 namespace fuchsiadrum::gateway {
 
 using serving::AttemptOutcome;
@@ -17,26 +19,25 @@
   serving::EventSplitter splitter(resumed_after);
   std::string bytes;
   std::string events;
-  BodyReadStatus read_status = BodyReadStatus::kMore;
-  while (read_status == BodyReadStatus::kMore) {
+  std::optional<serving::StreamEnd> end;
+  while (!end) {
     bytes.clear();
     events.clear();
-    read_status = co_await connection.ReadBody(bytes);
+    const BodyReadStatus read_status = co_await connection.ReadBody(bytes);
     if (!bytes.empty()) attempt.OnBytesReceived();
     const int count = splitter.Feed(bytes, events);
     if (splitter.IsOverlong()) break;
     if (splitter.HasGap() || splitter.HasUnnumbered()) {
       this->log.OnUnprovenAnswer(answer, "not the next event of the stream");
-      co_return this->active.BrokenOutcome(this->relay.HasBegun());
+      break;
     }
-    if (read_status == BodyReadStatus::kEnd &&
-        !IsWhole(splitter, resumed_after, connection)) {
-      this->log.OnUnprovenAnswer(answer, "not at the end of the stream");
-      read_status = BodyReadStatus::kBroken;
+    if (this->may_be_whole && (count > 0 || splitter.IsInsideEvent())) {
+      this->may_be_whole = false;
     }
-    if (read_status == BodyReadStatus::kEnd) events.append(splitter.Rest());
-    if (read_status == BodyReadStatus::kBroken && events.empty()) break;
-    if (events.empty() && read_status == BodyReadStatus::kMore) continue;
+    end = this->EndAfter(read_status, splitter, resumed_after, answer);
+    const bool is_complete = end == serving::StreamEnd::kComplete;
+    if (is_complete) events.append(splitter.Rest());
+    if (events.empty() && !is_complete) continue;
 
     if (this->events_relayed == 0 && count > 0) on_first();
     this->events_relayed += count;
@@ -45,24 +46,49 @@
       this->begun_head = {.status = answer.status,
                           .media_type = answer.media_type};
     }
-    const bool is_last = read_status == BodyReadStatus::kEnd;
-    if (!co_await this->relay.RelayEvents(answer, events, is_last)) {
+    if (!co_await this->relay.RelayEvents(answer, events, is_complete)) {
       co_return this->active.timed_out ? AttemptOutcome::kTimedOut
                                        : AttemptOutcome::kCallerGone;
     }
   }
-  if (read_status == BodyReadStatus::kEnd) co_return AttemptOutcome::kComplete;
+  if (end == serving::StreamEnd::kComplete) {
+    co_return AttemptOutcome::kComplete;
+  }
+  if (end == serving::StreamEnd::kUnproven) {
+    co_return AttemptOutcome::kUnprovenEnd;
+  }
   co_return this->active.BrokenOutcome(this->relay.HasBegun());
 }
 
-bool StreamRelay::IsWhole(const serving::EventSplitter& splitter,
-                          std::optional<uint64_t> resumed_after,
-                          const HttpConnection& connection) {
-  if (splitter.IsInsideEvent()) return false;
-  if (splitter.LastEvent() != resumed_after) return true;
-  // An upstream that has nothing to add to the events that the caller has says
-  // so by the framing of its answer.
-  return resumed_after && !connection.EndsWithConnection();
+std::optional<serving::StreamEnd> StreamRelay::EndAfter(
+    BodyReadStatus read_status, const serving::EventSplitter& splitter,
+    std::optional<uint64_t> resumed_after,
+    const serving::UpstreamAnswer& answer) {
+  if (read_status == BodyReadStatus::kMore) return std::nullopt;
+  if (read_status == BodyReadStatus::kBroken) {
+    return serving::StreamEnd::kCutOff;
+  }
+  const serving::StreamEnd end = serving::JudgeStreamEnd(
+      {.framing = answer.framing,
+       .is_inside_event = splitter.IsInsideEvent(),
+       .has_new_events = splitter.LastEvent() != resumed_after,
+       .is_resumed = resumed_after.has_value()});
+  if (end == serving::StreamEnd::kCutOff) {
+    this->log.OnUnprovenAnswer(answer, "not at the end of the stream");
+  }
+  if (end == serving::StreamEnd::kUnproven) {
+    if (!this->may_be_whole) this->unproven_since = Now();
+    this->may_be_whole = true;
+    this->unproven_rest = splitter.Rest();
+  }
+  return end;
+}
+
+asio::awaitable<bool> StreamRelay::Finish(
+    const serving::UpstreamAnswer& answer) {
+  const std::string rest = std::move(this->unproven_rest);
+  if (rest.empty()) co_return true;
+  co_return co_await this->relay.RelayEvents(answer, rest, true);
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -7,6 +7,7 @@
 
 #include "fuchsiadrum/serving/answer_proof.h"
 #include "fuchsiadrum/serving/event_splitter.h"
+#include "fuchsiadrum/serving/stream_end.h"
 #include "gateway/active_request.h"
 #include "gateway/answer_reader.h"
 #include "gateway/answer_relay.h"
@@ -32,10 +33,22 @@
   /// Reads the events from the upstream and forwards them. If the stream has
   /// begun in an earlier attempt, only events that follow the last one are
   /// forwarded. `on_first` is called before the first event is forwarded.
+  /// kUnprovenEnd: call Finish unless the rest can be had from another
+  /// upstream.
   asio::awaitable<serving::AttemptOutcome> RelayEvents(
       UpstreamAttempt& attempt, HttpConnection& connection,
       const serving::UpstreamAnswer& answer,
       const std::function<void()>& on_first);
+  /// True if the caller has waited for longer than `target_gap`, the pause that
+  /// callers expect between events, since it has a stream that may be whole.
+  bool IsRestOverdue(TimePoint now, Duration target_gap) const {
+    return this->MayBeWhole() && now - this->unproven_since > target_gap;
+  }
+  /// The upstream whose answer ended last has died, which ended its answer.
+  void OnUpstreamLost() { this->may_be_whole = false; }
+  /// Ends a stream that may be whole as it was received. Returns false if the
+  /// caller is gone.
+  asio::awaitable<bool> Finish(const serving::UpstreamAnswer& answer);
 
   /// Number of the last event that the caller has. It is sent to the upstream,
   /// so that a retry resumes after it.
@@ -46,19 +59,32 @@
   bool CanResume() const {
     return this->last_event.has_value() || this->events_relayed == 0;
   }
+  /// True if the caller has a stream that may be whole, and its answer's
+  /// framing says no more than that (serving::AttemptState).
+  bool MayBeWhole() const {
+    return this->may_be_whole && this->relay.EndsWithConnection();
+  }
 
  private:
-  /// True if the upstream's answer has ended at the end of the stream.
-  /// `resumed_after`: the event after which the upstream was asked to resume.
-  static bool IsWhole(const serving::EventSplitter& splitter,
-                      std::optional<uint64_t> resumed_after,
-                      const HttpConnection& connection);
+  /// Returns how the answer has ended after a read with this result, or nullopt
+  /// if more of it may follow. `resumed_after`: the event after which the
+  /// upstream was asked to resume.
+  std::optional<serving::StreamEnd> EndAfter(
+      BodyReadStatus read_status, const serving::EventSplitter& splitter,
+      std::optional<uint64_t> resumed_after,
+      const serving::UpstreamAnswer& answer);
 
   const ActiveRequest& active;
   RequestLog& log;
   AnswerRelay& relay;
   std::optional<uint64_t> last_event;
   int events_relayed = 0;
+  /// True if the last attempt with events has ended at StreamEnd::kUnproven.
+  bool may_be_whole = false;
+  TimePoint unproven_since;
+  /// What followed the last event of a stream that may be whole: part of a
+  /// comment.
+  std::string unproven_rest;
   /// Head with which the stream has begun.
   serving::StreamHead begun_head;
 };
--- a/gateway/upstream_attempt.cc
+++ b/gateway/upstream_attempt.cc
@@ -98,6 +98,7 @@
       break;
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kComplete:
+    case AttemptOutcome::kUnprovenEnd:
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kCallerGone:
     case AttemptOutcome::kTimedOut:
--- a/tests/platform/unframed_answer_fixture.h
+++ b/tests/platform/unframed_answer_fixture.h
@@ -81,6 +81,7 @@
 
   void Start(Script answer_script) {
     this->script = std::move(answer_script);
+    this->retry_slack = 100000;
     nlohmann::json routes = nlohmann::json::array();
     for (const std::string kind : {"safe", "unsafe", "resumable", "stream"}) {
       routes.push_back({{"name", kind},
--- a/tests/serving/attempt_policy_test.cc
+++ b/tests/serving/attempt_policy_test.cc
@@ -148,5 +148,39 @@
             NextStep::kTimeOut);
 }
 
+// Guards against a stream that is ended as complete although nothing proves it,
+// or withdrawn although nothing contradicts it.
+TEST_F(AttemptPolicyTest, UnprovenEnd_IsResumedIfPossible_ElseEndedAsReceived) {
+  AttemptState state = After(AttemptOutcome::kUnprovenEnd, 1, 0);
+  state.delivered = true;
+  state.may_be_whole = true;
+  const Route resumable = RouteOf(RequestKind::kStreaming, 2, true);
+  EXPECT_EQ(StepAfter(resumable, state, true), NextStep::kRetry);
+  EXPECT_EQ(StepAfter(resumable, state, false), NextStep::kDone);
+  EXPECT_EQ(StepAfter(RouteOf(RequestKind::kStreaming, 2), state, true),
+            NextStep::kDone);
+
+  // The caller's answer has a mark of its end, which may not be given.
+  state.may_be_whole = false;
+  EXPECT_EQ(StepAfter(resumable, state, false), NextStep::kAbort);
+}
+
+// What had arrived is not lost because the request for the rest fails.
+TEST_F(AttemptPolicyTest, FailedRequestForTheRest_LeavesTheEndAsReceived) {
+  const Route route = RouteOf(RequestKind::kStreaming, 2, true);
+  for (const AttemptOutcome outcome :
+       {AttemptOutcome::kNotSent, AttemptOutcome::kRejected,
+        AttemptOutcome::kBrokenMidway, AttemptOutcome::kTimedOut}) {
+    AttemptState state = After(outcome, 2, 0);
+    state.delivered = true;
+    state.may_be_whole = true;
+    EXPECT_EQ(StepAfter(route, state, false), NextStep::kDone);
+  }
+  AttemptState gone = After(AttemptOutcome::kCallerGone, 2, 0);
+  gone.delivered = true;
+  gone.may_be_whole = true;
+  EXPECT_EQ(StepAfter(route, gone, false), NextStep::kAbort);
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::serving
--- a/tests/serving/retry_allowance_test.cc
+++ b/tests/serving/retry_allowance_test.cc
@@ -41,5 +41,19 @@
   EXPECT_TRUE(this->allowance.Take(this->now, "s"));
 }
 
+// Guards against confirmations that leave no retry for a failure.
+TEST_F(RetryAllowanceTest, Confirmations_LeaveHalfForFailures) {
+  this->allowance.SetFleetSize(1);
+  int confirmations = 0;
+  while (this->allowance.Take(this->now, "s", RetryPurpose::kConfirmation)) {
+    ++confirmations;
+  }
+  int failures = 0;
+  while (this->allowance.Take(this->now, "s")) ++failures;
+
+  EXPECT_GT(confirmations, 0);
+  EXPECT_GE(failures, confirmations);
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::serving
