Soak: answers that end with their connection, whole and cut

Upstreams of the soak now send such answers whole (8 in 100 requests) and cut at some byte, half of the cuts after an event, closed or reset (4 in 100). A caller tells a reset from a close. A short answer is allowed only if an upstream closed it early in order, the caller's answer ends with its connection too, and a stream ends between events.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -150,6 +150,7 @@
   if (parser.is_header_done()) {
     const auto& answer = parser.get();
     result.status = answer.result_int();
+    result.ends_with_connection = answer.need_eof();
     result.body = answer.body();
     result.named_id = FieldOf(answer, kFieldId);
     result.signature = FieldOf(answer, kFieldSignature);
--- a/soak/caller_socket.cc
+++ b/soak/caller_socket.cc
@@ -47,7 +47,8 @@
   if (!this->Wait(POLLIN, deadline)) return ReadStatus::kTimedOut;
   std::array<char, 16384> part{};
   const ssize_t got = recv(this->descriptor, part.data(), part.size(), 0);
-  if (got <= 0) return ReadStatus::kEnd;
+  if (got < 0) return ReadStatus::kReset;
+  if (got == 0) return ReadStatus::kEnd;
   bytes.append(part.data(), static_cast<size_t>(got));
   return ReadStatus::kBytes;
 }
--- a/soak/caller_socket.h
+++ b/soak/caller_socket.h
@@ -9,7 +9,7 @@
 namespace fuchsiadrum::soak {
 
 /// How a read of a CallerSocket ended.
-enum class ReadStatus { kBytes, kEnd, kTimedOut };
+enum class ReadStatus { kBytes, kEnd, kReset, kTimedOut };
 
 /// Connection of a caller to a gateway on the loopback interface, whose calls
 /// return in time also if the gateway is stopped.
--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -124,6 +124,14 @@
       TraitsOf(result.route).is_stream ? Rule::kOrder : Rule::kMixed;
   const std::string sizes = std::to_string(result.body.size()) + " of " +
                             std::to_string(expected.size()) + " bytes";
+  // Nothing told the gateway that more was due, and it has told its caller no
+  // more than it knew.
+  const bool is_stream = TraitsOf(result.route).is_stream;
+  const bool is_as_received = request.was_closed_early &&
+                              result.ends_with_connection &&
+                              expected.starts_with(result.body) &&
+                              (!is_stream || result.body.ends_with("\n\n"));
+  if (result.is_whole && is_as_received) return;
   if (result.is_whole && result.body != expected) {
     this->Add(rule, id, "looks whole with " + sizes);
     return;
--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -1,5 +1,6 @@
 #include "soak/faulty_upstream.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <thread>
@@ -94,6 +95,7 @@
       break;
     case UpstreamFault::kCutHead:
     case UpstreamFault::kCutAnswer:
+    case UpstreamFault::kCutUnframed:
     case UpstreamFault::kResetAfterRun:
     case UpstreamFault::kNoEvents:
     case UpstreamFault::kRefusalAsEvents:
@@ -101,6 +103,10 @@
     case UpstreamFault::kSilenceAfterHead:
       this->BreakOff(fault, exchange, rng);
       break;
+    case UpstreamFault::kUnframed:
+      exchange.Write(this->MakeUnframedAnswer(exchange));
+      exchange.Close();
+      break;
     default:
       exchange.Write(this->MakeAnswer(exchange, rng));
   }
@@ -165,8 +171,13 @@
 
 void FaultyUpstream::BreakOff(UpstreamFault fault, Exchange& exchange,
                               Rng& rng) {
-  const std::string answer = this->MakeAnswer(exchange, rng);
+  const std::string answer = fault == UpstreamFault::kCutUnframed
+                                 ? this->MakeUnframedAnswer(exchange)
+                                 : this->MakeAnswer(exchange, rng);
   const size_t head = answer.find("\r\n\r\n") + 4;
+  if (fault == UpstreamFault::kCutUnframed) {
+    return this->CutUnframed(exchange, answer, head, rng);
+  }
   if (fault == UpstreamFault::kSilence) return exchange.AwaitClose();
   if (fault == UpstreamFault::kSilenceAfterHead) {
     exchange.Write(answer.substr(0, head));
@@ -200,6 +211,25 @@
   }
 }
 
+void FaultyUpstream::CutUnframed(Exchange& exchange, const std::string& answer,
+                                 size_t head, Rng& rng) {
+  const size_t body_bytes = answer.size() - head;
+  const size_t size = head + (body_bytes > 0 ? rng.Below(body_bytes) : 0);
+  std::string written = answer.substr(0, size);
+  // Nothing but its place tells a close after an event from the end.
+  if (rng.Chance(0.5)) {
+    written.erase(std::max(head, written.rfind("\n\n") + 2));
+  }
+  const bool resets = rng.Chance(0.3);
+  if (!resets) this->seen.AddEarlyClose(exchange.Id());
+  exchange.Write(written);
+  if (resets) {
+    exchange.Reset();
+  } else {
+    exchange.Close();
+  }
+}
+
 void FaultyUpstream::Run(UpstreamFault fault, Exchange& exchange) {
   exchange.Run();
   this->seen.AddRun(exchange.Id());
@@ -234,6 +264,16 @@
                  "Content-Length: 4\r\n\r\noops");
 }
 
+std::string FaultyUpstream::MakeUnframedAnswer(const Exchange& exchange) {
+  const SoakRoute route = RouteOf(exchange);
+  const std::string last = Field(exchange, kFieldLastEvent);
+  const bool is_stream = TraitsOf(route).is_stream;
+  return EncodeAnswerHead("200 OK", exchange.Id(),
+                          this->MakeSignature(exchange, 200)) +
+         (is_stream ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n") +
+         AnswerBody(route, exchange.Id(), last.empty() ? 0 : std::stoull(last));
+}
+
 std::string FaultyUpstream::MakeAnswer(const Exchange& exchange, Rng& rng) {
   const SoakRoute route = RouteOf(exchange);
   std::string answer = EncodeAnswerHead("200 OK", exchange.Id(),
--- a/soak/faulty_upstream.h
+++ b/soak/faulty_upstream.h
@@ -41,11 +41,15 @@
   void WritePrelude(UpstreamFault fault, Exchange& exchange, Rng& rng);
   /// What a run ends with, if it is not its whole answer.
   void BreakOff(UpstreamFault fault, Exchange& exchange, Rng& rng);
+  void CutUnframed(Exchange& exchange, const std::string& answer, size_t head,
+                   Rng& rng);
   void Run(UpstreamFault fault, Exchange& exchange);
   std::string MakeSignature(const Exchange& exchange, unsigned int status);
   void WriteOwnFailure(Exchange& exchange, bool is_signed, Rng& rng);
   /// The whole answer of a run, framed by a length or in chunks.
   std::string MakeAnswer(const Exchange& exchange, Rng& rng);
+  /// The same, framed by the end of the connection alone.
+  std::string MakeUnframedAnswer(const Exchange& exchange);
 
   FaultyUpstreamOptions options;
   Observations& seen;
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -46,6 +46,11 @@
   this->requests[id].odd_bodies.push_back(body);
 }
 
+void Observations::AddEarlyClose(const std::string& id) {
+  const std::lock_guard lock(this->mutex);
+  this->requests[id].was_closed_early = true;
+}
+
 void Observations::AddChange(const std::string& id) {
   const std::lock_guard lock(this->mutex);
   this->requests[id].was_changed = true;
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -26,6 +26,8 @@
   /// 0: the connection ended, or the caller left, before a head was read.
   unsigned int status = 0;
   bool is_whole = false;
+  /// True if only the end of the connection ended the answer.
+  bool ends_with_connection = false;
   /// True if the caller left because nothing more arrived.
   bool gave_up = false;
   /// True if bytes followed the answer.
@@ -52,6 +54,9 @@
   /// Bodies that are not the answer of a run, and that an upstream wrote as
   /// one.
   std::vector<std::string> odd_bodies;
+  /// True if an upstream closed an answer that ends with its connection in
+  /// order, and before its end.
+  bool was_closed_early = false;
   int runs = 0;
   TimePoint run_ended;
   bool was_changed = false;
@@ -71,6 +76,9 @@
   void AddSignature(const std::string& id, const std::string& signature,
                     unsigned int status);
   void AddOddBody(const std::string& id, const std::string& body);
+  /// Records that an upstream closed its answer, which ends with its
+  /// connection, in order before the answer's end.
+  void AddEarlyClose(const std::string& id);
   /// Records that an upstream ran a request that its caller did not send so.
   void AddChange(const std::string& id);
   void AddResult(const std::string& id, CallerResult result);
--- a/soak/upstream_fault.cc
+++ b/soak/upstream_fault.cc
@@ -14,6 +14,7 @@
 constexpr std::array<FaultTraits, kUpstreamFaultCount> kFaults = {
     FaultTraits{"none", 400},
     FaultTraits{"slow", 150},
+    FaultTraits{"unframed", 80},
     FaultTraits{"true-refusal", 100},
     FaultTraits{"early-true-refusal", 20},
     FaultTraits{"earlier-refusal", 40},
@@ -29,6 +30,7 @@
     FaultTraits{"reset-after-body", 10},
     FaultTraits{"reset-after-run", 15},
     FaultTraits{"cut-answer", 20},
+    FaultTraits{"cut-unframed", 40},
     FaultTraits{"no-events", 10},
     FaultTraits{"refusal-as-events", 10},
     FaultTraits{"early-answer", 20},
@@ -43,6 +45,7 @@
 
 bool IsSound(UpstreamFault fault) {
   return fault == UpstreamFault::kNone || fault == UpstreamFault::kSlow ||
+         fault == UpstreamFault::kUnframed ||
          fault == UpstreamFault::kTrueRefusal;
 }
 
--- a/soak/upstream_fault.h
+++ b/soak/upstream_fault.h
@@ -10,6 +10,7 @@
 enum class UpstreamFault {
   kNone,
   kSlow,
+  kUnframed,  // a whole answer that ends with its connection
   kTrueRefusal,
   kEarlyTrueRefusal,  // before the body was read
   kEarlierRefusal,    // a refusal of an earlier request, then the answer
@@ -25,13 +26,14 @@
   kResetAfterBody,    // did not run
   kResetAfterRun,     // ran; no answer
   kCutAnswer,         // ran; the body ends at some byte
+  kCutUnframed,       // the same, of an answer that ends with its connection
   kNoEvents,          // ran; the head, then the end of the connection
   kRefusalAsEvents,   // ran; the head, then a refusal as the body
   kEarlyAnswer,       // ran; the answer before the body was read
   kSilence,           // ran; no answer
   kSilenceAfterHead,  // ran; the head and no more
 };
-constexpr int kUpstreamFaultCount = 22;
+constexpr int kUpstreamFaultCount = 24;
 
 std::string_view UpstreamFaultName(UpstreamFault fault);
 
