Gateway: log the shared parts of prompts and the progress of broken attempts

Whether requests whose upstream ended have a part of their prompts in common could not be read from the log. `upstream-attempt-broken` gets `parts`, all but the last, and `events`, the events that the attempt had relayed. No decision changes.

--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -1,5 +1,8 @@
 #include "gateway/request_log.h"
 
+#include <array>
+#include <cstdio>
+
 #include "fuchsiadrum/core/duration.h"
 #include "gateway/clock.h"
 
@@ -12,6 +15,21 @@
                   : std::string_view();
 }
 
+/// The parts of a prompt that other requests may share, in hexadecimal. The last
+/// part is the request's own.
+std::string SharedPartsText(const std::vector<serving::PromptPart>& parts) {
+  constexpr size_t kMaxParts = 16;
+  std::string text;
+  for (size_t i = 0; i + 1 < parts.size() && i < kMaxParts; ++i) {
+    std::array<char, 20> part{};
+    std::snprintf(part.data(), part.size(), "%llx",
+                  static_cast<unsigned long long>(parts[i].id));
+    if (!text.empty()) text += ',';
+    text += part.data();
+  }
+  return text;
+}
+
 }  // namespace
 
 void RequestLog::OnInterimAnswer(const serving::UpstreamAnswer& answer,
@@ -54,7 +72,8 @@
 }
 
 void RequestLog::OnBrokenAttempt(const HttpConnection& connection,
-                                 bool has_head, TimePoint sent_at) {
+                                 bool has_head, int events,
+                                 TimePoint sent_at) {
   this->core.Log().Write(
       "upstream-attempt-broken",
       {{"id", this->active.request.id},
@@ -63,6 +82,8 @@
        {"sent_whole", !connection.IsSending()},
        {"has_head", has_head},
        {"framing", FramingText(connection, has_head)},
+       {"events", int64_t{events}},
+       {"parts", SharedPartsText(this->active.request.parts)},
        {"error", connection.LastError()},
        {"ms", ToMilliseconds(Now() - sent_at)}});
 }
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -48,9 +48,10 @@
   void OnUnprovenAnswer(const serving::UpstreamAnswer& answer,
                         std::string_view reason);
   /// An attempt that was sent and ended without a whole answer. `has_head`: the
-  /// head of its answer was read.
+  /// head of its answer was read. `events`: events of a stream that it had
+  /// relayed.
   void OnBrokenAttempt(const HttpConnection& connection, bool has_head,
-                       TimePoint sent_at);
+                       int events, TimePoint sent_at);
   /// The end of the request. `outcome` says what the caller got (for example
   /// "complete" or "own-answer"), `reason` why it is not a complete answer of
   /// an upstream.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -279,10 +279,12 @@
                                 ? kAckTimeout
                                 : kUnrepeatableAckTimeout);
   attempt.Upstream().cache.Use(this->active.request.parts);
+  const int relayed_before = this->stream.EventsRelayed();
   const AttemptOutcome outcome = co_await this->Exchange(attempt, *connection);
   if (serving::IsWithoutWholeAnswer(outcome)) {
     const bool has_head = this->reader.HasHead();
-    this->log.OnBrokenAttempt(*connection, has_head, attempt.SentAt());
+    const int events = this->stream.EventsRelayed() - relayed_before;
+    this->log.OnBrokenAttempt(*connection, has_head, events, attempt.SentAt());
   }
   this->current_connection.reset();
   this->ReleaseConnection(attempt.Upstream(), connection, outcome);
