--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -15,8 +15,8 @@
                   : std::string_view();
 }
 
-/// The parts of a prompt that other requests may share, in hexadecimal. The last
-/// part is the request's own.
+/// The parts of a prompt that other requests may share, in hexadecimal. The
+/// last part is the request's own.
 std::string SharedPartsText(const std::vector<serving::PromptPart>& parts) {
   constexpr size_t kMaxParts = 16;
   std::string text;
@@ -72,8 +72,7 @@
 }
 
 void RequestLog::OnBrokenAttempt(const HttpConnection& connection,
-                                 bool has_head, int events,
-                                 TimePoint sent_at) {
+                                 bool has_head, int events, TimePoint sent_at) {
   this->core.Log().Write(
       "upstream-attempt-broken",
       {{"id", this->active.request.id},
