Find prompt parts that crash upstreams, and hold them back

Cause: nothing connects the crashes. Each gateway judges the upstream that broke off, never the request; it sees one crash in nine, and for a resumable stream sends the same prompt to the next upstream.

Change: CrashWatch tells a crash from an answer that broke off by a new connection. The lost runs of all gateways are merged in one record a crash, in a stream of the store. PromptQuarantine finds parts that crash after crash have in common and that no run has proven sound since; two crashes let them run one at a time, three hold them back, at all gateways and for those that start later. Parts that no run tells apart are held back together only; one organisation's evidence binds only itself; a trial of the whole fleet comes after 10 s, 100 s, 1,000 s. A request that had begun when its upstream ended is repeated only with proven parts.

--- a/gateway/active_request.cc
+++ b/gateway/active_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fuchsiadrum/core/hash.h"
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
@@ -33,6 +34,18 @@
   return end > now ? end - now : Duration::zero();
 }
 
+std::vector<uint64_t> ActiveRequest::SharedParts() const {
+  std::vector<uint64_t> shared;
+  for (size_t i = 0; i + 1 < this->request.parts.size(); ++i) {
+    shared.push_back(this->request.parts[i].id);
+  }
+  return shared;
+}
+
+uint64_t ActiveRequest::OrganisationHash() const {
+  return this->organisation == nullptr ? 0 : Hash64(this->organisation->name);
+}
+
 AttemptOutcome ActiveRequest::BrokenOutcome(bool has_begun) const {
   if (this->caller_gone) return AttemptOutcome::kCallerGone;
   if (has_begun) return AttemptOutcome::kBrokenMidway;
--- a/gateway/active_request.h
+++ b/gateway/active_request.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "fuchsiadrum/serving/attempt_policy.h"
 #include "fuchsiadrum/serving/caller_request.h"
@@ -28,6 +29,11 @@
   /// (`has_begun`), else kTimedOut if the deadline has passed, else kBroken.
   serving::AttemptOutcome BrokenOutcome(bool has_begun) const;
 
+  /// Parts of the prompt that other requests may share: all but the last.
+  std::vector<uint64_t> SharedParts() const;
+  /// Hash of the organisation's name, 0 without one.
+  uint64_t OrganisationHash() const;
+
   /// Shared with the upstream connection, which sends the body from it.
   std::shared_ptr<const serving::CallerRequest> shared_request;
   const serving::CallerRequest& request;
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -55,6 +55,13 @@
   return options;
 }
 
+serving::PromptQuarantineOptions QuarantineOptions(
+    const pb::GatewaySettings& settings) {
+  serving::PromptQuarantineOptions options;
+  options.holder = HolderName(settings);
+  return options;
+}
+
 BudgetClientOptions BudgetOptions(const pb::GatewaySettings& settings) {
   return {.vm = settings.vm().name(),
           .incarnation = daemon::StartIncarnation(),
@@ -111,6 +118,16 @@
                      .store_timeout = StoreTimeout(gateway_settings)},
                     io_context, this->watchdog, this->log,
                     this->directory.Limits()),
+      quarantines(QuarantineOptions(gateway_settings)),
+      quarantine_client({.holder = HolderName(gateway_settings),
+                         .store_address = gateway_settings.store().address(),
+                         .store_timeout = StoreTimeout(gateway_settings)},
+                        io_context, this->watchdog, this->log,
+                        this->quarantines),
+      crash_watch(CrashWatchOptions(), io_context, this->pool, this->log,
+                  [this](const serving::UpstreamCrash& crash) {
+                    this->OnUpstreamCrash(crash);
+                  }),
       stop_schedule({.grace = FromSeconds(gateway_settings.stop().grace_s())}) {
 }
 
@@ -119,6 +136,7 @@
   asio::co_spawn(this->context, this->upstream_follower.Run(), asio::detached);
   this->budgets.Start();
   this->shared_limits.Start();
+  this->quarantine_client.Start();
 }
 
 void GatewayCore::OnTick(TimePoint now) {
@@ -133,8 +151,10 @@
     if (this->budgets.FleetSize() > 0) {
       this->retries.SetFleetSize(this->budgets.FleetSize());
       this->shared_limits.SetFleetSize(this->budgets.FleetSize());
+      this->quarantine_client.SetFleetSize(this->budgets.FleetSize());
     }
   }
+  this->quarantine_client.LogChanges();
   this->log.Flush();
 }
 
@@ -174,7 +194,8 @@
   return !this->IsStopping() && !this->IsBusy() &&
          this->config.Get() != nullptr &&
          this->upstream_follower.LastRead().us != 0 &&
-         this->shared_limits.LastRead().us != 0;
+         this->shared_limits.LastRead().us != 0 &&
+         this->quarantine_client.LastRead().us != 0;
 }
 
 bool GatewayCore::IsConfigStale(TimePoint now) const {
@@ -247,6 +268,12 @@
   }
 }
 
+void GatewayCore::OnUpstreamCrash(const serving::UpstreamCrash& crash) {
+  this->quarantines.OnCrash(Now(), crash);
+  this->quarantine_client.LogChanges();
+  this->quarantine_client.Notify();
+}
+
 std::string GatewayCore::MetricsText() const {
   std::string text = this->metrics.Text();
   const auto add = [&text](std::string_view name, double value) {
@@ -258,13 +285,19 @@
   add("callers", static_cast<double>(this->callers.size()));
   add("upstreams", static_cast<double>(this->directory.Size()));
   add("upstream_connections_total", static_cast<double>(this->pool.Opened()));
-  add("store_calls_total",
-      static_cast<double>(this->config_follower.Calls() +
-                          this->upstream_follower.Calls() +
-                          this->shared_limits.Calls() + this->budgets.Calls()));
+  add("store_calls_total", static_cast<double>(this->config_follower.Calls() +
+                                               this->upstream_follower.Calls() +
+                                               this->shared_limits.Calls() +
+                                               this->quarantine_client.Calls() +
+                                               this->budgets.Calls()));
   add("limited_upstreams",
       static_cast<double>(this->directory.Limits().Limited()));
   add("own_limit_shares", this->directory.Limits().OwnRate());
+  add("upstream_crashes_total",
+      static_cast<double>(this->crash_watch.Crashes()));
+  add("suspected_parts", static_cast<double>(this->quarantines.Suspected()));
+  add("quarantined_parts",
+      static_cast<double>(this->quarantines.Quarantined()));
   add("link_use", this->link.Utilization());
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
   add("body_bytes", static_cast<double>(this->body_bytes.Held()));
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -9,14 +9,17 @@
 #include "fuchsiadrum/serving/link_load.h"
 #include "fuchsiadrum/serving/loop_delay.h"
 #include "fuchsiadrum/serving/placement.h"
+#include "fuchsiadrum/serving/prompt_quarantine.h"
 #include "fuchsiadrum/serving/retry_allowance.h"
 #include "fuchsiadrum/serving/serving_config.h"
 #include "fuchsiadrum/serving/stop_schedule.h"
 #include "fuchsiadrum/serving/upstream_directory.h"
 #include "gateway/budget_client.h"
+#include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/limit_client.h"
+#include "gateway/quarantine_client.h"
 #include "gateway/stream_follower.h"
 #include "gateway/upstream_pool.h"
 #include "schema/gateway.pb.h"
@@ -50,8 +53,8 @@
   /// was not sent to an upstream, else 502. A stream that has begun is cut.
   void EndOpenRequests();
   /// The answer of the readiness check: true unless the gateway is stopping or
-  /// busy, or has not yet read the configuration, the upstreams' entries and
-  /// their limits.
+  /// busy, or has not yet read the configuration, the upstreams' entries,
+  /// their limits and the quarantines.
   bool IsReady() const;
   /// True if the network link or the processor is so loaded that other VMs
   /// serve new callers better.
@@ -70,6 +73,8 @@
   /// Logs an announcement of an upstream that is not known, once for each name.
   void LogUnknownNotice(const std::string& upstream, const std::string& name);
   LimitClient& SharedLimits() { return this->shared_limits; }
+  serving::PromptQuarantine& Quarantines() { return this->quarantines; }
+  CrashWatch& Crashes() { return this->crash_watch; }
   BudgetClient& Budgets() { return this->budgets; }
   serving::LinkLoad& Link() { return this->link; }
   const serving::LoopDelay& EventLoopDelay() const { return this->loop_delay; }
@@ -90,6 +95,7 @@
   void UpdateLoad(TimePoint now);
   void ApplyPendingConfig();
   void OnUpstreamRecord(const store::KeyedRecord& record);
+  void OnUpstreamCrash(const serving::UpstreamCrash& crash);
 
   pb::GatewaySettings settings;
   asio::io_context& context;
@@ -111,6 +117,9 @@
   StreamFollower upstream_follower;
   BudgetClient budgets;
   LimitClient shared_limits;
+  serving::PromptQuarantine quarantines;
+  QuarantineClient quarantine_client;
+  CrashWatch crash_watch;
   std::set<CallerConnection*> callers;
   /// Requests that are being served.
   std::set<RequestTask*> tasks;
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -38,6 +38,10 @@
   ++this->limited_sends[service];
 }
 
+void GatewayMetrics::CountHeldBack(const std::string& route) {
+  ++this->held_back[route];
+}
+
 std::string GatewayMetrics::Line(std::string_view name, double value) {
   return std::string(kPrefix) + std::string(name) + " " + Number(value) + "\n";
 }
@@ -64,6 +68,10 @@
     text += Line("limited_sends_total{service=\"" + service + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [route, count] : this->held_back) {
+    text += Line("held_back_total{route=\"" + route + "\"}",
+                 static_cast<double>(count));
+  }
   constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
   for (const auto& [route, histogram] : this->first_bytes) {
     for (const double quantile : kQuantiles) {
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -28,6 +28,9 @@
   /// Counts a request that is sent to an upstream that has named a limit.
   void CountLimitedSend(const std::string& service);
 
+  /// Counts a request that is not sent because of a part of its prompt.
+  void CountHeldBack(const std::string& route);
+
   /// Returns all metrics in Prometheus text format.
   std::string Text() const;
   /// Returns the line of one metric in that format, with the gateway's prefix.
@@ -42,6 +45,8 @@
   std::map<std::string, uint64_t, std::less<>> refusals;
   /// Requests sent to upstreams with a limit, by service.
   std::map<std::string, uint64_t> limited_sends;
+  /// Requests that were held back, by route.
+  std::map<std::string, uint64_t> held_back;
   /// Times to first byte by route.
   std::map<std::string, report::LatencyHistogram> first_bytes;
 };
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -96,7 +96,7 @@
       this->socket, this->buffer, *this->parser,
       asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    this->last_error = error.message();
+    this->OnReadError(error);
     co_return nullptr;
   }
   if (this->link != nullptr) this->link->OnReceived(head_bytes);
@@ -118,13 +118,22 @@
   out.append(this->read_buffer.data(), this->read_buffer.size() - body.size);
 
   if (error && error != http::error::need_buffer) {
-    this->last_error = error.message();
+    this->OnReadError(error);
     co_return BodyReadStatus::kBroken;
   }
   co_return this->parser->is_done() ? BodyReadStatus::kEnd
                                     : BodyReadStatus::kMore;
 }
 
+void HttpConnection::OnReadError(ErrorCode error) {
+  this->last_error = error.message();
+  this->ended_by_peer = error == http::error::end_of_stream ||
+                        error == http::error::partial_message ||
+                        error == asio::error::eof ||
+                        error == asio::error::connection_reset ||
+                        error == asio::error::broken_pipe;
+}
+
 serving::AnswerFraming HttpConnection::Framing() const {
   if (this->EndsWithConnection()) return serving::AnswerFraming::kConnection;
   const bool is_chunked = this->parser && this->parser->get().chunked();
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -50,6 +50,9 @@
   bool IsSending() const { return this->sending; }
   /// Why the last read failed; empty if none has.
   const std::string& LastError() const { return this->last_error; }
+  /// True if the last read failed because the other end closed or reset the
+  /// connection.
+  bool WasEndedByPeer() const { return this->ended_by_peer; }
   /// What marks the end of the current answer.
   serving::AnswerFraming Framing() const;
   /// True if only the end of the connection ends the current answer.
@@ -81,6 +84,8 @@
   void OnExpired() override;
 
  private:
+  void OnReadError(ErrorCode error);
+
   static constexpr size_t kRememberedRequests = 16;
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -94,6 +99,7 @@
   std::shared_ptr<const std::string> send_body;
   bool sending = false;
   std::string last_error;
+  bool ended_by_peer = false;
   uint64_t exchanges = 0;
   std::array<uint64_t, kRememberedRequests> carried{};
 };
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -39,7 +39,8 @@
       tokens(gateway_core.Budgets()),
       reader(gateway_core, active, log),
       relay(caller_connection),
-      stream(active, log, relay) {
+      stream(active, log, relay),
+      prompt(gateway_core, active) {
   this->core.Tasks().insert(this);
 }
 
@@ -74,6 +75,10 @@
     co_return co_await this->SendGatewayAnswer(*refusal);
   }
 
+  refusal = this->prompt.HoldBack(0);
+  if (refusal) {
+    co_return co_await this->SendGatewayAnswer(*refusal);
+  }
   this->caller.Arm(this->active.deadline,
                    [this](bool gone) { this->OnInterrupt(gone); });
   refusal = co_await this->ReserveTokens();
@@ -117,6 +122,14 @@
 
 asio::awaitable<bool> RequestTask::Serve() {
   while (true) {
+    const std::optional<GatewayAnswer> held_back =
+        this->prompt.HoldBack(this->history.Runs());
+    if (held_back && this->relay.HasBegun()) {
+      co_return this->stream.MayBeWhole()
+          ? co_await this->FinishStream()
+          : this->AbortAnswer(held_back->reason);
+    }
+    if (held_back) co_return co_await this->SendGatewayAnswer(*held_back);
     const std::optional<serving::PlacementChoice> choice =
         this->ChooseUpstream();
     if (!choice && this->relay.HasBegun()) {
@@ -214,7 +227,7 @@
       state.may_be_whole ? serving::RetryPurpose::kConfirmation
                          : serving::RetryPurpose::kFailure;
   const bool may_retry =
-      serving::MayRetry(route, state) && has_next &&
+      serving::MayRetry(route, state) && has_next && this->prompt.MayRepeat() &&
       !this->stream.IsRestOverdue(now, route.target_gap) &&
       MaySendInStop(this->core, this->active) &&
       (this->retry_granted || !serving::ReachedUpstream(outcome) ||
@@ -280,11 +293,14 @@
                                 : kUnrepeatableAckTimeout);
   attempt.Upstream().cache.Use(this->active.request.parts);
   const int relayed_before = this->stream.EventsRelayed();
+  this->prompt.OnSend();
   const AttemptOutcome outcome = co_await this->Exchange(attempt, *connection);
   if (serving::IsWithoutWholeAnswer(outcome)) {
     const bool has_head = this->reader.HasHead();
     const int events = this->stream.EventsRelayed() - relayed_before;
     this->log.OnBrokenAttempt(*connection, has_head, events, attempt.SentAt());
+    this->prompt.OnBroken(attempt, *connection,
+                          {.has_head = has_head, .events = events});
   }
   this->current_connection.reset();
   this->ReleaseConnection(attempt.Upstream(), connection, outcome);
@@ -371,15 +387,16 @@
   }
   if (proof == serving::AnswerProof::kRan &&
       this->active.route->kind == serving::RequestKind::kStreaming) {
-    const std::function<void()> on_first = [this, &attempt] {
-      this->RecordFirstByte(attempt);
-    };
+    const StreamHandlers handlers = {
+        .on_first = [this, &attempt] { this->RecordFirstByte(attempt); },
+        .on_sound = [this, &attempt] { this->prompt.OnSound(attempt); }};
     const AttemptOutcome outcome = co_await this->stream.RelayEvents(
-        attempt, connection, answer, on_first);
+        attempt, connection, answer, handlers);
     // An upstream whose process dies closes its connections, too.
     if (outcome == AttemptOutcome::kUnprovenEnd && this->stream.MayBeWhole() &&
         !co_await this->IsStillReachable(attempt.Upstream())) {
       this->stream.OnUpstreamLost();
+      this->prompt.OnUpstreamLost();
       this->log.OnUnprovenAnswer(this->reader.Answer(), "upstream lost");
       co_return this->BrokenOutcome();
     }
@@ -392,6 +409,7 @@
     co_return AttemptOutcome::kFailed;
   }
   this->RecordFirstByte(attempt);
+  this->prompt.OnSound(attempt);
   co_return AttemptOutcome::kComplete;
 }
 
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -15,6 +15,7 @@
 #include "gateway/caller_connection.h"
 #include "gateway/gateway_answer.h"
 #include "gateway/gateway_core.h"
+#include "gateway/prompt_guard.h"
 #include "gateway/request_log.h"
 #include "gateway/stream_relay.h"
 #include "gateway/token_reservation.h"
@@ -119,6 +120,7 @@
   AnswerReader reader;
   AnswerRelay relay;
   StreamRelay stream;
+  PromptGuard prompt;
 
   std::shared_ptr<HttpConnection> current_connection;
   /// The attempt that is being run; nullptr if there is none.
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -5,6 +5,7 @@
 namespace fuchsiadrum::gateway {
 
 using serving::AttemptOutcome;
+using serving::kEventsOfSoundPrompt;
 
 bool StreamRelay::Continues(const serving::UpstreamAnswer& answer) const {
   return !this->relay.HasBegun() ||
@@ -13,13 +14,14 @@
 
 asio::awaitable<AttemptOutcome> StreamRelay::RelayEvents(
     UpstreamAttempt& attempt, HttpConnection& connection,
-    const serving::UpstreamAnswer& answer,
-    const std::function<void()>& on_first) {
+    const serving::UpstreamAnswer& answer, const StreamHandlers& handlers) {
   const std::optional<uint64_t> resumed_after = this->last_event;
   serving::EventSplitter splitter(resumed_after);
   std::string bytes;
   std::string events;
   std::optional<serving::StreamEnd> end;
+  int attempt_events = 0;
+  bool is_sound = false;
   while (!end) {
     bytes.clear();
     events.clear();
@@ -39,7 +41,12 @@
     if (is_complete) events.append(splitter.Rest());
     if (events.empty() && !is_complete) continue;
 
-    if (this->events_relayed == 0 && count > 0) on_first();
+    if (this->events_relayed == 0 && count > 0) handlers.on_first();
+    attempt_events += count;
+    if (!is_sound && (is_complete || attempt_events >= kEventsOfSoundPrompt)) {
+      is_sound = true;
+      handlers.on_sound();
+    }
     this->events_relayed += count;
     this->last_event = splitter.LastEvent();
     if (!this->relay.HasBegun()) {
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -8,6 +8,7 @@
 #include "fuchsiadrum/serving/answer_proof.h"
 #include "fuchsiadrum/serving/event_splitter.h"
 #include "fuchsiadrum/serving/stream_end.h"
+#include "fuchsiadrum/serving/upstream_crash.h"
 #include "gateway/active_request.h"
 #include "gateway/answer_reader.h"
 #include "gateway/answer_relay.h"
@@ -16,6 +17,15 @@
 
 namespace fuchsiadrum::gateway {
 
+/// What is called while an attempt's events are forwarded.
+struct StreamHandlers {
+  /// Before the first event of the stream is forwarded.
+  std::function<void()> on_first;
+  /// When the attempt has gone on for so long, or has ended so, that the prompt
+  /// is sound for its upstream. At most once.
+  std::function<void()> on_sound;
+};
+
 /// Forwards the events of a stream from upstreams to the caller, and knows how
 /// much of the stream the caller has.
 class StreamRelay {
@@ -32,13 +42,12 @@
   bool Continues(const serving::UpstreamAnswer& answer) const;
   /// Reads the events from the upstream and forwards them. If the stream has
   /// begun in an earlier attempt, only events that follow the last one are
-  /// forwarded. `on_first` is called before the first event is forwarded.
+  /// forwarded.
   /// kUnprovenEnd: call Finish unless the rest can be had from another
   /// upstream.
   asio::awaitable<serving::AttemptOutcome> RelayEvents(
       UpstreamAttempt& attempt, HttpConnection& connection,
-      const serving::UpstreamAnswer& answer,
-      const std::function<void()>& on_first);
+      const serving::UpstreamAnswer& answer, const StreamHandlers& handlers);
   /// True if the caller has waited for longer than `target_gap`, the pause that
   /// callers expect between events, since it has a stream that may be whole.
   bool IsRestOverdue(TimePoint now, Duration target_gap) const {
