Soak: upstreams that end on a part of a prompt

One stream in 25 has a part in its prompt on which its upstream ends when it begins to answer, with all its connections, and is back at another address after a second. Rule BUDGET: at most three such requests later than 3 s after the fifth end, at gateways that were not disturbed. Requests that were open at an upstream that ended are excused from LOST and CLOSED as with other faults.

Also: formatting of one comment.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -19,6 +19,10 @@
 /// long its upstream is at work.
 constexpr Duration kBalancerTime = std::chrono::seconds(3);
 constexpr double kLateGraceFraction = 5.0 / 6;
+/// Ends of upstreams after which a part is known, and requests with it that may
+/// be sent later than kContact after them.
+constexpr size_t kCrashesOfRule = 5;
+constexpr int kMaxLateSends = 3;
 /// Closed connections that are allowed in calm.
 constexpr int kMaxClosed = 3;
 
@@ -61,8 +65,8 @@
 
 std::string_view RuleName(Rule rule) {
   static constexpr std::array<std::string_view, kRuleCount> kNames = {
-      "REFUSED", "TWICE",  "MIXED",   "ORDER",   "UNASKED",
-      "LOST",    "CLOSED", "SERVICE", "RECOVER", "PROCESS"};
+      "REFUSED", "TWICE",   "MIXED",   "ORDER",   "UNASKED", "LOST",
+      "CLOSED",  "SERVICE", "RECOVER", "PROCESS", "BUDGET"};
   return kNames[static_cast<size_t>(rule)];
 }
 
@@ -74,6 +78,7 @@
     this->CheckLost(id, request);
     this->CheckService(id, request);
   }
+  this->CheckBadPart();
   const auto is_closed = [](const Violation& violation) {
     return violation.rule == Rule::kClosed;
   };
@@ -182,6 +187,26 @@
   return name;
 }
 
+void Checker::CheckBadPart() {
+  // Each arrival of a request with the part ends an upstream.
+  const auto& arrivals = this->seen.BadArrivals();
+  if (arrivals.size() < kCrashesOfRule) return;
+  const TimePoint bound = arrivals[kCrashesOfRule - 1].first + kContact;
+  int late = 0;
+  for (const auto& [at, id] : arrivals) {
+    const auto found = this->seen.All().find(id);
+    if (at <= bound || found == this->seen.All().end()) continue;
+    const CallerResult& result = found->second.result;
+    const GatewayProcess& process = *this->gateways[result.gateway];
+    if (Around(process, result.begun, at).was_disturbed) continue;
+    if (++late > kMaxLateSends) {
+      this->Add(Rule::kBudget, id,
+                "sent although upstreams had ended under " +
+                    std::to_string(arrivals.size()) + " of its kind");
+    }
+  }
+}
+
 void Checker::CheckService(const std::string& id,
                            const RequestRecord& request) {
   const CallerResult& result = request.result;
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -21,8 +21,9 @@
   kService,  // refused with a proof, and neither repeated nor refused
   kRecover,  // a probe after the last fault was not served in time
   kProcess,  // a gateway ended by itself or did not end in its grace
+  kBudget,   // requests with a part that ends upstreams were sent on and on
 };
-constexpr int kRuleCount = 10;
+constexpr int kRuleCount = 11;
 
 std::string_view RuleName(Rule rule);
 
@@ -50,6 +51,7 @@
   void CheckAnswer(const std::string& id, const RequestRecord& request);
   void CheckBody(const std::string& id, const RequestRecord& request);
   void CheckLost(const std::string& id, const RequestRecord& request);
+  void CheckBadPart();
   void CheckService(const std::string& id, const RequestRecord& request);
   /// Name of the last signal to a gateway before that time.
   static std::string LastSignal(const GatewayProcess& process, TimePoint time);
--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -43,11 +43,66 @@
     : options(opts),
       seen(observations),
       runs(run_record),
-      calm(without_faults),
-      server(std::make_unique<gateway::ScriptedUpstream>(
-          run_record, [this](Exchange& exchange) { this->Serve(exchange); })) {}
+      calm(without_faults) {
+  this->Start();
+}
+
+void FaultyUpstream::Start() {
+  ++this->starts;
+  this->is_ending = false;
+  this->server = std::make_unique<gateway::ScriptedUpstream>(
+      this->runs, [this](Exchange& exchange) { this->Serve(exchange); });
+}
+
+bool FaultyUpstream::OnTick(TimePoint now) {
+  constexpr Duration kDownTime = std::chrono::milliseconds(1000);
+  if (this->server == nullptr) {
+    if (now >= this->back_at) this->Start();
+    return false;
+  }
+  if (!this->is_ending) return false;
+  {
+    const std::lock_guard lock(this->mutex);
+    for (const std::string& id : this->open) {
+      this->seen.AddArrival(id, UpstreamFault::kEnd,
+                            this->options.name + " ends");
+    }
+    this->open.clear();
+  }
+  this->server.reset();
+  this->back_at = now + kDownTime;
+  return true;
+}
+
+void FaultyUpstream::EndWith(Exchange& exchange) {
+  if (!exchange.ReadBody()) return;
+  this->seen.AddBadArrival(exchange.Id());
+  this->Run(UpstreamFault::kEnd, exchange);
+  exchange.Write(EncodeAnswerHead("200 OK", exchange.Id(),
+                                  this->MakeSignature(exchange, 200)) +
+                 "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n");
+  Work(10);
+  this->is_ending = true;
+  exchange.AwaitClose();
+}
 
 void FaultyUpstream::Serve(Exchange& exchange) {
+  const std::string id = exchange.Id();
+  {
+    const std::lock_guard lock(this->mutex);
+    this->open.insert(id);
+  }
+  this->ServeOpen(exchange);
+  const std::lock_guard lock(this->mutex);
+  this->open.erase(id);
+}
+
+void FaultyUpstream::ServeOpen(Exchange& exchange) {
+  const bool is_stream = TraitsOf(RouteOf(exchange)).is_stream;
+  if (is_stream && HasBadPart(exchange.Id()) && !this->calm) {
+    return this->EndWith(exchange);
+  }
   Rng rng(Hash64(exchange.Id() + this->options.name, this->options.seed));
   const UpstreamFault fault = this->Draw(exchange, rng);
   this->seen.AddArrival(exchange.Id(), fault,
--- a/soak/faulty_upstream.h
+++ b/soak/faulty_upstream.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 #include "soak/observations.h"
@@ -28,11 +30,21 @@
 
   const std::string& Name() const { return this->options.name; }
   std::string Address() const { return this->server->Address(); }
+  /// How often it has started.
+  int Starts() const { return this->starts; }
+  bool IsUp() const { return this->server != nullptr; }
+  /// Ends the upstream if a request has asked for that, and starts it again, at
+  /// another address, after a while. Returns true if it has just ended.
+  bool OnTick(TimePoint now);
 
  private:
   using Exchange = gateway::ScriptedExchange;
 
+  void Start();
   void Serve(Exchange& exchange);
+  void ServeOpen(Exchange& exchange);
+  /// Begins to answer a request with the bad part, and ends the upstream.
+  void EndWith(Exchange& exchange);
   UpstreamFault Draw(const Exchange& exchange, Rng& rng) const;
   void Apply(UpstreamFault fault, Exchange& exchange, Rng& rng);
   void Refuse(UpstreamFault fault, Exchange& exchange, Rng& rng);
@@ -56,6 +68,12 @@
   gateway::RunRecord& runs;
   const std::atomic<bool>& calm;
   std::atomic<int> answers{0};
+  std::atomic<bool> is_ending{false};
+  int starts = 0;
+  TimePoint back_at;
+  std::mutex mutex;
+  /// Requests that are being served.
+  std::set<std::string> open;
   /// Ends first, because its threads use the other members.
   std::unique_ptr<gateway::ScriptedUpstream> server;
 };
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -46,6 +46,12 @@
   this->requests[id].odd_bodies.push_back(body);
 }
 
+void Observations::AddBadArrival(const std::string& id) {
+  const std::lock_guard lock(this->mutex);
+  this->bad_arrivals.emplace_back(Now(), id);
+  this->requests[id].faults.push_back(UpstreamFault::kEnd);
+}
+
 void Observations::AddEarlyClose(const std::string& id) {
   const std::lock_guard lock(this->mutex);
   this->requests[id].was_closed_early = true;
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "fuchsiadrum/core/types.h"
@@ -76,6 +77,8 @@
   void AddSignature(const std::string& id, const std::string& signature,
                     unsigned int status);
   void AddOddBody(const std::string& id, const std::string& body);
+  /// Records that a request with the bad part has reached an upstream.
+  void AddBadArrival(const std::string& id);
   /// Records that an upstream closed its answer, which ends with its
   /// connection, in order before the answer's end.
   void AddEarlyClose(const std::string& id);
@@ -83,12 +86,18 @@
   void AddChange(const std::string& id);
   void AddResult(const std::string& id, CallerResult result);
 
+  /// Requests with the bad part that reached upstreams, and when. Call it when
+  /// callers and upstreams have ended.
+  const std::vector<std::pair<TimePoint, std::string>>& BadArrivals() const {
+    return this->bad_arrivals;
+  }
   /// Call it when callers and upstreams have ended.
   const Requests& All() const { return this->requests; }
 
  private:
   std::mutex mutex;
   Requests requests;
+  std::vector<std::pair<TimePoint, std::string>> bad_arrivals;
 };
 
 }  // namespace fuchsiadrum::soak
--- a/soak/soak_report.cc
+++ b/soak/soak_report.cc
@@ -44,10 +44,10 @@
         this->run.CountEvents(event);
   }
   return {
-      {"seed", this->options.seed}, {"requests", this->run.Requests().size()},
-      {"runs", this->runs},         {"statuses", this->by_status},
-      {"signals", signals},         {"violations", this->by_rule},
-      {"by_fault", this->by_fault}};
+      {"seed", this->options.seed},  {"requests", this->run.Requests().size()},
+      {"runs", this->runs},          {"statuses", this->by_status},
+      {"signals", signals},          {"upstream_ends", this->run.Ends()},
+      {"violations", this->by_rule}, {"by_fault", this->by_fault}};
 }
 
 void SoakReport::Print(std::ostream& out) const {
@@ -55,7 +55,8 @@
       << " requests, " << this->runs << " runs, "
       << this->run.CountEvents(ProcessEvent::kStop) << " stops, "
       << this->run.CountEvents(ProcessEvent::kKill) << " kills, "
-      << this->run.CountEvents(ProcessEvent::kPause) << " pauses, ";
+      << this->run.CountEvents(ProcessEvent::kPause) << " pauses, "
+      << this->run.Ends() << " upstream ends, ";
   if (this->by_rule.empty()) out << "no promise broken";
   for (const auto& [rule, count] : this->by_rule) {
     out << rule << " " << count << " ";
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -109,17 +109,30 @@
 void SoakRun::Announce() {
   ++this->sequence;
   for (const auto& upstream : this->upstreams) {
-    this->store.Put(std::string(kTopicUpstreams), upstream->Name(),
-                    EncodeEntry(upstream->Address(), this->sequence));
+    if (!upstream->IsUp()) continue;
+    this->store.Put(
+        std::string(kTopicUpstreams), upstream->Name(),
+        EncodeEntry(upstream->Address(), this->sequence, upstream->Starts()));
   }
 }
 
+void SoakRun::StepUpstreams() {
+  bool has_started = false;
+  for (const auto& upstream : this->upstreams) {
+    const bool was_up = upstream->IsUp();
+    if (upstream->OnTick(Now())) ++this->ends;
+    has_started = has_started || (!was_up && upstream->IsUp());
+  }
+  if (has_started) this->Announce();
+}
+
 void SoakRun::RunFaults(const std::atomic<bool>& interrupted) {
   ProcessFaults faults(this->options.seed, this->gateways);
   const TimePoint end = Now() + FromSeconds(this->options.seconds);
   TimePoint next_heartbeat = Now() + kHeartbeatInterval;
   while (Now() < end && !interrupted) {
     faults.OnTick(Now());
+    this->StepUpstreams();
     if (Now() >= next_heartbeat) {
       this->Announce();
       next_heartbeat = next_heartbeat + kHeartbeatInterval;
@@ -156,6 +169,7 @@
                          std::to_string(i) + " was not served"});
           break;
         }
+        this->StepUpstreams();
         this->Announce();
         std::this_thread::sleep_for(kTick * 10);
       }
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -45,10 +45,14 @@
   std::vector<std::string> TraceOf(const std::string& id) const;
   /// Number of events of this kind at all gateways.
   int CountEvents(ProcessEvent event) const;
+  /// How often upstreams have ended under a request.
+  int Ends() const { return this->ends; }
 
  private:
   std::string StartGateways();
   void Announce();
+  /// Ends and starts upstreams.
+  void StepUpstreams();
   void RunFaults(const std::atomic<bool>& interrupted);
   /// Sends requests of each route to each gateway until they are served.
   void Probe(const std::atomic<bool>& interrupted);
@@ -63,6 +67,7 @@
   std::atomic<bool> stopping{false};
   gateway::FakeStore store;
   int64_t sequence = 0;
+  int ends = 0;
   std::vector<std::unique_ptr<FaultyUpstream>> upstreams;
   Gateways gateways;
   std::vector<std::thread> callers;
--- a/soak/upstream_fault.cc
+++ b/soak/upstream_fault.cc
@@ -35,7 +35,8 @@
     FaultTraits{"refusal-as-events", 10},
     FaultTraits{"early-answer", 20},
     FaultTraits{"silence", 10},
-    FaultTraits{"silence-after-head", 10}};
+    FaultTraits{"silence-after-head", 10},
+    FaultTraits{"end", 0}};
 
 }  // namespace
 
--- a/soak/upstream_fault.h
+++ b/soak/upstream_fault.h
@@ -32,8 +32,9 @@
   kEarlyAnswer,       // ran; the answer before the body was read
   kSilence,           // ran; no answer
   kSilenceAfterHead,  // ran; the head and no more
+  kEnd,               // the upstream ended meanwhile, with all connections
 };
-constexpr int kUpstreamFaultCount = 24;
+constexpr int kUpstreamFaultCount = 25;
 
 std::string_view UpstreamFaultName(UpstreamFault fault);
 
--- a/soak/wire.cc
+++ b/soak/wire.cc
@@ -32,6 +32,19 @@
   return std::string(name) + ": " + std::string(value) + "\r\n";
 }
 
+/// The parts of the request's prompt: one of its route, one that some requests
+/// share, the bad one if it has that, and its own.
+std::string EncodeParts(SoakRoute route, const std::string& id) {
+  constexpr uint64_t kMiddleParts = 8;
+  const uint64_t hash = Hash64(id);
+  std::string parts = "f" + std::to_string(static_cast<int>(route)) + ":60,a" +
+                      std::to_string(hash % kMiddleParts) + ":20";
+  if (HasBadPart(id)) parts += ",bad:10";
+  std::ostringstream own;
+  own << std::hex << hash;
+  return parts + "," + own.str() + ":10";
+}
+
 }  // namespace
 
 const RouteTraits& TraitsOf(SoakRoute route) {
@@ -70,11 +83,13 @@
       .dump();
 }
 
-std::string EncodeEntry(const std::string& address, int64_t sequence) {
-  return nlohmann::json{{"service", kService},   {"address", address},
-                        {"zone", "a"},           {"slots", 32},
-                        {"born", 1700000000000}, {"state", "ready"},
-                        {"cold_left_ms", 0},     {"sequence", sequence}}
+std::string EncodeEntry(const std::string& address, int64_t sequence,
+                        int start) {
+  constexpr int64_t kFirstStart = 1700000000000;
+  return nlohmann::json{
+      {"service", kService}, {"address", address},          {"zone", "a"},
+      {"slots", 32},         {"born", kFirstStart + start}, {"state", "ready"},
+      {"cold_left_ms", 0},   {"sequence", sequence}}
       .dump();
 }
 
@@ -84,10 +99,18 @@
                      Field("Host", kHost) + Field(kFieldId, id) +
                      Field("Key", "k1") +
                      Field("Deadline-Ms", std::to_string(kCallerTimeoutMs));
-  if (traits.is_stream) head += Field("Token-Counts", "100,50");
+  if (traits.is_stream) {
+    head += Field("Token-Counts", "100,50") +
+            Field("Prompt-Prefix", EncodeParts(route, id));
+  }
   return head;
 }
 
+bool HasBadPart(const std::string& id) {
+  constexpr uint64_t kOneIn = 25;
+  return Hash64(id + "/bad") % kOneIn == 0;
+}
+
 std::string RequestBody(const std::string& id, size_t bytes) {
   std::string body;
   body.reserve(bytes + id.size() + 1);
--- a/soak/wire.h
+++ b/soak/wire.h
@@ -38,8 +38,13 @@
 
 /// The configuration with one service and all routes.
 std::string EncodeConfig();
-/// The entry of an upstream in its `sequence`th heartbeat.
-std::string EncodeEntry(const std::string& address, int64_t sequence);
+/// The entry of an upstream in its `sequence`th heartbeat. `start`: how often
+/// it has started.
+std::string EncodeEntry(const std::string& address, int64_t sequence,
+                        int start);
+/// True if the prompt of the request with that id has the part that ends
+/// upstreams.
+bool HasBadPart(const std::string& id);
 
 /// The head of a caller's request without its framing and its end.
 std::string EncodeRequestHead(SoakRoute route, const std::string& id);
--- a/tests/platform/scripted_upstream.h
+++ b/tests/platform/scripted_upstream.h
@@ -142,8 +142,8 @@
     Tcp::socket wake(this->context);
     wake.connect(this->acceptor.local_endpoint(), ignored);
     this->thread.join();
-    // As when a process ends: it is not to be reached any more when the first of
-    // its connections is seen to be closed.
+    // As when a process ends: it is not to be reached any more when the first
+    // of its connections is seen to be closed.
     this->acceptor.close(ignored);
     for (Connection& connection : this->open) {
       ::shutdown(connection.socket.native_handle(), SHUT_RDWR);
