--- a/fuchsiadrum/serving/crash_evidence.cc
+++ b/fuchsiadrum/serving/crash_evidence.cc
@@ -181,6 +181,7 @@
     found.emplace(suspicion.parts, suspicion);
   }
   std::vector<Suspicion> out;
+  out.reserve(found.size());
   for (auto& [parts, suspicion] : found) out.push_back(std::move(suspicion));
   return out;
 }
--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -50,7 +50,9 @@
   connection->ExpireAt(Now() + this->options.connect_timeout);
   const bool is_open = co_await connection->Connect(upstream.entry.address);
   connection->NeverExpire();
-  if (is_open) co_await this->Wait(this->options.settle_time);
+  if (is_open) {
+    co_await this->Wait(this->options.settle_time);
+  }
   if (!is_open || !connection->IsReusable()) {
     connection->Close();
     co_return false;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -129,7 +129,9 @@
           ? co_await this->FinishStream()
           : this->AbortAnswer(held_back->reason);
     }
-    if (held_back) co_return co_await this->SendGatewayAnswer(*held_back);
+    if (held_back) {
+      co_return co_await this->SendGatewayAnswer(*held_back);
+    }
     const std::optional<serving::PlacementChoice> choice =
         this->ChooseUpstream();
     if (!choice && this->relay.HasBegun()) {
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -23,7 +23,7 @@
                       bool has_begun = true) {
     const int number = ++this->made;
     LostRun run;
-    run.request = static_cast<uint64_t>(1000 + number);
+    run.request = 1000 + static_cast<uint64_t>(number);
     run.organisation = organisation;
     run.has_begun = has_begun;
     run.parts = parts;
