One check whether an upstream is still reachable; split RequestTask::Serve

RequestTask opened a connection of its own to see whether an upstream whose answer had ended with its connection lives on; CrashWatch does the same for lost runs. What ends a request without a further attempt is a function of its own.

--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -42,12 +42,14 @@
   /// The upstream closed its connection before it had proven its prompt.
   void OnLostRun(const serving::FleetUpstreamPtr& upstream,
                  serving::LostRun run);
+  /// True if the upstream takes and keeps another connection, which then waits
+  /// in the pool for a request.
+  asio::awaitable<bool> IsReachable(const serving::FleetUpstream& upstream);
   /// Crashes that were found.
   uint64_t Crashes() const { return this->crashes; }
 
  private:
   asio::awaitable<void> Examine(serving::FleetUpstreamPtr upstream);
-  asio::awaitable<bool> IsReachable(const serving::FleetUpstream& upstream);
   asio::awaitable<void> Wait(Duration time);
 
   CrashWatchOptions options;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -122,26 +122,16 @@
 
 asio::awaitable<bool> RequestTask::Serve() {
   while (true) {
-    const std::optional<GatewayAnswer> held_back =
+    std::optional<GatewayAnswer> refusal =
         this->prompt.HoldBack(this->history.Runs());
-    if (held_back && this->relay.HasBegun()) {
-      co_return this->stream.MayBeWhole()
-          ? co_await this->FinishStream()
-          : this->AbortAnswer(held_back->reason);
-    }
-    if (held_back) {
-      co_return co_await this->SendGatewayAnswer(*held_back);
-    }
-    const std::optional<serving::PlacementChoice> choice =
-        this->ChooseUpstream();
-    if (!choice && this->relay.HasBegun()) {
-      co_return this->stream.MayBeWhole() ? co_await this->FinishStream()
-                                          : this->AbortAnswer("no upstream");
-    }
-    if (!choice) {
-      const GatewayAnswer refusal =
+    std::optional<serving::PlacementChoice> choice;
+    if (!refusal) choice = this->ChooseUpstream();
+    if (!refusal && !choice) {
+      refusal =
           MakeNoUpstreamAnswer(this->core, this->active, this->history.Runs());
-      co_return co_await this->SendGatewayAnswer(refusal);
+    }
+    if (refusal) {
+      co_return co_await this->EndWithoutAttempt(*refusal);
     }
 
     UpstreamAttempt attempt(this->core, this->active, *choice);
@@ -238,6 +228,16 @@
   return serving::StepAfter(route, state, may_retry);
 }
 
+asio::awaitable<bool> RequestTask::EndWithoutAttempt(GatewayAnswer answer) {
+  if (!this->relay.HasBegun()) {
+    co_return co_await this->SendGatewayAnswer(std::move(answer));
+  }
+  if (this->stream.MayBeWhole()) {
+    co_return co_await this->FinishStream();
+  }
+  co_return this->AbortAnswer(answer.reason);
+}
+
 asio::awaitable<bool> RequestTask::FinishStream() {
   // From here on, neither the deadline nor the watch for the caller's close
   // interrupts the delivery of the answer.
@@ -316,12 +316,7 @@
                                  this->active.route->IsIdempotent());
   if (connection) co_return connection;
 
-  co_return co_await this->OpenNewConnection(upstream);
-}
-
-asio::awaitable<std::shared_ptr<HttpConnection>> RequestTask::OpenNewConnection(
-    const serving::FleetUpstream& upstream) {
-  auto connection = this->core.Pool().MakeNew();
+  connection = this->core.Pool().MakeNew();
   this->current_connection = connection;
   connection->ExpireAt(Now() + kConnectTimeout);
   const bool open = co_await connection->Connect(upstream.entry.address);
@@ -344,11 +339,7 @@
       serving::UpstreamEligibility::kIneligible) {
     co_return true;
   }
-  auto connection = co_await this->OpenNewConnection(upstream);
-  if (!connection) co_return this->active.timed_out || this->active.stopped;
-  // It takes the place of the one that has ended with the answer.
-  this->core.Pool().Release(upstream.entry, connection, std::nullopt);
-  co_return true;
+  co_return co_await this->core.Crashes().IsReachable(upstream);
 }
 
 void RequestTask::ReleaseConnection(
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -60,6 +60,9 @@
   std::vector<serving::FleetUpstreamPtr> UntriedUpstreams() const;
   std::optional<serving::PlacementChoice> ChooseUpstream();
   serving::NextStep DecideNextStep(serving::AttemptOutcome outcome);
+  /// Ends the request because no further attempt is made; `answer` is for a
+  /// caller that has nothing yet. Returns the same as Run.
+  asio::awaitable<bool> EndWithoutAttempt(GatewayAnswer answer);
   /// Ends the answer to a stream. Returns the same as Run.
   asio::awaitable<bool> FinishStream();
   /// Closes the caller's connection without completing the answer. Always
@@ -72,8 +75,6 @@
   /// if that fails, or if the caller left or the deadline passed meanwhile.
   asio::awaitable<std::shared_ptr<HttpConnection>> OpenConnection(
       const serving::FleetUpstream& upstream);
-  asio::awaitable<std::shared_ptr<HttpConnection>> OpenNewConnection(
-      const serving::FleetUpstream& upstream);
   /// False if the upstream, whose answer has ended with its connection, takes
   /// no further connection although nothing says that it is leaving.
   asio::awaitable<bool> IsStillReachable(
