Forget quarantines that are cleared before they were written

Seen by reading: a quarantine whose parts a run proved sound before its record was written had nothing to delete in the stream and stayed in memory, holding nothing back, until 64 others had come; quarantined_parts counted it. RunUnderWay_ThatEndsWell_FreesItsParts now checks the number.

--- a/fuchsiadrum/serving/prompt_quarantine.cc
+++ b/fuchsiadrum/serving/prompt_quarantine.cc
@@ -114,6 +114,13 @@
       }
     }
   }
+  // The stream has nothing to delete of what was not written yet.
+  std::erase_if(this->quarantines, [this](const auto& item) {
+    const Entry& entry = item.second;
+    if (entry.is_stored || !Narrowed(entry).parts.empty()) return false;
+    this->Report(QuarantineChange::kCleared, entry.quarantine);
+    return true;
+  });
   if (this->evidence.Size() == 0) return;
   const bool was_crashed = this->evidence.OnAlive(upstream, mark);
   const bool has_cleared = this->evidence.OnSound(parts);
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -135,6 +135,7 @@
   EXPECT_TRUE(this->IsRefused({kFirst}));
   this->quarantine.OnSound(this->now, {.id = "other"}, {kFirst}, mark);
   EXPECT_FALSE(this->IsRefused({kFirst}));
+  EXPECT_EQ(this->quarantine.Quarantined(), 0U);
 }
 
 // An upstream that answers a later request has not crashed.
