--- a/tests/platform/crashing_part_test.cc
+++ b/tests/platform/crashing_part_test.cc
@@ -159,6 +159,7 @@
   void Play(std::chrono::milliseconds time) {
     const Clock::time_point end = Clock::now() + time;
     std::vector<std::thread> threads;
+    threads.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       threads.emplace_back([this, i, end] {
         std::mt19937 random(static_cast<unsigned int>(17 + i));
