--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -157,11 +157,6 @@
         self.partition(topic, 0).records.append(record)
         self.notify()
 
-    def remove(self, topic, key):
-        record = bytes([len(key)]) + key.encode()
-        self.partition(topic, 0).records.append(record)
-        self.notify()
-
     def notify(self):
         self.grown.set()
         self.grown = asyncio.Event()
@@ -330,8 +325,7 @@
     async def run(self, head, body, reader, writer):
         raise NotImplementedError
 
-    async def stream(self, head, reader, writer, events, pause_s,
-                     tokens="word "):
+    async def stream(self, head, reader, writer, events, pause_s):
         """Answers with events first..events, one each `pause_s`."""
         first = int(head.get("Last-Event-Id") or 0) + 1
         writer.write(self.head(head, 200, extra=[
@@ -346,8 +340,8 @@
                     self.log(head, f"stops after event {sent}: "
                              "the channel was closed")
                     raise ConnectionResetError
-                writer.write(chunk(b"id: %d\ndata: %s%d\n\n" %
-                                   (number, tokens.encode(), number)))
+                writer.write(chunk(b"id: %d\ndata: word %d\n\n" %
+                                   (number, number)))
                 await writer.drain()
                 sent = number
             writer.write(b"0\r\n\r\n")
@@ -472,8 +466,6 @@
 class Gateway:
     """The gateway as a process, started as the deploy file says."""
 
-    RESTART_S = 0.6
-
     def __init__(self, record, folder, store, name, zone="zone-a"):
         self.record = record
         self.folder = folder
