Log what decides whether a stopping gateway sends a request

One line for each request, and another when the decision changes: time until the end of the answers, deadline, longest answer of the route, and the tokens that the request allows.

--- a/gateway/active_request.h
+++ b/gateway/active_request.h
@@ -50,6 +50,9 @@
   bool timed_out = false;
   /// True if a stop of the gateway has ended the request.
   bool stopped = false;
+  /// The last decision whether the stopping gateway may send the request;
+  /// nullopt: none was made. A repeated decision is not logged again.
+  std::optional<bool> logged_stop_decision;
 };
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fuchsiadrum/core/duration.h"
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
@@ -44,6 +45,27 @@
   return GatewayAnswer{401, "unknown key", std::nullopt};
 }
 
+/// Milliseconds for a log line; -1: not known.
+double LoggedTime(const std::optional<Duration>& time) {
+  return time ? ToMilliseconds(*time) : -1;
+}
+
+void LogStopDecision(GatewayCore& core, const ActiveRequest& active,
+                     const serving::StopRequest& request, bool may_send) {
+  const TimePoint now = Now();
+  const std::optional<Tokens>& max_output = active.request.max_output_tokens;
+  core.Log().Write(
+      "stop-decision",
+      {{"request", active.request.id},
+       {"route", active.route->name},
+       {"sends", may_send},
+       {"stream", request.is_stream},
+       {"rest_ms", ToMilliseconds(core.Schedule().AnswerEnd() - now)},
+       {"deadline_ms", ToMilliseconds(request.deadline - now)},
+       {"longest_ms", LoggedTime(request.longest_answer)},
+       {"max_tokens", max_output ? max_output->count : -1}});
+}
+
 }  // namespace
 
 std::optional<GatewayAnswer> Admit(GatewayCore& core, ActiveRequest& active) {
@@ -69,13 +91,19 @@
   return std::nullopt;
 }
 
-bool MaySendInStop(GatewayCore& core, const ActiveRequest& active) {
+bool MaySendInStop(GatewayCore& core, ActiveRequest& active) {
   if (!core.IsStopping()) return true;
-  return core.Schedule().MaySend(
-      Now(),
-      {.deadline = active.deadline,
-       .longest_answer = core.Times().Longest(active.route->name),
-       .is_stream = active.route->kind == serving::RequestKind::kStreaming});
+  const TimePoint now = Now();
+  const serving::StopRequest request = {
+      .deadline = active.deadline,
+      .longest_answer = core.Times().Longest(active.route->name),
+      .is_stream = active.route->kind == serving::RequestKind::kStreaming};
+  const bool may_send = core.Schedule().MaySend(now, request);
+  if (active.logged_stop_decision != may_send) {
+    active.logged_stop_decision = may_send;
+    LogStopDecision(core, active, request, may_send);
+  }
+  return may_send;
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/request_admission.h
+++ b/gateway/request_admission.h
@@ -14,6 +14,6 @@
 
 /// False if the gateway is stopping and an answer to the request, which Admit
 /// has admitted, might come too late.
-bool MaySendInStop(GatewayCore& core, const ActiveRequest& active);
+bool MaySendInStop(GatewayCore& core, ActiveRequest& active);
 
 }  // namespace fuchsiadrum::gateway
