Stop: send a late stream only if its own limits end it in time

Cause: StopSchedule::MaySend sent a late stream if twice the longest of the last 32 answers of its route fitted. How long others were says nothing about the next one, whose length is what its caller asks for.

Ruled out: few answers after a start (20 known), a slower upstream (31 ms an event throughout).

Change: a late stream needs its deadline, or twice the time of all events that its Token-Counts allow at the slowest pace of its route of late. The longest answer decides only for streams without Token-Counts whose caller began before the end of the balancer's delay (slow bodies, waits for tokens); it is then the longest of the last minutes, open answers included, so that a busy route does not displace it. All others get a true 503 at once. The same decision is asked at admission, after a wait for tokens, before each send, retry and resumption.

--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -17,6 +17,8 @@
 
 /// One completely received request of a caller.
 struct CallerRequest {
+  /// When its first byte was read.
+  TimePoint begun_at;
   /// Chosen by the caller, who uses a new id for each of its attempts.
   std::string id;
   std::string method;
--- a/fuchsiadrum/serving/stop_schedule.cc
+++ b/fuchsiadrum/serving/stop_schedule.cc
@@ -28,13 +28,34 @@
   if (now >= last_end) return false;
   if (request.deadline <= last_end) return true;
 
-  const bool is_early = now < this->AcceptEnd();
-  if (!request.longest_answer) return is_early;
-  const bool is_late_stream = request.is_stream && !is_early;
-  const double factor = is_late_stream ? this->options.late_stream_factor : 1;
-  return now + std::chrono::duration_cast<Duration>(*request.longest_answer *
-                                                    factor) <=
-         last_end;
+  const Duration rest = last_end - now;
+  if (now < this->AcceptEnd()) return this->MaySendEarly(rest, request);
+  if (request.is_stream) return this->MaySendLateStream(rest, request);
+  return request.longest_answer && *request.longest_answer <= rest;
+}
+
+bool StopSchedule::MaySendEarly(Duration rest,
+                                const StopRequest& request) const {
+  if (request.is_stream && request.longest_of_events &&
+      *request.longest_of_events <= rest) {
+    return true;
+  }
+  return !request.longest_answer || *request.longest_answer <= rest;
+}
+
+bool StopSchedule::MaySendLateStream(Duration rest,
+                                     const StopRequest& request) const {
+  std::optional<Duration> longest = request.longest_of_events;
+  if (!request.limits_events) {
+    // Only on a connection that was kept can a request begin so late. It gets
+    // its refusal at once, and another VM serves it.
+    if (request.begun_at >= this->AcceptEnd()) return false;
+    longest = std::max(request.longest_answer, request.longest_in_period);
+  }
+  if (!longest) return false;
+  const auto needed = std::chrono::duration_cast<Duration>(
+      *longest * this->options.late_stream_factor);
+  return needed <= rest;
 }
 
 TimePoint StopSchedule::At(double fraction) const {
--- a/fuchsiadrum/serving/stop_schedule.h
+++ b/fuchsiadrum/serving/stop_schedule.h
@@ -20,9 +20,9 @@
   /// Fraction of `grace` after which the process ends in any case. The time
   /// before is for writing the last answers and giving tokens back.
   double end_fraction = 0.985;
-  /// A stream that is sent after AcceptEnd must have this many times the
-  /// longest time of its route left: its length varies with what is asked, and
-  /// a stream that has begun can only be cut.
+  /// A stream that is sent after AcceptEnd must have this many times the time
+  /// left that it is estimated to take at most: a stream that has begun can
+  /// only be cut.
   double late_stream_factor = 2;
   /// Time between the end of an answer at the upstream and at the caller, and
   /// the error of the timers.
@@ -33,11 +33,20 @@
 struct StopRequest {
   /// When its caller or its route ends it.
   TimePoint deadline;
-  /// The longest time that answers of its route have taken; nullopt: unknown.
+  /// When its first byte arrived.
+  TimePoint begun_at;
+  /// The longest of the last answers of its route; nullopt: unknown.
   std::optional<Duration> longest_answer;
+  /// The same over a longer time; nullopt: unknown.
+  std::optional<Duration> longest_in_period;
   /// True if its answer is forwarded in parts. Once such an answer has begun,
   /// it can only be cut.
   bool is_stream = false;
+  /// True if the request limits the number of events of its stream.
+  bool limits_events = false;
+  /// Time of a stream of as many events as the request allows; nullopt:
+  /// unknown.
+  std::optional<Duration> longest_of_events;
 };
 
 /// Decides what a stopping gateway may still begin, and when it ends what is
@@ -57,13 +66,20 @@
   /// Time at which the process ends.
   TimePoint End() const;
 
-  /// True if the request may be sent to an upstream. Until AcceptEnd, a request
-  /// whose time is not known is sent. Later it must be known to end in time, by
-  /// its deadline or by the longest answer of its route.
+  /// True if the request may be sent to an upstream. Until AcceptEnd it is sent
+  /// unless it is expected to end too late. Later it must be known to end in
+  /// time, by its deadline, or else
+  /// - a stream by the events that it may have. What other streams have taken
+  ///   says nothing about it. It decides only for a stream that states no limit
+  ///   and whose caller began to send it before AcceptEnd.
+  /// - another request by the longest of the last answers of its route: at the
+  ///   end of the stop it still gets a status, and is not cut.
   bool MaySend(TimePoint now, const StopRequest& request) const;
 
  private:
   TimePoint At(double fraction) const;
+  bool MaySendEarly(Duration rest, const StopRequest& request) const;
+  bool MaySendLateStream(Duration rest, const StopRequest& request) const;
 
   StopScheduleOptions options;
   std::optional<TimePoint> begun_at;
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -108,6 +108,7 @@
 
 asio::awaitable<std::optional<serving::CallerRequest>>
 CallerConnection::ReadRequest() {
+  const TimePoint begun_at = Now();
   const serving::CallerLimits limits = this->core.Limits();
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
@@ -182,6 +183,7 @@
     co_await this->Refuse(400, reason, "");
     co_return std::nullopt;
   }
+  request->begun_at = begun_at;
   request->body = std::move(parser.get().body());
   co_return request;
 }
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -4,6 +4,7 @@
 
 #include "fuchsiadrum/core/duration.h"
 #include "gateway/clock.h"
+#include "gateway/request_task.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
@@ -45,6 +46,51 @@
   return GatewayAnswer{401, "unknown key", std::nullopt};
 }
 
+/// The longest time of the route's answers, those that are still open included.
+std::optional<Duration> LongestWithOpen(GatewayCore& core,
+                                        const std::string& route,
+                                        TimePoint now) {
+  std::optional<Duration> longest = core.Times().LongestInPeriod(route, now);
+  for (const RequestTask* task : core.Tasks()) {
+    longest = std::max(longest, task->OpenTime(route, now));
+  }
+  return longest;
+}
+
+/// Maximum number of events of the request's stream; nullopt: it states none.
+std::optional<uint64_t> MaxEvents(const ActiveRequest& active) {
+  const std::optional<Tokens>& max_output = active.request.max_output_tokens;
+  if (!max_output) return std::nullopt;
+  const auto tokens =
+      static_cast<uint64_t>(std::max<int64_t>(max_output->count, 0));
+  const auto per_event = static_cast<uint64_t>(
+      active.engine ? std::max(active.engine->tokens_per_event, 1) : 1);
+  return tokens / per_event + (tokens % per_event > 0 ? 1 : 0);
+}
+
+serving::StopRequest DescribeForStop(GatewayCore& core,
+                                     const ActiveRequest& active,
+                                     int events_relayed, TimePoint now) {
+  const std::string& route = active.route->name;
+  serving::StopRequest request = {
+      .deadline = active.deadline,
+      .begun_at = active.request.begun_at,
+      .longest_answer = core.Times().Longest(route),
+      .is_stream = active.route->kind == serving::RequestKind::kStreaming};
+  if (!request.is_stream) return request;
+
+  const std::optional<uint64_t> max_events = MaxEvents(active);
+  request.limits_events = max_events.has_value();
+  if (max_events) {
+    const uint64_t rest =
+        *max_events - std::min<uint64_t>(*max_events, events_relayed);
+    request.longest_of_events = core.Times().LongestOfEvents(route, now, rest);
+  } else {
+    request.longest_in_period = LongestWithOpen(core, route, now);
+  }
+  return request;
+}
+
 /// Milliseconds for a log line; -1: not known.
 double LoggedTime(const std::optional<Duration>& time) {
   return time ? ToMilliseconds(*time) : -1;
@@ -63,6 +109,8 @@
        {"rest_ms", ToMilliseconds(core.Schedule().AnswerEnd() - now)},
        {"deadline_ms", ToMilliseconds(request.deadline - now)},
        {"longest_ms", LoggedTime(request.longest_answer)},
+       {"longest_in_period_ms", LoggedTime(request.longest_in_period)},
+       {"longest_of_events_ms", LoggedTime(request.longest_of_events)},
        {"max_tokens", max_output ? max_output->count : -1}});
 }
 
@@ -91,13 +139,12 @@
   return std::nullopt;
 }
 
-bool MaySendInStop(GatewayCore& core, ActiveRequest& active) {
+bool MaySendInStop(GatewayCore& core, ActiveRequest& active,
+                   int events_relayed) {
   if (!core.IsStopping()) return true;
   const TimePoint now = Now();
-  const serving::StopRequest request = {
-      .deadline = active.deadline,
-      .longest_answer = core.Times().Longest(active.route->name),
-      .is_stream = active.route->kind == serving::RequestKind::kStreaming};
+  const serving::StopRequest request =
+      DescribeForStop(core, active, events_relayed, now);
   const bool may_send = core.Schedule().MaySend(now, request);
   if (active.logged_stop_decision != may_send) {
     active.logged_stop_decision = may_send;
--- a/gateway/request_admission.h
+++ b/gateway/request_admission.h
@@ -13,7 +13,9 @@
 std::optional<GatewayAnswer> Admit(GatewayCore& core, ActiveRequest& active);
 
 /// False if the gateway is stopping and an answer to the request, which Admit
-/// has admitted, might come too late.
-bool MaySendInStop(GatewayCore& core, ActiveRequest& active);
+/// has admitted, might come too late. `events_relayed`: events of its stream
+/// that the caller has.
+bool MaySendInStop(GatewayCore& core, ActiveRequest& active,
+                   int events_relayed = 0);
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -69,6 +69,16 @@
   }
 }
 
+std::optional<Duration> RequestTask::OpenTime(std::string_view route,
+                                              TimePoint now) const {
+  const UpstreamAttempt* attempt = this->current_attempt;
+  if (attempt == nullptr || !attempt->WasSent() ||
+      this->active.route->name != route) {
+    return std::nullopt;
+  }
+  return now - attempt->SentAt();
+}
+
 asio::awaitable<bool> RequestTask::Run() {
   std::optional<GatewayAnswer> refusal = Admit(this->core, this->active);
   if (refusal) {
@@ -221,7 +231,7 @@
   const bool may_retry =
       serving::MayRetry(route, state) && has_next && this->prompt.MayRepeat() &&
       !this->stream.IsRestOverdue(now, route.target_gap) &&
-      MaySendInStop(this->core, this->active) &&
+      MaySendInStop(this->core, this->active, this->stream.EventsRelayed()) &&
       (this->retry_granted || !serving::ReachedUpstream(outcome) ||
        this->core.Retries().Take(now, this->active.service, purpose));
   this->retry_granted = false;
@@ -273,7 +283,8 @@
   // be queued behind others.
   if (this->caller.HasLeft()) this->active.caller_gone = true;
   const bool may_send =
-      attempt.MaySend() && MaySendInStop(this->core, this->active);
+      attempt.MaySend() &&
+      MaySendInStop(this->core, this->active, this->stream.EventsRelayed());
   if (connection && (!may_send || this->active.caller_gone)) {
     connection->Close();
     co_return this->active.caller_gone ? AttemptOutcome::kCallerGone
@@ -475,7 +486,8 @@
                         outcome == AttemptOutcome::kUnprovenEnd ||
                         outcome == AttemptOutcome::kTimedOut;
   if (!is_known || !attempt.WasSent()) return;
-  this->core.Times().Add(this->active.route->name, Now() - attempt.SentAt());
+  const TimePoint now = Now();
+  this->core.Times().Add(this->active.route->name, now, attempt.Time(now));
 }
 
 void RequestTask::RecordFirstByte(UpstreamAttempt& attempt) {
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -42,6 +42,7 @@
     if (events.empty() && !is_complete) continue;
 
     if (this->events_relayed == 0 && count > 0) handlers.on_first();
+    if (count > 0) attempt.OnEvents(count);
     attempt_events += count;
     if (!is_sound && (is_complete || attempt_events >= kEventsOfSoundPrompt)) {
       is_sound = true;
--- a/gateway/upstream_attempt.cc
+++ b/gateway/upstream_attempt.cc
@@ -61,6 +61,26 @@
   this->Upstream().OnBytesReceived(this->last_progress);
 }
 
+void UpstreamAttempt::OnEvents(int count) {
+  this->last_event_at = Now();
+  if (this->first_event_at) {
+    this->later_events += count;
+  } else {
+    this->first_event_at = this->last_event_at;
+  }
+}
+
+serving::AnswerTime UpstreamAttempt::Time(TimePoint now) const {
+  serving::AnswerTime time = {.total = now - this->sent_at};
+  if (!this->first_event_at) return time;
+  time.first_event = *this->first_event_at - this->sent_at;
+  if (this->later_events > 0) {
+    time.event_interval =
+        (this->last_event_at - *this->first_event_at) / this->later_events;
+  }
+  return time;
+}
+
 void UpstreamAttempt::OnFirstByte() {
   this->EndPending();
   const TimePoint now = Now();
--- a/gateway/upstream_attempt.h
+++ b/gateway/upstream_attempt.h
@@ -30,6 +30,8 @@
   /// after which the upstream resumes a stream.
   void Send(HttpConnection& connection, std::optional<uint64_t> last_event);
   void OnBytesReceived();
+  /// To be called when events of a stream have arrived.
+  void OnEvents(int count);
   /// To be called when the first event of a stream has arrived, or the whole of
   /// another answer. `ratio` of observed and expected time is counted for the
   /// upstream.
@@ -48,6 +50,8 @@
   /// may have reached the upstream.
   bool WasSent() const { return this->was_sent; }
   TimePoint SentAt() const { return this->sent_at; }
+  /// Times of the answer up to now.
+  serving::AnswerTime Time(TimePoint now) const;
 
  private:
   void EndPending();
@@ -63,6 +67,11 @@
   TimePoint sent_at;
   /// When the request was sent or bytes of a stream were last received.
   TimePoint last_progress;
+  /// When the first and the last events of a stream arrived; nullopt: none has.
+  std::optional<TimePoint> first_event_at;
+  TimePoint last_event_at;
+  /// Number of events that arrived after the first ones.
+  int later_events = 0;
 };
 
 }  // namespace fuchsiadrum::gateway
