Bound the read buffers of pages, fuchsiadrumd and fuchsiadrumctl

What was seen (report on bytes without end, with tests): a client of the gateway's readiness or metrics page that sends a chunk-size line or a trailer without end has all of it kept: 4 such clients, 337 MB each in 3 s, process at 1347 MB. fuchsiadrumd keeps the same lines of upstreams and callers.

Cause: Beast's parser limits heads and bodies, but no chunk-size line and no trailer, and a flat_buffer has no limit unless one is given. Only the gateway's connections to callers, upstreams and the store gave one.

Ruled out for those three: 14 kinds of floods from all upstreams, a flooding store, floods of callers, 150 answers and 300 heads just below their bounds at once: 79 MB at most, before and after.

Change: a maximum for each buffer. The rest of a refused request is read for as many bytes as a body may have. An upstream that exceeds a bound has its connection closed at once, a log line that names it and the bound, and a counter.

--- a/ctl/admin_client.cc
+++ b/ctl/admin_client.cc
@@ -16,6 +16,9 @@
 namespace http = boost::beast::http;
 
 constexpr uint64_t kMaxBodyBytes = 256ULL << 20U;
+/// Maximum number of bytes buffered for the parser, which does not limit the
+/// length of a chunk-size line itself.
+constexpr size_t kMaxBufferedBytes = 131072;
 
 asio::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -59,7 +62,7 @@
     // Asynchronous calls, because only they honour the stream's timeout.
     http::response_parser<http::string_body> parser;
     parser.body_limit(kMaxBodyBytes);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxBufferedBytes);
     beast::error_code error;
     stream.expires_after(this->options.timeout);
     stream.async_connect(
--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -16,6 +16,9 @@
 
 constexpr size_t kPieceBytes = 16384;
 constexpr uint32_t kMaxHeaderBytes = 65536;
+/// Maximum number of bytes buffered for the parser: one read, and a head or a
+/// chunk-size line, whose length the parser itself does not limit.
+constexpr size_t kMaxBufferedBytes = size_t{2} * kMaxHeaderBytes;
 
 /// Value of a field that must come once; sets `ambiguous` if it came with two
 /// values.
@@ -37,7 +40,7 @@
 
   Tcp::socket socket;
   asio::steady_timer timer;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::string outgoing;
   char piece[kPieceBytes];
--- a/daemon/http_server_connection.cc
+++ b/daemon/http_server_connection.cc
@@ -14,8 +14,13 @@
 constexpr Duration kKeepAlive = std::chrono::seconds(60);
 // After a refusal, unread input is thrown away for this long, since closing
 // with unread input resets the connection before the answer is read.
+// At most as many bytes as a body may have are read.
 constexpr Duration kLinger = std::chrono::seconds(1);
 constexpr size_t kScratchBytes = 4096;
+/// One read of a body. With the limit of the head it bounds the bytes that are
+/// buffered for the parser, which does not limit the length of a chunk-size
+/// line itself.
+constexpr size_t kReadBytes = 65536;
 
 BadInput BadInputOf(ErrorCode error) {
   if (error == http::error::header_limit) {
@@ -30,8 +35,10 @@
 }  // namespace
 
 struct HttpServerConnection::Io {
-  explicit Io(Tcp::socket accepted)
-      : socket(std::move(accepted)), timer(socket.get_executor()) {}
+  Io(Tcp::socket accepted, size_t max_header_bytes)
+      : socket(std::move(accepted)),
+        timer(socket.get_executor()),
+        buffer(max_header_bytes + kReadBytes) {}
 
   Tcp::socket socket;
   asio::steady_timer timer;
@@ -39,6 +46,7 @@
   std::optional<http::request_parser<http::string_body>> parser;
   std::string outgoing;
   char scratch[kScratchBytes];
+  size_t lingered_bytes = 0;
   uint64_t timer_round = 0;
   bool timed_out = false;
   bool first_request = true;
@@ -50,7 +58,9 @@
 
 HttpServerConnection::HttpServerConnection(Tcp::socket socket,
                                            const HttpLimits& connection_limits)
-    : io(std::make_unique<Io>(std::move(socket))), limits(connection_limits) {
+    : io(std::make_unique<Io>(std::move(socket),
+                              connection_limits.header_bytes)),
+      limits(connection_limits) {
   ErrorCode ignored;
   this->io->socket.set_option(Tcp::no_delay(true), ignored);
 }
@@ -193,8 +203,11 @@
 void HttpServerConnection::Linger() {
   this->io->socket.async_read_some(
       asio::buffer(this->io->scratch),
-      [self = this->shared_from_this()](ErrorCode error, size_t) {
-        if (error || self->io->timed_out) return self->Close();
+      [self = this->shared_from_this()](ErrorCode error, size_t size) {
+        self->io->lingered_bytes += size;
+        const bool is_endless =
+            self->io->lingered_bytes > self->limits.body_bytes;
+        if (error || self->io->timed_out || is_endless) return self->Close();
         self->Linger();
       });
 }
--- a/gateway/answer_reader.cc
+++ b/gateway/answer_reader.cc
@@ -46,7 +46,10 @@
     const bool is_contradictory = connection.HasContradictoryFraming();
     this->is_framing_doubtful = this->is_framing_doubtful || is_contradictory;
     if (serving::IsInterim(this->answer)) {
-      if (++interim > kMaxInterimAnswers) co_return false;
+      if (++interim > kMaxInterimAnswers) {
+        connection.OnLimitExceeded(AnswerLimit::kAnswers);
+        co_return false;
+      }
       if (interim <= kMaxLoggedInterimAnswers) {
         this->log.OnInterimAnswer(this->answer, is_contradictory);
       }
@@ -81,8 +84,10 @@
   BodyReadStatus read_status = BodyReadStatus::kMore;
   while (read_status == BodyReadStatus::kMore) {
     read_status = co_await connection.ReadBody(this->body);
-    if (this->body.size() > kMaxBufferedAnswerBytes ||
-        !this->body_bytes.Resize(this->body.size())) {
+    const bool is_overlong = this->body.size() > kMaxBufferedAnswerBytes;
+    if (is_overlong || !this->body_bytes.Resize(this->body.size())) {
+      connection.OnLimitExceeded(is_overlong ? AnswerLimit::kBody
+                                             : AnswerLimit::kMemory);
       co_return false;
     }
   }
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -214,8 +214,10 @@
   ErrorCode error;
   this->socket.shutdown(Tcp::socket::shutdown_send, error);
   std::vector<char> rest(kLingerReadBytes);
-  while (!error) {
-    co_await this->socket.async_read_some(
+  const size_t max_bytes = this->core.Limits().body_bytes;
+  size_t bytes = 0;
+  while (!error && bytes <= max_bytes) {
+    bytes += co_await this->socket.async_read_some(
         asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
   }
 }
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -68,8 +68,9 @@
   asio::awaitable<void> RefuseUnread(const platform::HttpRequestHead& head,
                                      std::string reason);
   /// Waits until the caller has closed the connection after its last answer, or
-  /// for a short time. Closing with unread bytes, of a further request for
-  /// example, would reset the connection, and the caller might lose the answer.
+  /// for a short time, and for as many bytes as a body may have. Closing with
+  /// unread bytes, of a further request for example, would reset the
+  /// connection, and the caller might lose the answer.
   asio::awaitable<void> Linger();
   void LogBadInput(int status, const std::string& reason);
   void WatchForClose();
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -42,6 +42,10 @@
   ++this->held_back[route];
 }
 
+void GatewayMetrics::CountOversizedAnswer(std::string_view limit) {
+  ++this->oversized_answers[std::string(limit)];
+}
+
 std::string GatewayMetrics::Line(std::string_view name, double value) {
   return std::string(kPrefix) + std::string(name) + " " + Number(value) + "\n";
 }
@@ -72,6 +76,10 @@
     text += Line("held_back_total{route=\"" + route + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [limit, count] : this->oversized_answers) {
+    text += Line("oversized_answers_total{limit=\"" + limit + "\"}",
+                 static_cast<double>(count));
+  }
   constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
   for (const auto& [route, histogram] : this->first_bytes) {
     for (const double quantile : kQuantiles) {
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -31,6 +31,9 @@
   /// Counts a request that is not sent because of a part of its prompt.
   void CountHeldBack(const std::string& route);
 
+  /// Counts an answer of an upstream that has exceeded a bound (AnswerLimit).
+  void CountOversizedAnswer(std::string_view limit);
+
   /// Returns all metrics in Prometheus text format.
   std::string Text() const;
   /// Returns the line of one metric in that format, with the gateway's prefix.
@@ -47,6 +50,8 @@
   std::map<std::string, uint64_t> limited_sends;
   /// Requests that were held back, by route.
   std::map<std::string, uint64_t> held_back;
+  /// Answers that have exceeded a bound, by its name.
+  std::map<std::string, uint64_t, std::less<>> oversized_answers;
   /// Times to first byte by route.
   std::map<std::string, report::LatencyHistogram> first_bytes;
 };
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -127,6 +127,10 @@
 
 void HttpConnection::OnReadError(ErrorCode error) {
   this->last_error = error.message();
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    this->exceeded = AnswerLimit::kHead;
+  }
   this->ended_by_peer = error == http::error::end_of_stream ||
                         error == http::error::partial_message ||
                         error == asio::error::eof ||
@@ -134,6 +138,11 @@
                         error == asio::error::broken_pipe;
 }
 
+void HttpConnection::OnLimitExceeded(AnswerLimit limit) {
+  this->exceeded = limit;
+  this->Close();
+}
+
 serving::AnswerFraming HttpConnection::Framing() const {
   if (this->EndsWithConnection()) return serving::AnswerFraming::kConnection;
   const bool is_chunked = this->parser && this->parser->get().chunked();
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -12,6 +12,7 @@
 
 #include "fuchsiadrum/serving/answer_framing.h"
 #include "fuchsiadrum/serving/link_load.h"
+#include "gateway/answer_limit.h"
 #include "gateway/asio.h"
 #include "gateway/watchdog.h"
 #include "platform/http_fields.h"
@@ -53,6 +54,11 @@
   /// True if the last read failed because the other end closed or reset the
   /// connection.
   bool WasEndedByPeer() const { return this->ended_by_peer; }
+  /// The bound that the current answer has exceeded.
+  AnswerLimit ExceededLimit() const { return this->exceeded; }
+  /// The answer has exceeded a bound of its reader; closes the connection, so
+  /// that the other end sends no more.
+  void OnLimitExceeded(AnswerLimit limit);
   /// What marks the end of the current answer.
   serving::AnswerFraming Framing() const;
   /// True if only the end of the connection ends the current answer.
@@ -100,6 +106,7 @@
   bool sending = false;
   std::string last_error;
   bool ended_by_peer = false;
+  AnswerLimit exceeded = AnswerLimit::kNone;
   uint64_t exchanges = 0;
   std::array<uint64_t, kRememberedRequests> carried{};
 };
--- a/gateway/page_server.cc
+++ b/gateway/page_server.cc
@@ -18,6 +18,9 @@
 /// Time limit for one request and its answer, including the idle time before
 /// the request; the connection is closed after it.
 constexpr Duration kPageIdleTimeout = std::chrono::seconds(15);
+/// Maximum number of bytes buffered for the parser, which does not limit the
+/// length of a chunk-size line itself.
+constexpr size_t kMaxBufferedBytes = 16384;
 
 /// One connection of a client; it serves requests until the client closes it.
 class PageConnection : public Timed {
@@ -25,7 +28,7 @@
   explicit PageConnection(Tcp::socket accepted) : socket(std::move(accepted)) {}
 
   asio::awaitable<void> Run(const PageServer::Handler& handler) {
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(kMaxBufferedBytes);
     ErrorCode error;
     while (!error) {
       this->ExpireAt(Now() + kPageIdleTimeout);
--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -87,6 +87,15 @@
        {"ms", ToMilliseconds(Now() - sent_at)}});
 }
 
+void RequestLog::OnLimitExceeded(AnswerLimit limit) {
+  const std::string_view name = AnswerLimitName(limit);
+  this->core.Metrics().CountOversizedAnswer(name);
+  this->core.Log().Write("upstream-answer-oversized",
+                         {{"id", this->active.request.id},
+                          {"upstream", this->history.LastUpstream()},
+                          {"limit", name}});
+}
+
 void RequestLog::OnUnprovenAnswer(const serving::UpstreamAnswer& answer,
                                   std::string_view reason) {
   this->core.Log().Write("upstream-answer-unproven",
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -308,6 +308,9 @@
   const int relayed_before = this->stream.EventsRelayed();
   this->prompt.OnSend();
   const AttemptOutcome outcome = co_await this->Exchange(attempt, *connection);
+  if (connection->ExceededLimit() != AnswerLimit::kNone) {
+    this->log.OnLimitExceeded(connection->ExceededLimit());
+  }
   if (serving::IsWithoutWholeAnswer(outcome)) {
     const bool has_head = this->reader.HasHead();
     const int events = this->stream.EventsRelayed() - relayed_before;
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -28,7 +28,10 @@
     const BodyReadStatus read_status = co_await connection.ReadBody(bytes);
     if (!bytes.empty()) attempt.OnBytesReceived();
     const int count = splitter.Feed(bytes, events);
-    if (splitter.IsOverlong()) break;
+    if (splitter.IsOverlong()) {
+      connection.OnLimitExceeded(AnswerLimit::kEvent);
+      break;
+    }
     if (splitter.HasGap() || splitter.HasUnnumbered()) {
       this->log.OnUnprovenAnswer(answer, "not the next event of the stream");
       break;
--- /dev/null
+++ b/tests/daemon/endless_input_test.cc
@@ -0,0 +1,91 @@
+#include "tests/daemon/daemon_fixture.h"
+
+namespace fuchsiadrum::daemon {
+namespace {
+
+/// Upstreams and callers that send bytes without end.
+class EndlessInputTest : public DaemonFixture {
+ protected:
+  /// What socket buffers and the daemon take of bytes without end.
+  static constexpr size_t kMaxBytesTaken = 16777216;
+  /// Ends a test whose bytes are all taken.
+  static constexpr size_t kGiveUpBytes = 268435456;
+
+  /// Starts the daemon before an upstream that writes `head`, then `piece`
+  /// until its connection is closed.
+  void StartEndless(const std::string& head, const std::string& piece) {
+    this->Start([this, head, piece](const std::string&, Tcp::socket& socket) {
+      this->written += WriteUntilClosed(socket, head, piece);
+      return false;
+    });
+  }
+  static size_t WriteUntilClosed(Tcp::socket& socket, const std::string& head,
+                                 const std::string& piece) {
+    ErrorCode error;
+    size_t written = asio::write(socket, asio::buffer(head), error);
+    while (!error && written < kGiveUpBytes) {
+      written += asio::write(socket, asio::buffer(piece), error);
+    }
+    return written;
+  }
+  /// Asks for an answer that is not streamed and expects that the upstream's
+  /// connection is closed soon and the caller told so.
+  void ExpectBroken() {
+    const std::string answer = this->Exchange(this->ChatText(false));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer.substr(0, 200);
+    EXPECT_NE(answer.find("X-Outcome: unknown\r\n"), std::string::npos)
+        << answer.substr(0, 400);
+    this->upstream.reset();
+    EXPECT_LT(this->written, kMaxBytesTaken);
+  }
+
+  std::atomic<size_t> written{0};
+};
+
+// The process kept all of a chunk-size line, whose length Beast does not limit.
+TEST_F(EndlessInputTest, ChunkSizeLineOfUpstream_IsABrokenAnswer) {
+  this->StartEndless(StreamHead() + "5;", std::string(65536, 'x'));
+  this->ExpectBroken();
+}
+
+TEST_F(EndlessInputTest, TrailerOfUpstream_IsABrokenAnswer) {
+  this->StartEndless(StreamHead() + "0\r\nX-More: ", std::string(65536, 'x'));
+  this->ExpectBroken();
+}
+
+TEST_F(EndlessInputTest, HeadOfUpstream_IsABrokenAnswer) {
+  this->StartEndless("HTTP/1.1 200 OK\r\nX-More: ", std::string(65536, 'x'));
+  this->ExpectBroken();
+}
+
+TEST_F(EndlessInputTest, BytesThatAreNoAnswer_AreABrokenAnswer) {
+  this->StartEndless("", std::string(65536, 'x'));
+  this->ExpectBroken();
+}
+
+TEST_F(EndlessInputTest, EventOfUpstream_IsABrokenAnswer) {
+  this->StartEndless(StreamHead(), Chunk(std::string(65536, 'x')));
+  this->ExpectBroken();
+}
+
+TEST_F(EndlessInputTest, RefusalOfUpstream_IsABrokenAnswer) {
+  this->StartEndless(ChunkedHead(422, {}, true),
+                     Chunk(std::string(65536, 'x')));
+  this->ExpectBroken();
+}
+
+// The same line in a caller's request.
+TEST_F(EndlessInputTest, ChunkSizeLineOfCaller_EndsItsConnection) {
+  this->StartEndless("", "");
+  RawClient client(this->Port());
+  const size_t taken = WriteUntilClosed(
+      client.Socket(),
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer "
+      "k\r\nContent-Type: application/json\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n5;",
+      std::string(65536, 'x'));
+  EXPECT_LT(taken, kMaxBytesTaken);
+}
+
+}  // namespace
+}  // namespace fuchsiadrum::daemon
--- a/tests/platform/gateway_process.h
+++ b/tests/platform/gateway_process.h
@@ -23,6 +23,8 @@
 struct GatewayProcessOptions {
   std::string store_address;
   double grace_s = 8;
+  /// Memory of the VM in megabytes; 0: unknown.
+  int memory_mb = 0;
 };
 
 /// fuchsiadrum-gateway as a child process with settings of its own. It is
@@ -30,16 +32,19 @@
 class GatewayProcess {
  public:
   explicit GatewayProcess(const GatewayProcessOptions& options)
-      : callers_port(FreePort()), readiness_port(FreePort()) {
+      : callers_port(FreePort()),
+        readiness_port(FreePort()),
+        metrics_port(FreePort()) {
     std::string name =
         (std::filesystem::temp_directory_path() / "gateway-XXXXXX").string();
     this->folder = ::mkdtemp(name.data());
     const std::string settings = this->folder + "/gateway.ini";
     std::ofstream(settings)
-        << "[vm]\nname = vm-1\navailability_zone = a\n"
+        << "[vm]\nname = vm-1\navailability_zone = a\nmemory_mb = "
+        << options.memory_mb << "\n"
         << "[listen]\ncallers = " << Local(this->callers_port)
         << "\nreadiness = " << Local(this->readiness_port)
-        << "\nmetrics = " << Local(FreePort())
+        << "\nmetrics = " << Local(this->metrics_port)
         << "\n[store]\naddress = " << options.store_address
         << "\n[stop]\ngrace_s = " << options.grace_s << "\n";
 
@@ -71,6 +76,19 @@
 
   uint16_t CallersPort() const { return this->callers_port; }
   uint16_t ReadinessPort() const { return this->readiness_port; }
+  uint16_t MetricsPort() const { return this->metrics_port; }
+  /// The most memory that the process has had; 0: not known.
+  size_t PeakMemoryBytes() const {
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    const std::string name = "VmHWM:";
+    std::string line;
+    while (std::getline(status, line)) {
+      if (line.starts_with(name)) {
+        return std::stoul(line.substr(name.size())) * size_t{1024};
+      }
+    }
+    return 0;
+  }
   void Signal(int signal) const {
     if (this->pid > 0) ::kill(this->pid, signal);
   }
@@ -103,6 +121,7 @@
 
   uint16_t callers_port;
   uint16_t readiness_port;
+  uint16_t metrics_port;
   std::string folder;
   pid_t pid = -1;
 };
--- a/tests/platform/scripted_upstream.h
+++ b/tests/platform/scripted_upstream.h
@@ -104,6 +104,7 @@
   const std::string& EarlierId() const { return this->earlier_id; }
   /// Number of the request on its connection; 1: the first.
   int Number() const { return this->number; }
+  Tcp::socket& Socket() { return this->socket; }
   bool IsOpen() const { return this->keep && !this->error; }
 
  private:
