fuchsiadrumd: end an assembled answer that is longer than it may be

Cause: ChatAnswer noted that the content had grown beyond max_body_bytes, and went on appending; parts of tool calls were not counted at all.

Change: the event that makes the answer too long ends the attempt, as it did before at the end of the answer, since such an answer can't be given whole. A log line names the upstream, also for a plain answer and an event that are too long.

--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -69,7 +69,7 @@
   json chunk = ParseBoundedJson(data);
   if (!chunk.is_object()) return Event::kMalformed;
   this->TakeUsage(chunk);
-  if (!this->request.stream) return this->Assemble(chunk);
+  if (!this->request.stream) return this->Assemble(chunk, data.size());
 
   // The usage that this daemon asked for is not what the caller asked for.
   if (!this->request.include_usage) {
@@ -96,7 +96,7 @@
   return Event::kToken;
 }
 
-ChatAnswer::Event ChatAnswer::Assemble(const json& chunk) {
+ChatAnswer::Event ChatAnswer::Assemble(const json& chunk, size_t chunk_bytes) {
   if (this->first_chunk.is_null()) this->first_chunk = chunk;
   const json& choice = ChoiceOf(chunk);
   if (choice.is_null()) return Event::kOther;
@@ -110,6 +110,8 @@
   if (delta->contains("tool_calls")) {
     // Parts of tool calls come as they are; callers that need them whole use
     // a stream.
+    this->tool_call_bytes += chunk_bytes;
+    if (this->AssembledBytes() > this->keep_bytes) return Event::kOverlong;
     if (this->tool_calls.is_null()) this->tool_calls = json::array();
     for (const json& call : (*delta)["tool_calls"]) {
       this->tool_calls.push_back(call);
@@ -117,7 +119,7 @@
   }
   if (!HasText(*delta, "content")) return Event::kOther;
   this->content += (*delta)["content"].get_ref<const std::string&>();
-  if (this->content.size() > this->keep_bytes) this->overflow = true;
+  if (this->AssembledBytes() > this->keep_bytes) return Event::kOverlong;
   this->streamed += Tokens(1);
   return Event::kToken;
 }
--- a/daemon/chat_answer.h
+++ b/daemon/chat_answer.h
@@ -17,7 +17,14 @@
   /// `keep` bounds the bytes of the whole answer; with 0 a stream is not kept.
   ChatAnswer(const CallerRequest& caller_request, size_t max_kept);
 
-  enum class Event { kToken, kOther, kDone, kMalformed, kError };
+  enum class Event {
+    kToken,
+    kOther,
+    kDone,
+    kMalformed,
+    kError,
+    kOverlong,  // the assembled answer is longer than it may be
+  };
 
   /// Takes the data of one event. The bytes that a streaming caller has to get
   /// are appended to `relay`.
@@ -32,9 +39,12 @@
 
  private:
   Event Relay(std::string_view data, std::string& relay);
-  Event Assemble(const nlohmann::json& chunk);
+  Event Assemble(const nlohmann::json& chunk, size_t chunk_bytes);
   void TakeUsage(const nlohmann::json& chunk);
   void Keep(std::string_view bytes);
+  size_t AssembledBytes() const {
+    return this->content.size() + this->tool_call_bytes;
+  }
 
   const CallerRequest& request;
   size_t keep_bytes;
@@ -47,6 +57,8 @@
   nlohmann::json usage;
   nlohmann::json finish_reason;
   nlohmann::json tool_calls;
+  /// Size of the events that brought tool calls.
+  size_t tool_call_bytes = 0;
   std::string role = "assistant";
   std::string content;
 };
--- a/daemon/chat_attempt.cc
+++ b/daemon/chat_attempt.cc
@@ -20,6 +20,23 @@
   return keep ? limits.max_answer_bytes : 0;
 }
 
+/// Why the answer cannot go on after the event; empty if it can.
+std::string_view FaultOf(ChatAnswer::Event event) {
+  switch (event) {
+    case ChatAnswer::Event::kMalformed:
+      return "is malformed";
+    case ChatAnswer::Event::kError:
+      return "reports an error";
+    case ChatAnswer::Event::kOverlong:
+      return "is longer than an answer may be";
+    case ChatAnswer::Event::kToken:
+    case ChatAnswer::Event::kOther:
+    case ChatAnswer::Event::kDone:
+      return {};
+  }
+  return {};
+}
+
 }  // namespace
 
 ChatAttempt::ChatAttempt(DispatchOrder dispatch,
@@ -91,20 +108,14 @@
                                         : this->answer.OnData(data, relay);
     if (event == ChatAnswer::Event::kToken) this->OnFirstByte();
     this->done = event == ChatAnswer::Event::kDone;
-    this->failed = event == ChatAnswer::Event::kMalformed ||
-                   event == ChatAnswer::Event::kError;
-    if (this->failed) {
-      LogLine("warning",
-              "upstream: stream of request " +
-                  this->order.request->start.request_id + " from " +
-                  this->order.action.address +
-                  (event == ChatAnswer::Event::kError ? " reports an error"
-                                                      : " is malformed"));
-    }
+    const std::string_view fault = FaultOf(event);
+    this->failed = !fault.empty();
+    if (this->failed) this->LogFault(fault);
   });
   this->result.streamed = this->answer.Streamed();
 
   const bool go_on = this->Deliver(relay);
+  if (!fits) this->LogFault("has an event that is longer than it may be");
   if (this->failed || !fits) return this->End(AttemptEventKind::kBroken);
   if (this->done) return this->Complete(last);
   // The end of the connection is not the end mark.
--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -86,6 +86,12 @@
   this->End(AttemptEventKind::kBroken);
 }
 
+void UpstreamAttempt::LogFault(std::string_view fault) const {
+  LogLine("warning",
+          "upstream: answer of " + this->order.action.address + " to request " +
+              this->order.request->start.request_id + " " + std::string(fault));
+}
+
 void UpstreamAttempt::ReadWhole() {
   const Duration timeout = this->first_byte ? this->limits.idle_timeout
                                             : this->limits.first_byte_timeout;
@@ -96,6 +102,7 @@
         if (!piece.empty()) self->OnFirstByte();
         self->body.append(piece);
         if (self->body.size() > self->limits.max_answer_bytes) {
+          self->LogFault("is longer than an answer may be");
           return self->End(AttemptEventKind::kBroken);
         }
         if (!last) return self->ReadWhole();
--- a/daemon/upstream_attempt.h
+++ b/daemon/upstream_attempt.h
@@ -56,6 +56,8 @@
   node::AttemptEvent Event(node::AttemptEventKind kind) const;
   /// kSilent for a timeout, otherwise kBroken.
   static node::AttemptEventKind KindOf(ErrorCode error);
+  /// Logs what is wrong with the answer of this upstream.
+  void LogFault(std::string_view fault) const;
   /// Headers of each request.
   HttpHeaders CommonHeaders() const;
   /// Marks the first byte of the body.
--- a/tests/daemon/endless_input_test.cc
+++ b/tests/daemon/endless_input_test.cc
@@ -74,6 +74,20 @@
   this->ExpectBroken();
 }
 
+// An answer that is assembled from its events was kept whole, however long.
+TEST_F(EndlessInputTest, TokensOfAnswerThatIsAssembled_AreABrokenAnswer) {
+  this->StartEndless(StreamHead(), TokenEvent(std::string(1000, 'x')));
+  this->ExpectBroken();
+}
+
+TEST_F(EndlessInputTest, ToolCallsOfAnswerThatIsAssembled_AreABrokenAnswer) {
+  this->StartEndless(
+      StreamHead(),
+      Event(R"({"id":"c","choices":[{"index":0,"delta":{"tool_calls":[")" +
+            std::string(1000, 'x') + R"("]}}]})"));
+  this->ExpectBroken();
+}
+
 // The same line in a caller's request.
 TEST_F(EndlessInputTest, ChunkSizeLineOfCaller_EndsItsConnection) {
   this->StartEndless("", "");
