fuchsiadrumd: one bound for all answers that are being read

What was seen (report on bytes without end, by reading, with a test): each answer that is held whole has a bound, max_body_bytes, and their sum has none: 1,024 requests of 4 MB are 4 GB.

Cause: the bound was given to each attempt; answer_memory_bytes was applied to stored answers only.

Change: the attempts share a ByteBudget of answer_memory_bytes. An answer that does not fit is ended, with a log line that names its upstream.

--- a/daemon/chat_answer.h
+++ b/daemon/chat_answer.h
@@ -32,6 +32,10 @@
 
   /// Tokens that the upstream reported; nullopt: none reported.
   std::optional<Tokens> Used() const { return this->used; }
+  /// Bytes that are held for the whole answer.
+  size_t HeldBytes() const {
+    return this->AssembledBytes() + this->kept_stream.size();
+  }
   /// Events with content.
   Tokens Streamed() const { return this->streamed; }
   /// After kDone: the whole answer; nullopt if it was not kept or too long.
--- a/daemon/chat_attempt.cc
+++ b/daemon/chat_attempt.cc
@@ -41,8 +41,10 @@
 
 ChatAttempt::ChatAttempt(DispatchOrder dispatch,
                          const AttemptLimits& attempt_limits,
+                         std::shared_ptr<ByteBudget> answer_memory,
                          ConnectionPool& connection_pool, OnEvent event_handler)
-    : UpstreamAttempt(std::move(dispatch), attempt_limits, connection_pool,
+    : UpstreamAttempt(std::move(dispatch), attempt_limits,
+                      std::move(answer_memory), connection_pool,
                       std::move(event_handler)),
       answer(*this->order.request, KeepBytes(this->order, this->limits)),
       parser(kMaxEventBytes) {}
@@ -115,6 +117,7 @@
   this->result.streamed = this->answer.Streamed();
 
   const bool go_on = this->Deliver(relay);
+  if (!this->failed) this->failed = !this->HoldAnswer(this->answer.HeldBytes());
   if (!fits) this->LogFault("has an event that is longer than it may be");
   if (this->failed || !fits) return this->End(AttemptEventKind::kBroken);
   if (this->done) return this->Complete(last);
--- a/daemon/chat_attempt.h
+++ b/daemon/chat_attempt.h
@@ -10,6 +10,7 @@
 class ChatAttempt : public UpstreamAttempt {
  public:
   ChatAttempt(DispatchOrder dispatch, const AttemptLimits& attempt_limits,
+              std::shared_ptr<ByteBudget> answer_memory,
               ConnectionPool& connection_pool, OnEvent event_handler);
 
  protected:
--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -11,11 +11,14 @@
 
 UpstreamAttempt::UpstreamAttempt(DispatchOrder dispatch,
                                  const AttemptLimits& attempt_limits,
+                                 std::shared_ptr<ByteBudget> answer_memory,
                                  ConnectionPool& connection_pool,
                                  OnEvent event_handler)
     : order(std::move(dispatch)),
       limits(attempt_limits),
       pool(connection_pool),
+      memory(std::move(answer_memory)),
+      answer_bytes(*this->memory),
       on_event(std::move(event_handler)) {}
 
 void UpstreamAttempt::Start() {
@@ -92,6 +95,17 @@
               this->order.request->start.request_id + " " + std::string(fault));
 }
 
+bool UpstreamAttempt::HoldAnswer(size_t bytes) {
+  if (bytes > this->limits.max_answer_bytes) {
+    this->LogFault("is longer than " +
+                   std::to_string(this->limits.max_answer_bytes) + " bytes");
+    return false;
+  }
+  if (this->answer_bytes.Resize(bytes)) return true;
+  this->LogFault("does not fit into the memory for all answers");
+  return false;
+}
+
 void UpstreamAttempt::ReadWhole() {
   const Duration timeout = this->first_byte ? this->limits.idle_timeout
                                             : this->limits.first_byte_timeout;
@@ -101,8 +115,7 @@
         if (error) return self->End(KindOf(error));
         if (!piece.empty()) self->OnFirstByte();
         self->body.append(piece);
-        if (self->body.size() > self->limits.max_answer_bytes) {
-          self->LogFault("is longer than an answer may be");
+        if (!self->HoldAnswer(self->body.size())) {
           return self->End(AttemptEventKind::kBroken);
         }
         if (!last) return self->ReadWhole();
--- a/daemon/upstream_attempt.h
+++ b/daemon/upstream_attempt.h
@@ -8,6 +8,7 @@
 #include "daemon/http_call.h"
 #include "daemon/http_message.h"
 #include "daemon/messages.h"
+#include "fuchsiadrum/core/byte_budget.h"
 #include "fuchsiadrum/upstream/exchange_proof.h"
 
 namespace fuchsiadrum::daemon {
@@ -27,7 +28,9 @@
   /// Called for kFirstToken and once for the end.
   using OnEvent = std::function<void(node::AttemptEvent)>;
 
+  /// `answer_memory`: for the answers of all attempts that are held whole.
   UpstreamAttempt(DispatchOrder dispatch, const AttemptLimits& attempt_limits,
+                  std::shared_ptr<ByteBudget> answer_memory,
                   ConnectionPool& connection_pool, OnEvent event_handler);
   virtual ~UpstreamAttempt() = default;
   UpstreamAttempt(const UpstreamAttempt&) = delete;
@@ -49,6 +52,9 @@
 
   /// Reads the whole body, then calls OnBody.
   void ReadWhole();
+  /// Counts the answer as far as it is held. False, with a log line: it is
+  /// longer than an answer may be, or than the memory for all answers allows.
+  bool HoldAnswer(size_t bytes);
   virtual void OnBody() {}
   /// Tells the control thread and ends the attempt.
   void End(node::AttemptEventKind kind);
@@ -73,6 +79,9 @@
   HttpHead head;
   upstream::AnswerOrigin origin = upstream::AnswerOrigin::kUnknown;
   std::string body;
+  /// Shared, since an attempt may end after the client of the upstreams.
+  std::shared_ptr<ByteBudget> memory;
+  ByteHold answer_bytes;
   bool first_byte = false;
   /// Filled by the subclass before End.
   node::AttemptEvent result;
--- a/daemon/upstream_client.cc
+++ b/daemon/upstream_client.cc
@@ -17,11 +17,12 @@
 }  // namespace
 
 UpstreamClient::UpstreamClient(const pb::UpstreamSettings& settings,
-                               size_t max_answer_bytes,
+                               const AnswerBounds& bounds,
                                asio::io_context& io_context,
                                Ring<ToUpstream>& from_control,
                                Ring<FromUpstream>& to_control)
-    : context(io_context),
+    : answer_memory(std::make_shared<ByteBudget>(bounds.max_total_bytes)),
+      context(io_context),
       orders(from_control),
       sender(to_control, io_context),
       pool(io_context, settings.pool_size()),
@@ -32,7 +33,7 @@
       .first_byte_timeout =
           std::chrono::milliseconds(settings.first_byte_timeout_ms()),
       .idle_timeout = std::chrono::milliseconds(settings.idle_timeout_ms()),
-      .max_answer_bytes = max_answer_bytes};
+      .max_answer_bytes = bounds.max_bytes};
   this->poll_limits = {.connect_timeout = this->limits.connect_timeout,
                        .head_timeout = this->limits.idle_timeout,
                        .idle_timeout = this->limits.idle_timeout,
@@ -81,10 +82,12 @@
   std::shared_ptr<UpstreamAttempt> attempt;
   if (chat) {
     attempt = std::make_shared<ChatAttempt>(std::move(order), this->limits,
-                                            this->pool, on_event);
+                                            this->answer_memory, this->pool,
+                                            on_event);
   } else {
     attempt = std::make_shared<ServiceAttempt>(std::move(order), this->limits,
-                                               this->pool, on_event);
+                                               this->answer_memory, this->pool,
+                                               on_event);
   }
   this->attempts[key] = attempt;
   attempt->Start();
--- a/daemon/upstream_client.h
+++ b/daemon/upstream_client.h
@@ -12,12 +12,21 @@
 
 namespace fuchsiadrum::daemon {
 
+/// Bounds of the answers that are held in memory.
+struct AnswerBounds {
+  /// Bytes of one answer.
+  size_t max_bytes = 4U << 20U;
+  /// Bytes of all answers that are being read; 0: not limited.
+  size_t max_total_bytes = 0;
+};
+
 /// Runs the attempts at the upstreams and polls their load, in the upstream
 /// thread.
 class UpstreamClient {
  public:
-  UpstreamClient(const pb::UpstreamSettings& settings, size_t max_answer_bytes,
-                 asio::io_context& io_context, Ring<ToUpstream>& from_control,
+  UpstreamClient(const pb::UpstreamSettings& settings,
+                 const AnswerBounds& bounds, asio::io_context& io_context,
+                 Ring<ToUpstream>& from_control,
                  Ring<FromUpstream>& to_control);
 
  private:
@@ -36,6 +45,7 @@
   void Send(FromUpstream item);
 
   AttemptLimits limits;
+  std::shared_ptr<ByteBudget> answer_memory;
   HttpCallLimits poll_limits;
   asio::io_context& context;
   Ring<ToUpstream>& orders;
--- a/tests/daemon/endless_input_test.cc
+++ b/tests/daemon/endless_input_test.cc
@@ -1,3 +1,5 @@
+#include <condition_variable>
+
 #include "tests/daemon/daemon_fixture.h"
 
 namespace fuchsiadrum::daemon {
@@ -88,6 +90,41 @@
   this->ExpectBroken();
 }
 
+// Answers below their bound added up to any size.
+TEST_F(EndlessInputTest, AnswersTogetherBeyondTheirMemory_AreBroken) {
+  this->settings.mutable_request()->set_answer_memory_bytes(100000);
+  std::mutex mutex;
+  std::condition_variable arrived;
+  int waiting = 0;
+  this->Start([&](const std::string&, Tcp::socket& socket) {
+    // Each answer is held but for its last byte until both have arrived, or
+    // until this connection is closed.
+    const std::string head = "HTTP/1.1 422 No\r\nContent-Length: 60000\r\n\r\n";
+    Put(socket, head + std::string(59999, 'x'));
+    std::unique_lock lock(mutex);
+    ++waiting;
+    arrived.notify_all();
+    arrived.wait_for(lock, std::chrono::seconds(5),
+                     [&] { return waiting % 2 == 0; });
+    lock.unlock();
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return Put(socket, "x");
+  });
+  for (int round = 0; round < 2; ++round) {
+    std::string answers[2];
+    std::thread other(
+        [&] { answers[1] = this->Exchange(this->ChatText(false)); });
+    answers[0] = this->Exchange(this->ChatText(false));
+    other.join();
+    int whole = 0;
+    for (const std::string& answer : answers) {
+      if (answer.starts_with("HTTP/1.1 422 ")) ++whole;
+    }
+    // The memory is given back with the answers.
+    EXPECT_EQ(whole, 1) << "round " << round;
+  }
+}
+
 // The same line in a caller's request.
 TEST_F(EndlessInputTest, ChunkSizeLineOfCaller_EndsItsConnection) {
   this->StartEndless("", "");
