Soak: streams of some seconds on kept connections across stops

Four further callers ask for streams of a route without a deadline: one in five lasts for up to 4 s at the pace of an engine, and half of the requests limit their tokens.

Also: a comment of the stop decision, and a linter's finding in FloodTest.

--- a/fuchsiadrum/serving/stop_schedule.cc
+++ b/fuchsiadrum/serving/stop_schedule.cc
@@ -47,8 +47,8 @@
                                      const StopRequest& request) const {
   std::optional<Duration> longest = request.longest_of_events;
   if (!request.limits_events) {
-    // Only on a connection that was kept can a request begin so late. It gets
-    // its refusal at once, and another VM serves it.
+    // A request that begins so late came on a kept connection or on one of the
+    // last that were accepted. Nothing bounds it, and another VM can serve it.
     if (request.begun_at >= this->AcceptEnd()) return false;
     longest = std::max(request.longest_answer, request.longest_in_period);
   }
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -16,6 +16,7 @@
 
 /// Time after which a caller gives a request up, from its first byte.
 constexpr Duration kPatience = std::chrono::milliseconds(6000);
+constexpr Duration kLongPatience = std::chrono::milliseconds(12000);
 constexpr double kLeaveChance = 0.08;
 constexpr size_t kBodyParts = 8;
 
@@ -64,6 +65,7 @@
   constexpr uint64_t kSmallBytes = 2000;
   constexpr uint64_t kLargeBytes = 600000;
   Plan plan;
+  if (this->options.asks_long) return {.route = SoakRoute::kLong};
   // Requests that may run once only are drawn most often.
   const uint64_t drawn = this->rng.Below(10);
   plan.route = drawn < 4   ? SoakRoute::kOnce
@@ -97,7 +99,9 @@
               std::to_string(plan.body_bytes) +
               (plan.in_chunks ? " bytes in chunks" : " bytes") +
               ", pauses of " + std::to_string(plan.pause_ms) + " ms");
-  const TimePoint deadline = result.begun + kPatience;
+  const bool is_long = TraitsOf(plan.route).is_long;
+  const TimePoint deadline =
+      result.begun + (is_long ? kLongPatience : kPatience);
   if (this->Send(plan, id, deadline)) result.sent = gateway::Now();
   // An answer may have come although not all was sent.
   this->Receive(deadline, result);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -18,6 +18,8 @@
   uint64_t seed = 1;
   /// Port of each gateway.
   std::vector<uint16_t> ports;
+  /// True: it asks for streams of the long route only, else for none.
+  bool asks_long = false;
 };
 
 /// Sends one request after the other. It keeps a connection until the gateway
--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -99,8 +99,9 @@
 }
 
 void FaultyUpstream::ServeOpen(Exchange& exchange) {
-  const bool is_stream = TraitsOf(RouteOf(exchange)).is_stream;
-  if (is_stream && HasBadPart(exchange.Id()) && !this->calm) {
+  const RouteTraits& traits = TraitsOf(RouteOf(exchange));
+  const bool has_prompt = traits.is_stream && !traits.is_long;
+  if (has_prompt && HasBadPart(exchange.Id()) && !this->calm) {
     return this->EndWith(exchange);
   }
   Rng rng(Hash64(exchange.Id() + this->options.name, this->options.seed));
@@ -163,7 +164,11 @@
       exchange.Close();
       break;
     default:
-      exchange.Write(this->MakeAnswer(exchange, rng));
+      if (TraitsOf(RouteOf(exchange)).is_long) {
+        this->WriteInTime(exchange);
+      } else {
+        exchange.Write(this->MakeAnswer(exchange, rng));
+      }
   }
   this->seen.AddRunEnd(exchange.Id());
   if (fault == UpstreamFault::kExtraRefusal) {
@@ -319,6 +324,23 @@
                  "Content-Length: 4\r\n\r\noops");
 }
 
+void FaultyUpstream::WriteInTime(Exchange& exchange) {
+  constexpr int64_t kEventMs = 25;
+  exchange.Write(EncodeAnswerHead("200 OK", exchange.Id(),
+                                  this->MakeSignature(exchange, 200)) +
+                 "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n");
+  std::string events = AnswerBody(RouteOf(exchange), exchange.Id());
+  while (!events.empty() && !this->is_ending) {
+    Work(kEventMs);
+    const size_t size = events.find("\n\n") + 2;
+    exchange.Write(EncodeChunk(std::string_view(events).substr(0, size)));
+    events.erase(0, size);
+  }
+  if (!events.empty()) return exchange.AwaitClose();
+  exchange.Write(EncodeChunk(""));
+}
+
 std::string FaultyUpstream::MakeUnframedAnswer(const Exchange& exchange) {
   const SoakRoute route = RouteOf(exchange);
   const std::string last = Field(exchange, kFieldLastEvent);
--- a/soak/faulty_upstream.h
+++ b/soak/faulty_upstream.h
@@ -57,6 +57,8 @@
                    Rng& rng);
   void Run(UpstreamFault fault, Exchange& exchange);
   std::string MakeSignature(const Exchange& exchange, unsigned int status);
+  /// Writes a sound stream at the pace of an engine; cut if the upstream ends.
+  void WriteInTime(Exchange& exchange);
   void WriteOwnFailure(Exchange& exchange, bool is_signed, Rng& rng);
   /// The whole answer of a run, framed by a length or in chunks.
   std::string MakeAnswer(const Exchange& exchange, Rng& rng);
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -53,6 +53,9 @@
   app.add_option("--gateways", options.gateways)->check(CLI::Range(1, 50));
   app.add_option("--upstreams", options.upstreams)->check(CLI::Range(1, 50));
   app.add_option("--callers", options.callers)->check(CLI::Range(1, 200));
+  app.add_option("--long-callers", options.long_callers,
+                 "callers that ask for streams of some seconds")
+      ->check(CLI::Range(0, 200));
   app.add_flag("--json", as_json, "one JSON object for each seed");
   app.add_option("--known", known,
                  "RULE:cause of violations that are printed but do not fail");
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -70,12 +70,16 @@
   for (const auto& process : this->gateways) {
     ports.push_back(process->CallersPort());
   }
-  for (int i = 1; i <= this->options.callers; ++i) {
-    const std::string name =
-        "s" + std::to_string(this->options.seed) + "-c" + std::to_string(i);
-    this->callers.emplace_back([this, name, ports] {
-      const CallerOptions caller_options = {
-          .name = name, .seed = Hash64(name), .ports = ports};
+  const int count = this->options.callers + this->options.long_callers;
+  for (int i = 1; i <= count; ++i) {
+    const bool asks_long = i > this->options.callers;
+    const std::string name = "s" + std::to_string(this->options.seed) +
+                             (asks_long ? "-l" : "-c") + std::to_string(i);
+    this->callers.emplace_back([this, name, ports, asks_long] {
+      const CallerOptions caller_options = {.name = name,
+                                            .seed = Hash64(name),
+                                            .ports = ports,
+                                            .asks_long = asks_long};
       Caller(caller_options, this->seen).Run(this->stopping);
     });
   }
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -24,6 +24,8 @@
   int gateways = 3;
   int upstreams = 4;
   int callers = 12;
+  /// Callers that ask for streams of some seconds.
+  int long_callers = 4;
 };
 
 /// Runs gateways, upstreams and callers with the faults of one seed, and judges
--- a/soak/wire.cc
+++ b/soak/wire.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view kHost = "choir.example";
 constexpr std::string_view kService = "engine";
 constexpr int kTimeoutMs = 1000;
+constexpr int kLongTimeoutMs = 20000;
 /// Time that callers are prepared to wait, in milliseconds.
 constexpr int kCallerTimeoutMs = 900;
 
@@ -26,7 +27,12 @@
     RouteTraits{.name = "ask",
                 .kind = "streaming",
                 .max_attempts = 1,
-                .is_stream = true}};
+                .is_stream = true},
+    RouteTraits{.name = "letter",
+                .kind = "streaming",
+                .max_attempts = 1,
+                .is_stream = true,
+                .is_long = true}};
 
 std::string Field(std::string_view name, std::string_view value) {
   return std::string(name) + ": " + std::string(value) + "\r\n";
@@ -63,14 +69,17 @@
 std::string EncodeConfig() {
   nlohmann::json routes = nlohmann::json::array();
   for (const RouteTraits& route : kRoutes) {
-    routes.push_back({{"name", route.name},
-                      {"host", kHost},
-                      {"path_prefix", "/" + std::string(route.name) + "/"},
-                      {"kind", route.kind},
-                      {"timeout_ms", kTimeoutMs},
-                      {"service", kService},
-                      {"max_attempts", route.max_attempts},
-                      {"resumable", route.is_resumable}});
+    routes.push_back(
+        {{"name", route.name},
+         {"host", kHost},
+         {"path_prefix", "/" + std::string(route.name) + "/"},
+         {"kind", route.kind},
+         {"timeout_ms", route.is_long ? kLongTimeoutMs : kTimeoutMs},
+         // Budgets are closed before the end of a stop.
+         {"anonymous", route.is_long},
+         {"service", kService},
+         {"max_attempts", route.max_attempts},
+         {"resumable", route.is_resumable}});
   }
   constexpr int64_t kPrepaid = 1000000000;
   return nlohmann::json{
@@ -96,9 +105,14 @@
 std::string EncodeRequestHead(SoakRoute route, const std::string& id) {
   const RouteTraits& traits = TraitsOf(route);
   std::string head = "POST /" + std::string(traits.name) + "/x HTTP/1.1\r\n" +
-                     Field("Host", kHost) + Field(kFieldId, id) +
-                     Field("Key", "k1") +
-                     Field("Deadline-Ms", std::to_string(kCallerTimeoutMs));
+                     Field("Host", kHost) + Field(kFieldId, id);
+  if (traits.is_long) {
+    // Half of the requests say how long their answer may get.
+    const bool states_tokens = Hash64(id + "/tokens") % 2 == 0;
+    return states_tokens ? head + Field("Token-Counts", "100,200") : head;
+  }
+  head += Field("Key", "k1") +
+          Field("Deadline-Ms", std::to_string(kCallerTimeoutMs));
   if (traits.is_stream) {
     head += Field("Token-Counts", "100,50") +
             Field("Prompt-Prefix", EncodeParts(route, id));
@@ -139,7 +153,9 @@
     return body;
   }
   constexpr uint64_t kMaxEvents = 8;
-  for (uint64_t i = last_event + 1; i <= 1 + hash % kMaxEvents; ++i) {
+  uint64_t events = 1 + hash % kMaxEvents;
+  if (TraitsOf(route).is_long && Hash64(id + "/long") % 5 == 0) events *= 20;
+  for (uint64_t i = last_event + 1; i <= events; ++i) {
     body += "id: " + std::to_string(i) + "\ndata: " + id + "\n\n";
   }
   return body;
--- a/soak/wire.h
+++ b/soak/wire.h
@@ -7,8 +7,8 @@
 namespace fuchsiadrum::soak {
 
 /// Routes of the soak's configuration.
-enum class SoakRoute { kUnsafe, kSafe, kResumable, kOnce };
-constexpr int kRouteCount = 4;
+enum class SoakRoute { kUnsafe, kSafe, kResumable, kOnce, kLong };
+constexpr int kRouteCount = 5;
 
 /// What the configuration says about a route.
 struct RouteTraits {
@@ -17,6 +17,8 @@
   int max_attempts = 1;
   bool is_stream = false;
   bool is_resumable = false;
+  /// Some of its streams last for seconds, and no deadline ends them.
+  bool is_long = false;
 
   bool IsIdempotent() const {
     return this->kind == "safe" || this->is_resumable;
--- a/tests/platform/flood_test.cc
+++ b/tests/platform/flood_test.cc
@@ -173,6 +173,7 @@
   /// connection that ended without a whole answer.
   void MakeRequests(int threads, int each) {
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<size_t>(threads));
     for (int i = 0; i < threads; ++i) {
       callers.emplace_back([this, i, each] {
         static const std::array<std::string, 3> kKinds = {"safe", "unsafe",
