--- a/soak/soak_report.cc
+++ b/soak/soak_report.cc
@@ -110,7 +110,8 @@
       << this->options.gateway_program << " --seed " << this->options.seed
       << " --seconds " << this->options.seconds << " --gateways "
       << this->options.gateways << " --upstreams " << this->options.upstreams
-      << " --callers " << this->options.callers << "\n";
+      << " --callers " << this->options.callers << " --long-callers "
+      << this->options.long_callers << "\n";
 }
 
 }  // namespace fuchsiadrum::soak
