fuchsiadrumd: a stream goes on when it can't be kept for a repeat

What callers would have seen since (found when reading the change again): with answer_memory_bytes used up, a sound streamed answer that is kept for a repeat was cut.

Cause: HoldAnswer ended the attempt for what is held, and a kept stream is held.

Change: such a stream is no longer kept, as one that is longer than an answer may be, and is relayed to its end.

Test: EndlessInputTest.StreamBeyondTheMemoryForAnswers_IsServed: failed on, now passes; all 70 tests of fuchsiadrumd pass (one listed one passed over).

--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -140,11 +140,15 @@
   this->used = Tokens(total);
 }
 
+void ChatAnswer::StopKeeping() {
+  this->overflow = true;
+  this->kept_stream = std::string();
+}
+
 void ChatAnswer::Keep(std::string_view bytes) {
   if (!this->request.stream || this->keep_bytes == 0) return;
   if (this->kept_stream.size() + bytes.size() > this->keep_bytes) {
-    this->overflow = true;
-    this->kept_stream = std::string();
+    this->StopKeeping();
   }
   if (!this->overflow) this->kept_stream.append(bytes);
 }
--- a/daemon/chat_answer.h
+++ b/daemon/chat_answer.h
@@ -30,6 +30,9 @@
   /// are appended to `relay`.
   Event OnData(std::string_view data, std::string& relay);
 
+  /// Drops what is kept of a stream; Whole then returns nullopt.
+  void StopKeeping();
+
   /// Tokens that the upstream reported; nullopt: none reported.
   std::optional<Tokens> Used() const { return this->used; }
   /// Bytes that are held for the whole answer.
--- a/daemon/chat_attempt.cc
+++ b/daemon/chat_attempt.cc
@@ -117,7 +117,7 @@
   this->result.streamed = this->answer.Streamed();
 
   const bool go_on = this->Deliver(relay);
-  if (!this->failed) this->failed = !this->HoldAnswer(this->answer.HeldBytes());
+  if (!this->failed) this->failed = !this->HoldPiece();
   if (!fits) this->LogFault("has an event that is longer than it may be");
   if (this->failed || !fits) return this->End(AttemptEventKind::kBroken);
   if (this->done) return this->Complete(last);
@@ -126,6 +126,17 @@
   if (go_on) this->ReadStream();
 }
 
+bool ChatAttempt::HoldPiece() {
+  if (!this->order.request->stream) {
+    return this->HoldAnswer(this->answer.HeldBytes());
+  }
+  if (!this->answer_bytes.Resize(this->answer.HeldBytes())) {
+    this->answer.StopKeeping();
+    this->answer_bytes.Resize(0);
+  }
+  return true;
+}
+
 bool ChatAttempt::Deliver(const std::string& relay) {
   if (relay.empty()) return true;
   AnswerPipe& pipe = this->order.request->pipe;
--- a/daemon/chat_attempt.h
+++ b/daemon/chat_attempt.h
@@ -25,6 +25,9 @@
   void Complete(bool last);
   void ReadRest();
   bool Deliver(const std::string& relay);
+  /// Counts what is held of the answer. False: it cannot be held whole. A
+  /// streamed answer goes on, but is no longer kept for a repeat.
+  bool HoldPiece();
 
   ChatAnswer answer;
   SseParser parser;
--- a/tests/daemon/endless_input_test.cc
+++ b/tests/daemon/endless_input_test.cc
@@ -125,6 +125,24 @@
   }
 }
 
+// A stream that can't be kept for a repeat must still reach its caller.
+TEST_F(EndlessInputTest, StreamBeyondTheMemoryForAnswers_IsServed) {
+  this->settings.mutable_request()->set_answer_memory_bytes(1000);
+  this->core->keep_answer = true;
+  this->Start([](const std::string&, Tcp::socket& socket) {
+    bool is_open = Put(socket, StreamHead());
+    for (int i = 0; i < 10 && is_open; ++i) {
+      is_open = Put(socket, TokenEvent(std::string(500, 'x')));
+    }
+    return is_open && Put(socket, UsageEvent() + EndOfStream());
+  });
+  const std::string answer = this->Exchange(this->ChatText(true));
+  EXPECT_TRUE(answer.ends_with("0\r\nX-Outcome: complete\r\n\r\n"));
+  node::AttemptEvent event;
+  ASSERT_TRUE(this->core->WaitFor(node::AttemptEventKind::kCompleted, &event));
+  EXPECT_FALSE(event.answer);
+}
+
 // The same line in a caller's request.
 TEST_F(EndlessInputTest, ChunkSizeLineOfCaller_EndsItsConnection) {
   this->StartEndless("", "");
