Platform tests: one copy of routes, entries, chunks and the wait for readiness

PlatformFixture has them now (PutRoutes, RouteOfKind, PutEntry, Chunk, WaitReady, IsReady, Get), and PutUpstream, StreamReviewTest and OneRunStreamFixture use them as well. FloodTest writes until closed in one place. LateStreamTest: Run hid a function of its fixture, and Seconds was no time.

Assertions, bounds and requests are as they were.

--- a/tests/platform/crashing_part_test.cc
+++ b/tests/platform/crashing_part_test.cc
@@ -118,9 +118,7 @@
     const std::string last = exchange.Field("Last-Event-Id");
     for (int i = last.empty() ? 1 : std::stoi(last) + 1; i <= kEvents; ++i) {
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
-      std::ostringstream chunk;
-      chunk << std::hex << Event(i).size() << "\r\n" << Event(i) << "\r\n";
-      exchange.Write(chunk.str());
+      exchange.Write(Chunk(Event(i)));
     }
     exchange.Write("0\r\n\r\n");
   }
--- a/tests/platform/cut_answer_test.cc
+++ b/tests/platform/cut_answer_test.cc
@@ -138,35 +138,14 @@
     this->retry_slack = 100000;
     nlohmann::json routes = nlohmann::json::array();
     for (const std::string kind : {"safe", "unsafe", "resumable", "stream"}) {
-      const bool is_stream = kind == "resumable" || kind == "stream";
-      routes.push_back({{"name", kind},
-                        {"host", "choir.example"},
-                        {"path_prefix", "/" + kind + "/"},
-                        {"kind", is_stream ? "streaming" : kind},
-                        {"timeout_ms", 3000},
-                        {"service", "engine"},
-                        {"max_attempts", 2},
-                        {"resumable", kind == "resumable"}});
+      routes.push_back(RouteOfKind(kind, kind, 3000));
     }
-    const nlohmann::json config = {
-        {"version", 1},
-        {"routes", routes},
-        {"services", {{{"name", "engine"}, {"max_connections", 1000}}}},
-        {"limits", nlohmann::json::object()}};
-    this->store.Put(kTopicOperators, "config", config.dump());
+    this->PutRoutes(routes);
     for (int i = 1; i <= 2; ++i) {
       this->upstreams.push_back(std::make_unique<ScriptedUpstream>(
           this->runs, [this](ScriptedExchange& e) { this->Serve(e); }));
-      const nlohmann::json entry = {
-          {"service", "engine"},
-          {"address", this->upstreams.back()->Address()},
-          {"zone", "a"},
-          {"slots", 100},
-          {"born", 1700000000000},
-          {"state", "ready"},
-          {"cold_left_ms", 0},
-          {"sequence", 4}};
-      this->store.Put(kTopicUpstreams, "u" + std::to_string(i), entry.dump());
+      this->PutEntry("u" + std::to_string(i), this->upstreams.back()->Address(),
+                     100);
     }
     this->gateway = this->StartVm("vm-1");
   }
--- a/tests/platform/flood_test.cc
+++ b/tests/platform/flood_test.cc
@@ -5,7 +5,6 @@
 #include <chrono>
 #include <map>
 #include <mutex>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,12 +24,6 @@
   return kFiller;
 }
 
-std::string ChunkOf(const std::string& bytes) {
-  std::ostringstream out;
-  out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-  return out.str();
-}
-
 /// Bytes that an upstream sends without end: first `head`, then `piece`.
 struct Flood {
   const char* name;
@@ -38,39 +31,6 @@
   std::string piece;
 };
 
-/// Every place of an answer that may have no end. `id`: of the request.
-std::vector<Flood> FloodsFor(const std::string& id) {
-  const std::string status = "HTTP/1.1 200 OK\r\n";
-  const std::string named =
-      "Attempt-Id: " + id + "\r\nRunner-Signature: s1\r\n";
-  const std::string chunked =
-      status + named + "Transfer-Encoding: chunked\r\n\r\n";
-  const std::string event = "id: 1\ndata: x\n\n";
-  return {
-      {"noise", "", Filler()},
-      {"status line", "HTTP/1.1 200 ", Filler()},
-      {"one field", status + "X-More: ", Filler()},
-      {"many fields", status, "X-More: 1\r\n"},
-      {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-      {"answers to others", "",
-       status + "Attempt-Id: other\r\nContent-Length: 1\r\n\r\nx"},
-      {"body with length",
-       status + named + "Content-Length: 1000000000000\r\n\r\n", Filler()},
-      {"body in chunks", chunked, ChunkOf(Filler())},
-      {"body without length", status + named + "\r\n", Filler()},
-      {"chunk extension", chunked + "5;", Filler()},
-      {"trailers", chunked + "0\r\nX-More: ", Filler()},
-      {"one event", chunked + ChunkOf(event) + ChunkOf("id: 2\ndata: "),
-       ChunkOf(Filler())},
-      {"body of a refusal",
-       "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id +
-           "\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
-       ChunkOf(Filler())},
-      {"bytes after an answer",
-       status + named + "Content-Length: 4\r\n\r\ndone", Filler()},
-  };
-}
-
 /// A gateway process with little memory among peers that send bytes without
 /// end.
 class FloodTest : public PlatformFixture {
@@ -82,35 +42,48 @@
   /// What socket buffers and the gateway take of bytes without end.
   static constexpr size_t kMaxBytesTaken = 16U << 20U;
 
-  void PutRoutes() {
-    nlohmann::json routes = nlohmann::json::array();
-    for (const char* kind : {"safe", "unsafe", "streaming"}) {
-      routes.push_back({{"name", kind},
-                        {"host", "choir.example"},
-                        {"path_prefix", "/" + std::string(kind) + "/"},
-                        {"kind", kind},
-                        {"timeout_ms", 4000},
-                        {"service", "engine"},
-                        {"max_attempts", 3},
-                        {"resumable", true}});
-    }
-    const nlohmann::json config = {
-        {"version", 1},
-        {"routes", routes},
-        {"services", {{{"name", "engine"}, {"max_connections", 1000}}}},
-        {"limits", nlohmann::json::object()}};
-    this->store.Put(kTopicOperators, "config", config.dump());
+  /// Every place of an answer that may have no end. `id`: of the request.
+  static std::vector<Flood> FloodsFor(const std::string& id) {
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string named =
+        "Attempt-Id: " + id + "\r\nRunner-Signature: s1\r\n";
+    const std::string chunked =
+        status + named + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string event = "id: 1\ndata: x\n\n";
+    return {
+        {"noise", "", Filler()},
+        {"status line", "HTTP/1.1 200 ", Filler()},
+        {"one field", status + "X-More: ", Filler()},
+        {"many fields", status, "X-More: 1\r\n"},
+        {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"answers to others", "",
+         status + "Attempt-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+        {"body with length",
+         status + named + "Content-Length: 1000000000000\r\n\r\n", Filler()},
+        {"body in chunks", chunked, Chunk(Filler())},
+        {"body without length", status + named + "\r\n", Filler()},
+        {"chunk extension", chunked + "5;", Filler()},
+        {"trailers", chunked + "0\r\nX-More: ", Filler()},
+        {"one event", chunked + Chunk(event) + Chunk("id: 2\ndata: "),
+         Chunk(Filler())},
+        {"body of a refusal",
+         "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id +
+             "\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+         Chunk(Filler())},
+        {"bytes after an answer",
+         status + named + "Content-Length: 4\r\n\r\ndone", Filler()},
+    };
+  }
+  void PutRoutesOfKinds() {
+    this->PutRoutes({RouteOfKind("safe", "safe", 4000, 3),
+                     RouteOfKind("unsafe", "unsafe", 4000, 3),
+                     RouteOfKind("streaming", "resumable", 4000, 3)});
   }
   void AddUpstream(ScriptedUpstream::Script script) {
     this->upstreams.push_back(
         std::make_unique<ScriptedUpstream>(this->runs, std::move(script)));
-    const nlohmann::json entry = {
-        {"service", "engine"},   {"address", this->upstreams.back()->Address()},
-        {"zone", "a"},           {"slots", 400},
-        {"born", 1700000000000}, {"state", "ready"},
-        {"cold_left_ms", 0},     {"sequence", 4}};
-    this->store.Put(kTopicUpstreams,
-                    "u" + std::to_string(this->upstreams.size()), entry.dump());
+    this->PutEntry("u" + std::to_string(this->upstreams.size()),
+                   this->upstreams.back()->Address(), 400);
   }
   void AddSoundUpstream() {
     this->AddUpstream([](ScriptedExchange& exchange) {
@@ -121,7 +94,7 @@
           "\r\nRunner-Signature: s1\r\n";
       exchange.Write(exchange.Id().starts_with("streaming")
                          ? head + "Transfer-Encoding: chunked\r\n\r\n" +
-                               ChunkOf("id: 1\ndata: x\n\nid: 2\ndata: y\n\n") +
+                               Chunk("id: 1\ndata: x\n\nid: 2\ndata: y\n\n") +
                                "0\r\n\r\n"
                          : head + "Content-Length: 4\r\n\r\ndone");
     });
@@ -132,42 +105,36 @@
       exchange.ReadBody();
       ++this->floods;
       const Flood flood = FloodsFor(exchange.Id())[kind];
-      size_t most = this->written[kind];
-      const size_t bytes = this->WriteUntilClosed(exchange, flood);
-      while (bytes > most &&
-             !this->written[kind].compare_exchange_weak(most, bytes)) {
-      }
+      RaiseTo(this->written[kind],
+              WriteUntilClosed(exchange.Socket(), flood.head, flood.piece));
       exchange.Close();
     });
   }
-  size_t WriteUntilClosed(ScriptedExchange& exchange, const Flood& flood) {
+  /// Writes `head`, then `piece` until the connection is closed, or for 3 s.
+  /// Returns the number of bytes written.
+  static size_t WriteUntilClosed(Tcp::socket& socket, const std::string& head,
+                                 const std::string& piece) {
     ErrorCode error;
-    Tcp::socket& socket = exchange.Socket();
-    size_t bytes = asio::write(socket, asio::buffer(flood.head), error);
+    size_t bytes = asio::write(socket, asio::buffer(head), error);
     const auto end = Clock::now() + std::chrono::seconds(3);
     while (!error && Clock::now() < end) {
-      bytes += asio::write(socket, asio::buffer(flood.piece), error);
+      bytes += asio::write(socket, asio::buffer(piece), error);
     }
     return bytes;
   }
+  static void RaiseTo(std::atomic<size_t>& most, size_t value) {
+    size_t known = most;
+    while (value > known && !most.compare_exchange_weak(known, value)) {
+    }
+  }
   void StartProcess(const std::string& store_address) {
     this->process = std::make_unique<GatewayProcess>(GatewayProcessOptions{
         .store_address = store_address, .memory_mb = kMemoryMb});
   }
   void StartReady() {
-    this->PutRoutes();
+    this->PutRoutesOfKinds();
     this->StartProcess(this->store.Address());
-    for (int i = 0; i < 200 && !this->IsReady(); ++i) {
-      std::this_thread::sleep_for(milliseconds(20));
-    }
-    ASSERT_TRUE(this->IsReady());
-  }
-  bool IsReady() {
-    return this->Get(this->process->ReadinessPort(), "/ready").result_int() ==
-           200;
-  }
-  HttpAnswer Get(uint16_t port, const std::string& target) {
-    return this->Call(port, HttpRequest(http::verb::get, target, 11));
+    this->WaitReady(this->process->ReadinessPort());
   }
   /// Makes requests of all kinds side by side. Counts them by status, 0 for a
   /// connection that ended without a whole answer.
@@ -200,12 +167,7 @@
     Tcp::socket socket(context);
     ErrorCode error;
     socket.connect({asio::ip::address_v4::loopback(), port}, error);
-    size_t bytes = asio::write(socket, asio::buffer(head), error);
-    const auto end = Clock::now() + std::chrono::seconds(3);
-    while (!error && Clock::now() < end) {
-      bytes += asio::write(socket, asio::buffer(Filler()), error);
-    }
-    return bytes;
+    return WriteUntilClosed(socket, head, Filler());
   }
   /// Expects that no request waited for its deadline.
   void ExpectNoneTimedOut() {
@@ -298,7 +260,7 @@
   std::printf("  peak memory %.1f MB\n", static_cast<double>(peak) / 1e6);
   EXPECT_LT(peak, size_t{kMemoryMb} * 1000000);
   EXPECT_EQ(this->statuses[0], 0);
-  EXPECT_TRUE(this->IsReady());
+  EXPECT_TRUE(this->IsReady(this->process->ReadinessPort()));
 }
 
 // The same for heads and events, which are held for the parser.
@@ -315,7 +277,7 @@
   const size_t peak = this->process->PeakMemoryBytes();
   std::printf("  peak memory %.1f MB\n", static_cast<double>(peak) / 1e6);
   EXPECT_LT(peak, size_t{kMemoryMb} * 1000000);
-  EXPECT_TRUE(this->IsReady());
+  EXPECT_TRUE(this->IsReady(this->process->ReadinessPort()));
 }
 
 // Callers, and clients of the pages, may send bytes without end, too.
@@ -337,9 +299,7 @@
   std::atomic<size_t> most{0};
   const auto flood = [this, &most](uint16_t port, const std::string& head) {
     const size_t bytes = this->FloodPort(port, head);
-    size_t before = most;
-    while (bytes > before && !most.compare_exchange_weak(before, bytes)) {
-    }
+    RaiseTo(most, bytes);
     EXPECT_LT(bytes, kMaxBytesTaken) << "port " << port << " " << head;
   };
   for (const uint16_t port :
@@ -360,7 +320,8 @@
 TEST_F(FloodTest, FloodsOfTheStore_LeaveMemoryAlone) {
   ScriptedUpstream faulty(this->runs, [this](ScriptedExchange& exchange) {
     const size_t kind = this->floods++ % kFloodKinds;
-    this->WriteUntilClosed(exchange, FloodsFor("")[kind]);
+    const Flood flood = FloodsFor("")[kind];
+    WriteUntilClosed(exchange.Socket(), flood.head, flood.piece);
     exchange.Close();
   });
   this->StartProcess(faulty.Address());
--- a/tests/platform/late_stream_test.cc
+++ b/tests/platform/late_stream_test.cc
@@ -17,7 +17,7 @@
   }
   /// Lets the gateway learn the times of short streams, then lets callers of
   /// each kind of stream ask for `second` late in a stop.
-  void Run(TestCall second, const std::string& warm_up_fields = "") {
+  void AskLate(TestCall second, const std::string& warm_up_fields = "") {
     this->WarmUp({400}, warm_up_fields);
     this->stop_at = Clock::now() + milliseconds(700);
     for (const char* kind : {"resumable", "stream"}) {
@@ -35,13 +35,19 @@
     this->Judge();
   }
   /// Number of second requests with this status that were answered whole.
-  int Seconds(unsigned int status) const {
+  int CountSecond(unsigned int status) const {
     return static_cast<int>(
         std::ranges::count_if(this->calls, [&](const TestCall& call) {
           return call.sent_at > kEarlyMs && call.status == status &&
                  call.is_whole;
         }));
   }
+  void ExpectRefusedAtOnce() const {
+    EXPECT_EQ(this->CountSecond(503), kCallers);
+    for (const TestCall& call : this->calls) {
+      if (call.status == 503U) EXPECT_LT(call.ended_at, call.sent_at + 200);
+    }
+  }
 
   static constexpr int kCallersOfKind = 6;
   static constexpr int kCallers = 2 * kCallersOfKind;
@@ -50,35 +56,29 @@
 // LOST: the last answers of the route were short, so that a stream of 200
 // events was sent 3.5 s after SIGTERM and cut at the end of the grace time.
 TEST_F(LateStreamTest, LongStreamOfRouteWithShortOnes_IsRefusedAtOnce) {
-  this->Run({.answer_ms = 6000, .fields = "Token-Counts: 10,200\r\n"},
-            "Token-Counts: 10,200\r\n");
-  EXPECT_EQ(this->Seconds(503), kCallers);
-  for (const TestCall& call : this->calls) {
-    if (call.status == 503U) EXPECT_LT(call.ended_at, call.sent_at + 200);
-  }
+  this->AskLate({.answer_ms = 6000, .fields = "Token-Counts: 10,200\r\n"},
+                "Token-Counts: 10,200\r\n");
+  this->ExpectRefusedAtOnce();
 }
 
 // LOST: the same where the request does not say how long its answer may get.
 TEST_F(LateStreamTest, LongStreamThatStatesNoLength_IsRefusedAtOnce) {
-  this->Run({.answer_ms = 6000});
-  EXPECT_EQ(this->Seconds(503), kCallers);
-  for (const TestCall& call : this->calls) {
-    if (call.status == 503U) EXPECT_LT(call.ended_at, call.sent_at + 200);
-  }
+  this->AskLate({.answer_ms = 6000});
+  this->ExpectRefusedAtOnce();
 }
 
 // Refused although it could be answered: a stream whose tokens end it in time.
 TEST_F(LateStreamTest, StreamThatStatesAShortLength_IsServed) {
-  this->Run({.answer_ms = 400, .fields = "Token-Counts: 10,8\r\n"},
-            "Token-Counts: 10,200\r\n");
-  EXPECT_EQ(this->Seconds(200), kCallers);
+  this->AskLate({.answer_ms = 400, .fields = "Token-Counts: 10,8\r\n"},
+                "Token-Counts: 10,200\r\n");
+  EXPECT_EQ(this->CountSecond(200), kCallers);
 }
 
 // Refused although it could be answered: a stream that its deadline ends in
 // time.
 TEST_F(LateStreamTest, StreamThatItsDeadlineEndsInTime_IsServed) {
-  this->Run({.answer_ms = 1500, .fields = "Deadline-Ms: 3000\r\n"});
-  EXPECT_EQ(this->Seconds(200), kCallers);
+  this->AskLate({.answer_ms = 1500, .fields = "Deadline-Ms: 3000\r\n"});
+  EXPECT_EQ(this->CountSecond(200), kCallers);
 }
 
 }  // namespace
--- a/tests/platform/one_run_stream_fixture.h
+++ b/tests/platform/one_run_stream_fixture.h
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -28,11 +27,6 @@
  protected:
   using Script = ScriptedUpstream::Script;
 
-  static std::string Chunk(const std::string& bytes) {
-    std::ostringstream out;
-    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return out.str();
-  }
   static std::string Named(const std::string& id) {
     return id.empty() ? "" : "Attempt-Id: " + id + "\r\n";
   }
@@ -69,12 +63,7 @@
     this->store.Put(kTopicOperators, "config", config.dump());
   }
   void PutScripted(const std::string& id, const ScriptedUpstream& upstream) {
-    const nlohmann::json entry = {
-        {"service", "engine"},   {"address", upstream.Address()},
-        {"zone", "a"},           {"slots", 8},
-        {"born", 1700000000000}, {"state", "ready"},
-        {"cold_left_ms", 0},     {"sequence", 4}};
-    this->store.Put(kTopicUpstreams, id, entry.dump());
+    this->PutEntry(id, upstream.Address(), 8);
   }
   /// Starts a gateway and upstreams. `on_accept` is called for each connection
   /// to an upstream before the script.
--- a/tests/platform/planned_stop_fixture.h
+++ b/tests/platform/planned_stop_fixture.h
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <map>
 #include <mutex>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -61,56 +60,30 @@
   /// Slack of rule LOST for the answer to a request that was not passed on.
   static constexpr int kLossSlackMs = 200;
 
-  void PutRoutes() {
+  /// Writes one route for each kind and time of an answer.
+  void PutRoutesOfTimes() {
     nlohmann::json routes = nlohmann::json::array();
-    for (const char* kind : {"safe", "unsafe", "resumable", "stream"}) {
+    for (const std::string kind : {"safe", "unsafe", "resumable", "stream"}) {
       for (const int ms : {50, 400, 1500, 6000}) {
-        const std::string name = std::string(kind) + "-" + std::to_string(ms);
-        const std::string given = kind;
-        const bool is_stream = given == "resumable" || given == "stream";
-        routes.push_back({{"name", name},
-                          {"host", "choir.example"},
-                          {"path_prefix", "/" + name + "/"},
-                          {"kind", is_stream ? "streaming" : given},
-                          {"timeout_ms", 20000},
-                          {"service", "engine"},
-                          {"max_attempts", 2},
-                          {"resumable", given == "resumable"}});
+        routes.push_back(
+            RouteOfKind(kind + "-" + std::to_string(ms), kind, 20000));
       }
     }
-    const nlohmann::json config = {
-        {"version", 1},
-        {"routes", routes},
-        {"services", {{{"name", "engine"}, {"max_connections", 1000}}}},
-        {"limits", nlohmann::json::object()}};
-    this->store.Put(kTopicOperators, "config", config.dump());
+    this->PutRoutes(routes);
   }
 
   void StartProcess(double grace_s) {
-    this->PutRoutes();
+    this->PutRoutesOfTimes();
     this->upstream = std::make_unique<ScriptedUpstream>(
         this->runs,
         [this](ScriptedExchange& exchange) { this->Run(exchange); });
-    const nlohmann::json entry = {
-        {"service", "engine"},   {"address", this->upstream->Address()},
-        {"zone", "a"},           {"slots", 400},
-        {"born", 1700000000000}, {"state", "ready"},
-        {"cold_left_ms", 0},     {"sequence", 4}};
-    this->store.Put(kTopicUpstreams, "u1", entry.dump());
+    this->PutEntry("u1", this->upstream->Address(), 400);
     this->grace_ms = static_cast<int>(grace_s * 1000);
     this->process = std::make_unique<GatewayProcess>(GatewayProcessOptions{
         .store_address = this->store.Address(), .grace_s = grace_s});
-    for (int i = 0; i < 200 && !this->IsReady(); ++i) {
-      std::this_thread::sleep_for(milliseconds(20));
-    }
-    ASSERT_TRUE(this->IsReady());
+    ASSERT_NO_FATAL_FAILURE(this->WaitReady(this->process->ReadinessPort()));
     this->stop_at = Clock::now();
   }
-  bool IsReady() {
-    return this->Call(this->process->ReadinessPort(),
-                      HttpRequest(http::verb::get, "/ready", 11))
-               .result_int() == 200;
-  }
   void TearDown() override {
     this->process.reset();
     this->over = true;
@@ -141,10 +114,7 @@
       exchange.Write(head + "Transfer-Encoding: chunked\r\n\r\n");
       for (int event = 1; event * kEventMs <= ms && !this->over; ++event) {
         std::this_thread::sleep_for(milliseconds(kEventMs));
-        const std::string text = Event(event);
-        std::ostringstream chunk;
-        chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
-        exchange.Write(chunk.str());
+        exchange.Write(Chunk(Event(event)));
       }
     }
     const int slept = is_stream ? ms - ms % kEventMs : 0;
--- a/tests/platform/planned_stop_test.cc
+++ b/tests/platform/planned_stop_test.cc
@@ -77,7 +77,7 @@
     std::this_thread::sleep_for(milliseconds(30));
     this->process->Signal(SIGHUP);
   }
-  EXPECT_TRUE(this->IsReady());
+  EXPECT_TRUE(this->IsReady(this->process->ReadinessPort()));
   this->has_ended = true;
   for (std::thread& caller : this->callers) caller.join();
   this->callers.clear();
@@ -91,10 +91,10 @@
 // DRAIN: the balancer must learn of the stop at its next check.
 TEST_F(PlannedStopTest, ReadinessCheck_FailsAtOnceAfterTheSignal) {
   this->StartProcess(2);
-  EXPECT_TRUE(this->IsReady());
+  EXPECT_TRUE(this->IsReady(this->process->ReadinessPort()));
   this->process->Signal(SIGTERM);
   std::this_thread::sleep_for(milliseconds(60));
-  EXPECT_FALSE(this->IsReady());
+  EXPECT_FALSE(this->IsReady(this->process->ReadinessPort()));
   EXPECT_TRUE(this->process->AwaitEnd(milliseconds(2000)).has_value());
 }
 
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -56,13 +57,42 @@
     this->store.Put(kTopicOperators, "config", config.dump());
   }
 
+  /// Writes a configuration with these routes to one service, without
+  /// organisations.
+  void PutRoutes(const nlohmann::json& routes) {
+    const nlohmann::json config = {
+        {"version", 1},
+        {"routes", routes},
+        {"services", {{{"name", "engine"}, {"max_connections", 1000}}}},
+        {"limits", nlohmann::json::object()}};
+    this->store.Put(kTopicOperators, "config", config.dump());
+  }
+  /// The route of the paths below its name. `kind`: "safe", "unsafe",
+  /// "resumable", or "stream" for a stream that may not be resumed.
+  static nlohmann::json RouteOfKind(const std::string& name,
+                                    const std::string& kind, int timeout_ms,
+                                    int max_attempts = 2) {
+    const bool is_stream = kind == "resumable" || kind == "stream";
+    return {{"name", name},
+            {"host", "choir.example"},
+            {"path_prefix", "/" + name + "/"},
+            {"kind", is_stream ? "streaming" : kind},
+            {"timeout_ms", timeout_ms},
+            {"service", "engine"},
+            {"max_attempts", max_attempts},
+            {"resumable", kind == "resumable"}};
+  }
+
   void PutUpstream(const std::string& id, const LoopbackServer& upstream,
                    const std::string& state = "ready") {
-    const nlohmann::json entry = {
-        {"service", "engine"},   {"address", upstream.Address()},
-        {"zone", "a"},           {"slots", 8},
-        {"born", 1700000000000}, {"state", state},
-        {"cold_left_ms", 0},     {"sequence", 4}};
+    this->PutEntry(id, upstream.Address(), 8, state);
+  }
+  void PutEntry(const std::string& id, const std::string& address, int slots,
+                const std::string& state = "ready") {
+    const nlohmann::json entry = {{"service", "engine"},   {"address", address},
+                                  {"zone", "a"},           {"slots", slots},
+                                  {"born", 1700000000000}, {"state", state},
+                                  {"cold_left_ms", 0},     {"sequence", 4}};
     this->store.Put(kTopicUpstreams, id, entry.dump());
   }
 
@@ -79,7 +109,7 @@
     EXPECT_EQ(started->Open(), "");
     this->vms.push_back(started);
     this->runners.emplace_back([started] { started->Run(); });
-    this->WaitReady(*started);
+    this->WaitReady(started->ReadinessPort());
     return started;
   }
 
@@ -121,17 +151,19 @@
   }
 
   /// Polls the readiness page until it answers with status 200.
-  void WaitReady(const Gateway& started) {
+  void WaitReady(uint16_t readiness_port) {
     for (int i = 0; i < 200; ++i) {
-      if (this->Call(started.ReadinessPort(),
-                     HttpRequest(http::verb::get, "/ready", 11))
-              .result_int() == 200) {
-        return;
-      }
+      if (this->IsReady(readiness_port)) return;
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
     FAIL() << "not ready in 4 s";
   }
+  bool IsReady(uint16_t readiness_port) {
+    return this->Get(readiness_port, "/ready").result_int() == 200;
+  }
+  HttpAnswer Get(uint16_t port, const std::string& target) {
+    return this->Call(port, HttpRequest(http::verb::get, target, 11));
+  }
 
   static HttpRequest Request(const std::string& target,
                              const std::string& tokens = "") {
@@ -187,6 +219,11 @@
   static std::string Event(int id) {
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
   }
+  static std::string Chunk(const std::string& bytes) {
+    std::ostringstream out;
+    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return out.str();
+  }
   /// Handler of an upstream that answers every request with one event.
   static std::optional<HttpAnswer> AnswerOneEvent(const HttpRequest& request,
                                                   Tcp::socket& /*socket*/) {
--- a/tests/platform/stream_review_test.cc
+++ b/tests/platform/stream_review_test.cc
@@ -67,16 +67,7 @@
     for (const char* id : {"u1", "u2"}) {
       this->upstreams.push_back(
           std::make_unique<ScriptedUpstream>(this->runs, script));
-      const nlohmann::json entry = {
-          {"service", "engine"},
-          {"address", this->upstreams.back()->Address()},
-          {"zone", "a"},
-          {"slots", 8},
-          {"born", 1700000000000},
-          {"state", "ready"},
-          {"cold_left_ms", 0},
-          {"sequence", 4}};
-      this->store.Put(kTopicUpstreams, id, entry.dump());
+      this->PutEntry(id, this->upstreams.back()->Address(), 8);
     }
     this->StartGateway();
   }
--- a/tests/platform/unframed_answer_fixture.h
+++ b/tests/platform/unframed_answer_fixture.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -42,6 +41,7 @@
   using Script = std::function<void(ScriptedExchange& exchange, int attempt)>;
 
   static constexpr int kEvents = 4;
+  static constexpr int kSlots = 100;
   static constexpr char kPlainBody[] = "the whole answer of the upstream";
 
   static std::string Events(int first, int last = kEvents) {
@@ -68,11 +68,6 @@
     return Head(id, "Content-Length: " + std::to_string(body.size()) + "\r\n") +
            body;
   }
-  static std::string Chunk(const std::string& bytes) {
-    std::ostringstream out;
-    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return out.str();
-  }
   /// Number of the first event that the request asks for.
   static int FirstEvent(ScriptedExchange& exchange) {
     const std::string last = exchange.Field("Last-Event-Id");
@@ -84,36 +79,17 @@
     this->retry_slack = 100000;
     nlohmann::json routes = nlohmann::json::array();
     for (const std::string kind : {"safe", "unsafe", "resumable", "stream"}) {
-      routes.push_back({{"name", kind},
-                        {"host", "choir.example"},
-                        {"path_prefix", "/" + kind + "/"},
-                        {"kind", IsStream(kind) ? "streaming" : kind},
-                        {"timeout_ms", 3000},
-                        {"service", "engine"},
-                        {"max_attempts", 2},
-                        {"resumable", kind == "resumable"}});
+      routes.push_back(RouteOfKind(kind, kind, 3000));
     }
-    const nlohmann::json config = {
-        {"version", 1},
-        {"routes", routes},
-        {"services", {{{"name", "engine"}, {"max_connections", 1000}}}},
-        {"limits", nlohmann::json::object()}};
-    this->store.Put(kTopicOperators, "config", config.dump());
+    this->PutRoutes(routes);
     for (int i = 1; i <= 2; ++i) {
       this->upstreams.push_back(std::make_unique<ScriptedUpstream>(
           this->runs, [this](ScriptedExchange& e) { this->Serve(e); }));
-      this->PutEntry("u" + std::to_string(i),
-                     this->upstreams.back()->Address());
+      this->PutEntry("u" + std::to_string(i), this->upstreams.back()->Address(),
+                     kSlots);
     }
     this->gateway = this->StartVm("vm-1");
   }
-  void PutEntry(const std::string& id, const std::string& address) {
-    const nlohmann::json entry = {{"service", "engine"},   {"address", address},
-                                  {"zone", "a"},           {"slots", 100},
-                                  {"born", 1700000000000}, {"state", "ready"},
-                                  {"cold_left_ms", 0},     {"sequence", 4}};
-    this->store.Put(kTopicUpstreams, id, entry.dump());
-  }
   void TearDown() override {
     PlatformFixture::TearDown();
     this->upstreams.clear();
--- a/tests/platform/unframed_answer_test.cc
+++ b/tests/platform/unframed_answer_test.cc
@@ -262,7 +262,7 @@
   for (int i = 0; i < 5; ++i) {
     const std::string name = "d" + std::to_string(i);
     const DyingUpstream dying;
-    this->PutEntry(name, dying.Address());
+    this->PutEntry(name, dying.Address(), kSlots);
     CallerAnswer answer;
     for (int tries = 0; tries < 100 && answer.status != 200; ++tries) {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
--- a/tests/platform/upstream_stream_test.cc
+++ b/tests/platform/upstream_stream_test.cc
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -18,11 +17,6 @@
       "Attempt-Id: a1\r\nRunner-Signature: s1\r\n";
   static constexpr char kEventStream[] = "Content-Type: text/event-stream\r\n";
 
-  static std::string Chunk(const std::string& bytes) {
-    std::ostringstream out;
-    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return out.str();
-  }
   static std::string ChunkedAnswer(const std::string& status,
                                    const std::string& fields,
                                    const std::string& body) {
