Gateway: look up open attempts where they are asked for

What it computed for the stop decision moves to request_admission.cc, its one user; the check whether an answer has exceeded a bound moves into the log that writes it; the decision's line uses the time of the decision in place of a second look at the clock. No behaviour changes.

--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -52,7 +52,11 @@
                                         TimePoint now) {
   std::optional<Duration> longest = core.Times().LongestInPeriod(route, now);
   for (const RequestTask* task : core.Tasks()) {
-    longest = std::max(longest, task->OpenTime(route, now));
+    const UpstreamAttempt* attempt = task->CurrentAttempt();
+    if (attempt != nullptr && attempt->WasSent() &&
+        attempt->RouteName() == route) {
+      longest = std::max(longest, std::optional(attempt->Time(now).total));
+    }
   }
   return longest;
 }
@@ -97,8 +101,8 @@
 }
 
 void LogStopDecision(GatewayCore& core, const ActiveRequest& active,
-                     const serving::StopRequest& request, bool may_send) {
-  const TimePoint now = Now();
+                     const serving::StopRequest& request, TimePoint now,
+                     bool may_send) {
   const std::optional<Tokens>& max_output = active.request.max_output_tokens;
   core.Log().Write(
       "stop-decision",
@@ -148,7 +152,7 @@
   const bool may_send = core.Schedule().MaySend(now, request);
   if (active.logged_stop_decision != may_send) {
     active.logged_stop_decision = may_send;
-    LogStopDecision(core, active, request, may_send);
+    LogStopDecision(core, active, request, now, may_send);
   }
   return may_send;
 }
--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -87,8 +87,9 @@
        {"ms", ToMilliseconds(Now() - sent_at)}});
 }
 
-void RequestLog::OnLimitExceeded(AnswerLimit limit) {
-  const std::string_view name = AnswerLimitName(limit);
+void RequestLog::OnExchangeEnd(const HttpConnection& connection) {
+  if (connection.ExceededLimit() == AnswerLimit::kNone) return;
+  const std::string_view name = AnswerLimitName(connection.ExceededLimit());
   this->core.Metrics().CountOversizedAnswer(name);
   this->core.Log().Write("upstream-answer-oversized",
                          {{"id", this->active.request.id},
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -52,8 +52,8 @@
   /// relayed.
   void OnBrokenAttempt(const HttpConnection& connection, bool has_head,
                        int events, TimePoint sent_at);
-  /// An attempt whose answer has exceeded a bound.
-  void OnLimitExceeded(AnswerLimit limit);
+  /// An exchange has ended; logged if its answer has exceeded a bound.
+  void OnExchangeEnd(const HttpConnection& connection);
   /// The end of the request. `outcome` says what the caller got (for example
   /// "complete" or "own-answer"), `reason` why it is not a complete answer of
   /// an upstream.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -69,16 +69,6 @@
   }
 }
 
-std::optional<Duration> RequestTask::OpenTime(std::string_view route,
-                                              TimePoint now) const {
-  const UpstreamAttempt* attempt = this->current_attempt;
-  if (attempt == nullptr || !attempt->WasSent() ||
-      this->active.route->name != route) {
-    return std::nullopt;
-  }
-  return now - attempt->SentAt();
-}
-
 asio::awaitable<bool> RequestTask::Run() {
   std::optional<GatewayAnswer> refusal = Admit(this->core, this->active);
   if (refusal) {
@@ -308,9 +298,7 @@
   const int relayed_before = this->stream.EventsRelayed();
   this->prompt.OnSend();
   const AttemptOutcome outcome = co_await this->Exchange(attempt, *connection);
-  if (connection->ExceededLimit() != AnswerLimit::kNone) {
-    this->log.OnLimitExceeded(connection->ExceededLimit());
-  }
+  this->log.OnExchangeEnd(*connection);
   if (serving::IsWithoutWholeAnswer(outcome)) {
     const bool has_head = this->reader.HasHead();
     const int events = this->stream.EventsRelayed() - relayed_before;
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -45,9 +45,10 @@
   void CheckStall(TimePoint now);
   /// Ends the request because the process is about to end.
   void EndForStop();
-  /// How long the current attempt has been going on since it was sent; nullopt
-  /// if there is none, or if the request is of another route.
-  std::optional<Duration> OpenTime(std::string_view route, TimePoint now) const;
+  /// The attempt that is being run; nullptr if there is none.
+  const UpstreamAttempt* CurrentAttempt() const {
+    return this->current_attempt;
+  }
 
  private:
   /// Returns the answer that refuses the request if its tokens are not within
--- a/gateway/upstream_attempt.h
+++ b/gateway/upstream_attempt.h
@@ -46,6 +46,7 @@
 
   serving::FleetUpstream& Upstream() const { return *this->choice.upstream; }
   const serving::PlacementChoice& Choice() const { return this->choice; }
+  const std::string& RouteName() const { return this->active.route->name; }
   /// True once the attempt has begun to send the request, so that bytes of it
   /// may have reached the upstream.
   bool WasSent() const { return this->was_sent; }
