fuchsiadrumd: check the length of an assembled answer in one place

ChatAnswer checked the bound at two places, and UpstreamAttempt::HoldAnswer checked the same bound once more after each read. Only the latter is left, which plain answers use as well, so that the event kOverlong goes. The attempt ends after the read (16 KB at most) in place of the event; the log line names the bound.

--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -111,7 +111,6 @@
     // Parts of tool calls come as they are; callers that need them whole use
     // a stream.
     this->tool_call_bytes += chunk_bytes;
-    if (this->AssembledBytes() > this->keep_bytes) return Event::kOverlong;
     if (this->tool_calls.is_null()) this->tool_calls = json::array();
     for (const json& call : (*delta)["tool_calls"]) {
       this->tool_calls.push_back(call);
@@ -119,7 +118,6 @@
   }
   if (!HasText(*delta, "content")) return Event::kOther;
   this->content += (*delta)["content"].get_ref<const std::string&>();
-  if (this->AssembledBytes() > this->keep_bytes) return Event::kOverlong;
   this->streamed += Tokens(1);
   return Event::kToken;
 }
--- a/daemon/chat_answer.h
+++ b/daemon/chat_answer.h
@@ -17,14 +17,7 @@
   /// `keep` bounds the bytes of the whole answer; with 0 a stream is not kept.
   ChatAnswer(const CallerRequest& caller_request, size_t max_kept);
 
-  enum class Event {
-    kToken,
-    kOther,
-    kDone,
-    kMalformed,
-    kError,
-    kOverlong,  // the assembled answer is longer than it may be
-  };
+  enum class Event { kToken, kOther, kDone, kMalformed, kError };
 
   /// Takes the data of one event. The bytes that a streaming caller has to get
   /// are appended to `relay`.
@@ -35,9 +28,11 @@
 
   /// Tokens that the upstream reported; nullopt: none reported.
   std::optional<Tokens> Used() const { return this->used; }
-  /// Bytes that are held for the whole answer.
+  /// Bytes that are held for the whole answer. Only those of a stream are
+  /// bounded here; the caller has to end another answer that grows too long.
   size_t HeldBytes() const {
-    return this->AssembledBytes() + this->kept_stream.size();
+    return this->content.size() + this->tool_call_bytes +
+           this->kept_stream.size();
   }
   /// Events with content.
   Tokens Streamed() const { return this->streamed; }
@@ -49,9 +44,6 @@
   Event Assemble(const nlohmann::json& chunk, size_t chunk_bytes);
   void TakeUsage(const nlohmann::json& chunk);
   void Keep(std::string_view bytes);
-  size_t AssembledBytes() const {
-    return this->content.size() + this->tool_call_bytes;
-  }
 
   const CallerRequest& request;
   size_t keep_bytes;
--- a/daemon/chat_attempt.cc
+++ b/daemon/chat_attempt.cc
@@ -27,8 +27,6 @@
       return "is malformed";
     case ChatAnswer::Event::kError:
       return "reports an error";
-    case ChatAnswer::Event::kOverlong:
-      return "is longer than an answer may be";
     case ChatAnswer::Event::kToken:
     case ChatAnswer::Event::kOther:
     case ChatAnswer::Event::kDone:
