Load reports: decode the fourth figure, and keep the counts without it

Cause: DecodeAnswer took load reports of exactly three figures. Where upstreams report a fourth one (how long work takes now, in percent), the whole report was thrown away, so that the gateway knew no load at all.

Change: the counts are decoded on their own. A fourth figure that is missing after its comma, zero, negative, a fraction, above 10000, repeated or no number costs only that figure; so does a repeated header field. Faults are counted (unusable_load_reports_total) and logged once for each start of an upstream (upstream-load-unusable). The figure scales the expected time of a choice, bounded to a factor of 0.25 to 10, and loses its influence over 300 ms.

Not run: the rest of platform_test. By reading, the code before drops "3,2,8,140" (it asks for three figures).

Conclusion: reports of three figures are handled as before.

--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -76,6 +76,9 @@
   /// say.
   std::optional<Duration> keep_alive;
   std::optional<LoadReport> load;
+  /// Why the load report, or only its fourth figure, could not be used; empty
+  /// if all of it could.
+  std::string load_fault;
   /// True if the upstream announces that it is shutting down and accepts no
   /// further requests.
   bool leaving = false;
--- a/fuchsiadrum/serving/fleet_upstream.cc
+++ b/fuchsiadrum/serving/fleet_upstream.cc
@@ -1,6 +1,9 @@
 #include "fuchsiadrum/serving/fleet_upstream.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "fuchsiadrum/core/duration.h"
 
 namespace fuchsiadrum::serving {
 namespace {
@@ -9,6 +12,10 @@
 /// not keep an upstream from being chosen.
 constexpr double kMinSlowness = 0.3;
 constexpr double kMaxSlowness = 6.0;
+/// Bounds of the factor by which a report may change the expected time. A wrong
+/// report must neither attract all requests nor exclude an upstream.
+constexpr double kMinWorkFactor = 0.25;
+constexpr double kMaxWorkFactor = 10.0;
 
 }  // namespace
 
@@ -69,6 +76,23 @@
   this->in_flight_at_report = this->in_flight;
 }
 
+bool FleetUpstream::OnUnusableReport() {
+  return !std::exchange(this->has_unusable_report, true);
+}
+
+double FleetUpstream::WorkFactor(TimePoint now) const {
+  const Duration age = now - this->report_at;
+  if (!this->report.work_percent || age >= this->options.work_lifetime) {
+    return 1;
+  }
+  constexpr double kPercent = 100;
+  const double reported = std::clamp(*this->report.work_percent / kPercent,
+                                     kMinWorkFactor, kMaxWorkFactor);
+  const double weight =
+      1 - ToSeconds(age) / ToSeconds(this->options.work_lifetime);
+  return 1 + weight * (reported - 1);
+}
+
 void FleetUpstream::OnSuccess(TimePoint /*now*/, double slowness_ratio) {
   const double weight = this->options.outcome_weight;
   this->failure_ratio *= 1 - weight;
--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -61,6 +62,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes on the machine now, in percent of the usual time;
+  /// empty if the upstream does not report it.
+  std::optional<int> work_percent;
 };
 
 /// Options for the health and load tracking of one upstream.
@@ -78,6 +82,9 @@
   /// A load report is ignored when it is older than this. Each upstream in use
   /// answers several times a second.
   Duration report_lifetime = std::chrono::milliseconds(1500);
+  /// The reported time that work takes loses its influence over this time: it
+  /// changes many times a second.
+  Duration work_lifetime = std::chrono::milliseconds(300);
   /// An upstream with requests in flight counts as silent when it has sent
   /// nothing for this long; engines produce an event every few tens of
   /// milliseconds.
@@ -106,6 +113,12 @@
   int Running(TimePoint now) const;
   int Waiting(TimePoint now) const;
   void OnReport(TimePoint now, const LoadReport& load);
+  /// A load report could not be used, or not all of it. Returns true the first
+  /// time.
+  bool OnUnusableReport();
+  /// Factor by which work takes longer than usual now, as far as the last
+  /// report says; 1 without a recent report.
+  double WorkFactor(TimePoint now) const;
   /// `slowness_ratio` is the observed divided by the expected time.
   void OnSuccess(TimePoint now, double slowness_ratio);
   void OnFailure(TimePoint now);
@@ -134,6 +147,7 @@
   LoadReport report;
   TimePoint report_at;
   int in_flight_at_report = 0;
+  bool has_unusable_report = false;
   void Eject(TimePoint now);
 
   TimePoint last_bytes_at;
--- a/fuchsiadrum/serving/placement.cc
+++ b/fuchsiadrum/serving/placement.cc
@@ -98,10 +98,11 @@
                              int64_t uncached) const {
   const int running = upstream.Running(now);
   const int waiting = upstream.Waiting(now);
+  const double slowness = upstream.Slowness() * upstream.WorkFactor(now);
   if (!request.has_prompt) {
     const int slots = std::max(1, upstream.entry.slots);
     const double rounds = static_cast<double>(running + waiting) / slots;
-    return upstream.Slowness() * this->options.service_ms * (1 + rounds);
+    return slowness * this->options.service_ms * (1 + rounds);
   }
 
   const auto tokens = static_cast<double>(uncached + upstream.pending_tokens);
@@ -109,7 +110,7 @@
                       this->options.ms_per_token * tokens +
                       this->options.ms_per_running * running +
                       this->options.ms_per_waiting * waiting;
-  return upstream.Slowness() * work;
+  return slowness * work;
 }
 
 }  // namespace fuchsiadrum::serving
--- a/gateway/answer_notices.cc
+++ b/gateway/answer_notices.cc
@@ -28,6 +28,16 @@
                     {"requests_per_s", limit.value_or(kNoLimit)}});
 }
 
+void ApplyLoad(GatewayCore& core, serving::FleetUpstream& upstream,
+               const serving::UpstreamAnswer& answer) {
+  if (answer.load) upstream.OnReport(Now(), *answer.load);
+  if (answer.load_fault.empty()) return;
+  core.Metrics().CountUnusableLoad(upstream.entry.service);
+  if (!upstream.OnUnusableReport()) return;
+  core.Log().Write("upstream-load-unusable", {{"upstream", upstream.entry.id},
+                                              {"reason", answer.load_fault}});
+}
+
 }  // namespace
 
 void ApplyNotices(GatewayCore& core, serving::FleetUpstream& upstream,
@@ -35,6 +45,7 @@
                   const AnsweredRequest& request) {
   const TimePoint now = Now();
   const std::string& id = upstream.entry.id;
+  ApplyLoad(core, upstream, answer);
   if (!answer.fault.empty()) {
     core.Log().Write("upstream-notice-unusable",
                      {{"upstream", id}, {"reason", answer.fault}});
--- a/gateway/answer_notices.h
+++ b/gateway/answer_notices.h
@@ -16,8 +16,8 @@
 };
 
 /// Applies what an upstream announces about itself in the head of an answer of
-/// this exchange: a time for which it asks to get no requests, its limit, or
-/// that it is shutting down.
+/// this exchange: its load, a time for which it asks to get no requests, its
+/// limit, or that it is shutting down.
 void ApplyNotices(GatewayCore& core, serving::FleetUpstream& upstream,
                   const serving::UpstreamAnswer& answer,
                   const AnsweredRequest& request);
--- a/gateway/answer_reader.cc
+++ b/gateway/answer_reader.cc
@@ -97,7 +97,6 @@
 void AnswerReader::ApplyHead(UpstreamAttempt& attempt) {
   if (serving::IsFromOtherUpstream(this->answer)) return;
   serving::FleetUpstream& upstream = attempt.Upstream();
-  if (this->answer.load) upstream.OnReport(Now(), *this->answer.load);
   ApplyNotices(this->core, upstream, this->answer,
                {.id = this->active.request.id, .sent_at = attempt.SentAt()});
 }
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -46,6 +46,10 @@
   ++this->oversized_answers[std::string(limit)];
 }
 
+void GatewayMetrics::CountUnusableLoad(const std::string& service) {
+  ++this->unusable_loads[service];
+}
+
 std::string GatewayMetrics::Line(std::string_view name, double value) {
   return std::string(kPrefix) + std::string(name) + " " + Number(value) + "\n";
 }
@@ -80,6 +84,10 @@
     text += Line("oversized_answers_total{limit=\"" + limit + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [service, count] : this->unusable_loads) {
+    text += Line("unusable_load_reports_total{service=\"" + service + "\"}",
+                 static_cast<double>(count));
+  }
   constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
   for (const auto& [route, histogram] : this->first_bytes) {
     for (const double quantile : kQuantiles) {
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -34,6 +34,9 @@
   /// Counts an answer of an upstream that has exceeded a bound (AnswerLimit).
   void CountOversizedAnswer(std::string_view limit);
 
+  /// Counts a load report that could not be used, or not all of it.
+  void CountUnusableLoad(const std::string& service);
+
   /// Returns all metrics in Prometheus text format.
   std::string Text() const;
   /// Returns the line of one metric in that format, with the gateway's prefix.
@@ -52,6 +55,8 @@
   std::map<std::string, uint64_t> held_back;
   /// Answers that have exceeded a bound, by its name.
   std::map<std::string, uint64_t, std::less<>> oversized_answers;
+  /// Load reports that could not be used, or not all of them, by service.
+  std::map<std::string, uint64_t> unusable_loads;
   /// Times to first byte by route.
   std::map<std::string, report::LatencyHistogram> first_bytes;
 };
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -115,6 +115,76 @@
   EXPECT_EQ(decoded.load->waiting, 2);
 }
 
+// Guards against a gateway that knows no load at all where upstreams report a
+// fourth figure.
+TEST_F(RequestCodecTest, LoadOfFourFigures_IsDecoded) {
+  HttpAnswerHead answer;
+  answer.set("Runner-Load", "3,2,8,140");
+  const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+
+  ASSERT_TRUE(decoded.load);
+  EXPECT_EQ(decoded.load->running, 3);
+  EXPECT_EQ(decoded.load->waiting, 2);
+  EXPECT_EQ(decoded.load->slots, 8);
+  EXPECT_EQ(decoded.load->work_percent, 140);
+  EXPECT_EQ(decoded.load_fault, "");
+}
+
+// Guards against the loss of the counts with a fourth figure that is wrong.
+TEST_F(RequestCodecTest, UnusableFourthFigure_CostsOnlyThatFigure) {
+  for (const char* text :
+       {"3,2,8,", "3,2,8, ", "3,2,8,0", "3,2,8,-5", "3,2,8,1.5", "3,2,8,1e2",
+        "3,2,8,10001", "3,2,8,99999999999999999999", "3,2,8,140,140",
+        "3,2,8,140,", "3,2,8,140,x,7", "3,2,8,,140", "3,2,8,x", "3,2,8,nan",
+        "3,2,8,+5", "3,2,8,14x"}) {
+    HttpAnswerHead answer;
+    answer.set("Runner-Load", text);
+    const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+
+    ASSERT_TRUE(decoded.load) << text;
+    EXPECT_EQ(decoded.load->running, 3) << text;
+    EXPECT_EQ(decoded.load->waiting, 2) << text;
+    EXPECT_EQ(decoded.load->slots, 8) << text;
+    EXPECT_FALSE(decoded.load->work_percent) << text;
+    EXPECT_NE(decoded.load_fault, "") << text;
+  }
+}
+
+TEST_F(RequestCodecTest, RepeatedLoad_CostsOnlyTheFourthFigure) {
+  HttpAnswerHead answer;
+  answer.insert("Runner-Load", "3,2,8,140");
+  answer.insert("Runner-Load", "4,2,8,90");
+  const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+
+  ASSERT_TRUE(decoded.load);
+  EXPECT_EQ(decoded.load->running, 3);
+  EXPECT_FALSE(decoded.load->work_percent);
+  EXPECT_NE(decoded.load_fault, "");
+}
+
+TEST_F(RequestCodecTest, LoadOfThreeFiguresOrNone_IsNoFault) {
+  HttpAnswerHead answer;
+  EXPECT_EQ(DecodeAnswer(answer).load_fault, "");
+  answer.set("Runner-Load", "3, 2, 8");
+  const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+
+  ASSERT_TRUE(decoded.load);
+  EXPECT_FALSE(decoded.load->work_percent);
+  EXPECT_EQ(decoded.load_fault, "");
+}
+
+TEST_F(RequestCodecTest, UnusableCounts_AreIgnoredAndReported) {
+  for (const char* text : {"3,2", "3,,8,140", "-3,2,8", "x,2,8,140",
+                           "3,2,1000001,140", "3,1.5,8"}) {
+    HttpAnswerHead answer;
+    answer.set("Runner-Load", text);
+    const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+
+    EXPECT_FALSE(decoded.load) << text;
+    EXPECT_NE(decoded.load_fault, "") << text;
+  }
+}
+
 TEST_F(RequestCodecTest,
        LeavingAndRetryAfter_AreDecoded_LeavingIsNotForwarded) {
   HttpAnswerHead answer;
