Gateway: other keys of the operators' stream leave the configuration

Cause: GatewayCore::pending_config kept the last record of each read of the operators' stream, whatever its key. A record of another key, such as an evacuation, that came in the same read after a configuration replaced it; at the start such a gateway never became ready.

Change: only records of the key "config" are kept until the read is applied.

--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -90,17 +90,22 @@
       body_bytes(gateway_settings.vm().memory_mb() * kBytesPerMegabyte /
                  kBodyMemoryDivisor),
       pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link),
-      config_follower(
-          {.stream = platform::Stream::kOperators,
-           .long_poll_wait = kConfigReadWait,
-           .skip_to_newest_after_failure = true,
-           .max_lag_records = 1,
-           .timeout = StoreTimeout(gateway_settings)},
-          {.on_change = [this](const auto& r) { this->pending_config = r; },
-           .on_read = [this] { this->ApplyPendingConfig(); },
-           .on_recovered = [] {}},
-          io_context, this->watchdog, this->log,
-          gateway_settings.store().address()),
+      config_follower({.stream = platform::Stream::kOperators,
+                       .long_poll_wait = kConfigReadWait,
+                       .skip_to_newest_after_failure = true,
+                       .max_lag_records = 1,
+                       .timeout = StoreTimeout(gateway_settings)},
+                      {.on_change =
+                           [this](const auto& r) {
+                             // The stream has other keys, whose records may
+                             // come in the same read.
+                             if (r.key == platform::ConfigKey())
+                               this->pending_config = r;
+                           },
+                       .on_read = [this] { this->ApplyPendingConfig(); },
+                       .on_recovered = [] {}},
+                      io_context, this->watchdog, this->log,
+                      gateway_settings.store().address()),
       upstream_follower(
           {.stream = platform::Stream::kUpstreams,
            .interval = kUpstreamReadInterval,
@@ -222,7 +227,7 @@
   if (!this->pending_config) return;
   const store::KeyedRecord record = std::move(*this->pending_config);
   this->pending_config.reset();
-  if (record.key != platform::ConfigKey() || !record.value) return;
+  if (!record.value) return;
   std::string reason;
   const serving::ServingConfigPtr offered =
       platform::DecodeConfig(*record.value, reason);
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -29,9 +29,17 @@
   std::string Address() const { return this->server.Address(); }
   void Put(const std::string& topic, const std::string& key,
            const std::string& value) {
+    this->PutTogether(topic, {{key, value}});
+  }
+  /// Appends the records at once, so that one read returns all of them.
+  void PutTogether(
+      const std::string& topic,
+      const std::vector<std::pair<std::string, std::string>>& records) {
     const std::lock_guard lock(this->mutex);
-    this->streams[topic].emplace_back(static_cast<char>(key.size()) + key +
-                                      value);
+    for (const auto& [key, value] : records) {
+      this->streams[topic].emplace_back(static_cast<char>(key.size()) + key +
+                                        value);
+    }
     this->appended.notify_all();
   }
   /// Appends a record to each partition that exists of the topics whose names
