Gateway: account for every token, and count store calls by purpose

Cause: it was not known where the tokens of a budget are while requests are refused, nor which calls to the store make up the 26 per second of a VM.

Change: GrantHolder::Breakdown splits a budget into spent, reserved (what running requests will use by the past, and the rest), pools (needed within the horizon, and idle) and ungranted tokens. Every 5 s one log line 'tokens' for each organisation, the same on the metrics page; calls by purpose, lost races for accounts, and refusals by what was needed and what did not answer. BudgetClient hides its members, so that changes of the budgets rebuild few files.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -104,6 +104,7 @@
             "spent tokens exceed the settled reservation");
   pool.reserved -= amount;
   pool.spent += spent;
+  pool.settled += amount;
 }
 
 bool GrantHolder::IsDue(TimePoint now, const std::string& organisation) {
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -10,6 +10,8 @@
 #include "fuchsiadrum/budget/demand_meter.h"
 #include "fuchsiadrum/budget/fleet_account.h"
 #include "fuchsiadrum/budget/reclaim.h"
+#include "fuchsiadrum/budget/reserve_outcome.h"
+#include "fuchsiadrum/budget/token_breakdown.h"
 #include "fuchsiadrum/core/types.h"
 
 namespace fuchsiadrum::budget {
@@ -142,19 +144,6 @@
   Tokens ceiling;
 };
 
-/// Outcome of GrantHolder::Reserve.
-enum class ReserveOutcome {
-  kReserved,
-  /// The pool holds too few tokens, or too few below the ceiling. The next
-  /// grant record or heartbeat may change that; the caller has to retry then.
-  kPending,
-  /// Too few tokens are ungranted. Other holders hold some that they have not
-  /// recorded as spent and may return. Also the outcome after Close.
-  kHeldElsewhere,
-  /// The unspent rest of the budget does not cover the amount.
-  kExhausted,
-};
-
 /// Holds one gateway's grants of the organisations' prepaid budgets. It does no
 /// I/O: the caller reads the accounts and writes the planned changes to the
 /// store, a log of records in partitions that all gateways share.
@@ -217,6 +206,8 @@
   /// Returns true if a request needs a larger grant and no planned change
   /// awaits its outcome.
   bool HasUnmetRequest(const std::string& organisation) const;
+  /// Returns true if the grant covers the amount but the ceiling does not.
+  bool NeedsOnlyCeiling(const std::string& organisation, Tokens amount) const;
   /// Plans a change of the grant on this state of the account; nullopt if there
   /// is nothing to write. No other change is planned until one of the three
   /// functions below reports the outcome.
@@ -254,6 +245,12 @@
   }
   /// Returns the tokens that can be reserved at this time.
   Tokens Available(TimePoint now, const std::string& organisation) const;
+  /// Returns the organisations with a limit of which this gateway holds a grant
+  /// or knows a demand.
+  std::vector<std::string> HeldOrganisations() const;
+  /// Returns where the organisation's tokens are, by the account as last read.
+  TokenBreakdown Breakdown(TimePoint now,
+                           const std::string& organisation) const;
 
  private:
   /// The grant of one organisation, and its use.
@@ -284,6 +281,8 @@
     /// Total of the settled spend, and the tokens of the current reservations.
     Tokens spent;
     Tokens reserved;
+    /// Sum of the amounts of all settled reservations.
+    Tokens settled;
     /// Largest amount that could not be reserved and that no grant has covered
     /// since then; 0 if there is none.
     Tokens unmet_amount;
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -127,6 +127,7 @@
 asio::awaitable<void> AccountShard::Sync(StoreClient& client) {
   this->busy = true;
   this->rate_limited = false;
+  const uint64_t calls_before = client.Calls() - this->calls.appends;
   bool is_fresh = this->end && Now() - this->book_at < kMaxBookAge;
   if (!is_fresh) {
     is_fresh = co_await this->ReadBook(client);
@@ -144,8 +145,10 @@
     if (outcome == Outcome::kDone) break;
     if (outcome == Outcome::kRefused) this->BackOff();
     if (outcome == Outcome::kRefused) break;
+    if (outcome == Outcome::kEndMoved) ++this->calls.lost_races;
     is_fresh = co_await this->ReadBook(client);
   }
+  this->calls.reads += client.Calls() - this->calls.appends - calls_before;
   this->busy = false;
 }
 
@@ -215,6 +218,7 @@
   Duration timeout = this->options.initial_timeout;
   int unproven = 0;
   while (true) {
+    ++this->calls.appends;
     StoreReply reply = co_await client.Call(text, timeout);
     if (!this->IsAnswerToAppend(reply)) {
       client.DropUnproven(reply, this->event_log);
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -34,6 +34,15 @@
   budget::RecordedGrant after;
 };
 
+/// Calls to the store that an AccountShard has made, answered or not.
+struct AccountCalls {
+  uint64_t reads = 0;
+  uint64_t appends = 0;
+  /// Appends that were not applied because another gateway had appended since
+  /// the book was read.
+  uint64_t lost_races = 0;
+};
+
 /// The accounts of the organisations that share one partition of the store.
 /// Each append to the partition consists of the changed grants followed by the
 /// book of all its accounts, and the store applies it only if the partition
@@ -58,6 +67,7 @@
   bool IsBusy() const { return this->busy; }
   /// Time since the pending write was started; zero if no write is pending.
   Duration PendingWriteAge(TimePoint now) const;
+  const AccountCalls& Calls() const { return this->calls; }
 
   /// Reads the book if necessary and writes the grants that are due. Only one
   /// sync may run at a time.
@@ -125,6 +135,7 @@
   TimePoint book_at;
   TimePoint write_begun;
   TimePoint backoff_until;
+  AccountCalls calls;
   int failures = 0;
   bool rate_limited = false;
   bool busy = false;
--- a/gateway/budget_client.cc
+++ b/gateway/budget_client.cc
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 
+#include "fuchsiadrum/budget/grant_holder.h"
 #include "fuchsiadrum/core/hash.h"
+#include "gateway/account_shard.h"
 #include "gateway/clock.h"
+#include "gateway/fleet_heartbeats.h"
+#include "gateway/token_report.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
@@ -37,12 +41,17 @@
       context(io_context),
       watchdog(timeouts),
       event_log(log),
-      holder(budget::GrantHolderOptions()),
+      holder(
+          std::make_unique<budget::GrantHolder>(budget::GrantHolderOptions())),
+      report(std::make_unique<TokenReport>(*this->holder, log)),
       pacer({.fleet_calls_per_s = opts.writes_per_s}),
-      heartbeats(HeartbeatOptions(opts), io_context, timeouts, log),
+      heartbeats(std::make_unique<FleetHeartbeats>(HeartbeatOptions(opts),
+                                                   io_context, timeouts, log)),
       grants_changed(io_context),
       sync_needed(io_context) {}
 
+BudgetClient::~BudgetClient() = default;
+
 void BudgetClient::Start() {
   asio::co_spawn(this->context, this->HeartbeatLoop(), asio::detached);
   asio::co_spawn(this->context, this->SyncLoop(), asio::detached);
@@ -50,8 +59,8 @@
 
 void BudgetClient::OnConfig(const serving::ServingConfig& config) {
   for (const serving::Organisation& organisation : config.organisations) {
-    this->holder.SetLimit(organisation.name, organisation.prepaid,
-                          config.version);
+    this->holder->SetLimit(organisation.name, organisation.prepaid,
+                           config.version);
     this->ShardOf(organisation.name).Add(organisation.name);
   }
   // A raised budget may cover requests that are waiting.
@@ -74,7 +83,7 @@
         .holder = this->name,
         .store_address = this->options.store_address};
     shard = std::make_unique<AccountShard>(shard_options, this->context,
-                                           this->holder, this->event_log);
+                                           *this->holder, this->event_log);
   }
   return *shard;
 }
@@ -83,45 +92,81 @@
     std::string organisation, Tokens amount, Duration max_wait) {
   const TimePoint begin = Now();
   const TimePoint end = begin + max_wait;
-  this->holder.OnRequest(begin, organisation, amount);
+  this->holder->OnRequest(begin, organisation, amount);
   while (true) {
     const TimePoint now = Now();
     const budget::ReserveOutcome result =
-        this->holder.Reserve(now, organisation, amount);
+        this->holder->Reserve(now, organisation, amount);
     // Only free tokens can be granted soon. Tokens granted to other gateways
     // come back when those no longer need them.
     const bool is_grant_expected = result == budget::ReserveOutcome::kPending &&
                                    this->IsStoreAnswering(now, organisation);
     if (result != budget::ReserveOutcome::kReserved) this->sync_needed.Notify();
-    if (!is_grant_expected || now >= end) co_return result;
+    if (!is_grant_expected || now >= end) {
+      this->CountRefusal(now, organisation, amount, result);
+      co_return result;
+    }
     co_await this->grants_changed.Wait(
         std::min(end - now, kStoreCheckInterval));
   }
 }
 
+void BudgetClient::CountRefusal(TimePoint now, const std::string& organisation,
+                                Tokens amount, budget::ReserveOutcome outcome) {
+  if (outcome == budget::ReserveOutcome::kReserved) return;
+  TokenRefusal refusal;
+  refusal.outcome = outcome;
+  refusal.needs_only_ceiling =
+      this->holder->NeedsOnlyCeiling(organisation, amount);
+  refusal.is_account_silent =
+      this->ShardOf(organisation).PendingWriteAge(now) >= kSlowWriteAge;
+  refusal.is_heartbeat_silent =
+      this->heartbeats->PendingWriteAge(now) >= this->options.store_timeout;
+  this->report->CountRefusal(refusal);
+}
+
 bool BudgetClient::IsStoreAnswering(TimePoint now,
                                     const std::string& organisation) {
   return this->ShardOf(organisation).PendingWriteAge(now) < kSlowWriteAge &&
-         this->heartbeats.PendingWriteAge(now) < this->options.store_timeout;
+         this->heartbeats->PendingWriteAge(now) < this->options.store_timeout;
 }
 
 void BudgetClient::Settle(const std::string& organisation, Tokens amount,
                           Tokens spent) {
-  this->holder.Settle(organisation, amount, spent);
+  this->holder->Settle(organisation, amount, spent);
 }
 
 void BudgetClient::Close() {
   this->closed = true;
-  this->holder.Close();
+  this->holder->Close();
   this->sync_needed.Notify();
 }
 
 uint64_t BudgetClient::Calls() const {
-  uint64_t sum = this->calls + this->heartbeats.Calls();
+  uint64_t sum = this->calls + this->heartbeats->Calls();
   for (const auto& client : this->clients) sum += client->Calls();
   return sum;
 }
 
+size_t BudgetClient::FleetSize() const { return this->heartbeats->FleetSize(); }
+
+BudgetCalls BudgetClient::CallsByPurpose() const {
+  BudgetCalls sum;
+  for (const auto& [number, shard] : this->shards) {
+    sum.accounts.reads += shard->Calls().reads;
+    sum.accounts.appends += shard->Calls().appends;
+    sum.accounts.lost_races += shard->Calls().lost_races;
+  }
+  sum.urgent_heartbeats = this->urgent_heartbeats;
+  sum.heartbeats = this->heartbeats->WriteCalls() - this->urgent_heartbeats;
+  sum.fleet_reads = this->heartbeats->ReadCalls();
+  return sum;
+}
+
+std::string BudgetClient::MetricsText() const {
+  return this->report->MetricsText(Now(), this->CallsByPurpose());
+}
+
 std::unique_ptr<StoreClient> BudgetClient::AcquireClient() {
   if (!this->clients.empty()) {
     std::unique_ptr<StoreClient> client = std::move(this->clients.back());
@@ -139,6 +184,10 @@
     const bool any_urgent = this->StartSyncs(now, true);
     const bool any_other = this->StartSyncs(now, false);
     this->flushed = this->closed && !any_urgent && !any_other;
+    if (now - this->reported_at >= this->options.report_interval) {
+      this->reported_at = now;
+      this->report->LogBreakdown(now);
+    }
     co_await this->sync_needed.Wait(this->options.sync_interval);
   }
 }
@@ -172,7 +221,7 @@
 }
 
 asio::awaitable<void> BudgetClient::HeartbeatLoop() {
-  while (!co_await this->heartbeats.ReadFleet()) {
+  while (!co_await this->heartbeats->ReadFleet()) {
     co_await this->grants_changed.Wait(kReadRetryInterval);
   }
   asio::co_spawn(this->context, this->ReclaimPredecessorGrants(),
@@ -180,21 +229,25 @@
   asio::co_spawn(this->context, this->FleetSizeLoop(), asio::detached);
 
   while (!this->closed) {
-    const Duration interval = this->holder.IsHeartbeatUrgent()
+    const bool is_urgent = this->holder->IsHeartbeatUrgent();
+    const Duration interval = is_urgent
                                   ? this->options.urgent_heartbeat_interval
-                                  : this->heartbeats.Interval();
+                                  : this->heartbeats->Interval();
     const TimePoint now = Now();
     const TimePoint due = this->heartbeat_begun_at + interval;
     if (now < due) {
       co_await this->sync_needed.Wait(due - now);
       continue;
     }
+    if (now - this->heartbeat_begun_at < this->heartbeats->Interval()) {
+      ++this->urgent_heartbeats;
+    }
     this->heartbeat_begun_at = now;
     std::vector<budget::GrantCeiling> ceilings =
-        this->holder.PlanHeartbeat(now);
-    this->holder.OnHeartbeatStarted(now);
-    co_await this->heartbeats.Write(std::move(ceilings));
-    this->holder.OnHeartbeatWritten(Now());
+        this->holder->PlanHeartbeat(now);
+    this->holder->OnHeartbeatStarted(now);
+    co_await this->heartbeats->Write(std::move(ceilings));
+    this->holder->OnHeartbeatWritten(Now());
     this->grants_changed.Notify();
   }
 }
@@ -207,10 +260,10 @@
     ErrorCode ignored;
     co_await timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
-    const bool succeeded = co_await this->heartbeats.ReadFleet();
+    const bool succeeded = co_await this->heartbeats->ReadFleet();
     if (succeeded) {
-      this->holder.SetFleetSize(this->heartbeats.FleetSize());
-      this->pacer.SetFleetSize(this->heartbeats.FleetSize());
+      this->holder->SetFleetSize(this->heartbeats->FleetSize());
+      this->pacer.SetFleetSize(this->heartbeats->FleetSize());
     }
     interval =
         succeeded ? this->options.fleet_size_interval : kReadRetryInterval;
@@ -218,14 +271,14 @@
 }
 
 asio::awaitable<void> BudgetClient::ReclaimPredecessorGrants() {
-  const budget::ReleaseOptions release = this->holder.GetReleaseOptions();
+  const budget::ReleaseOptions release = this->holder->GetReleaseOptions();
   const std::optional<Duration> silence =
-      co_await this->heartbeats.PredecessorSilence(release);
+      co_await this->heartbeats->PredecessorSilence(release);
   if (!silence) co_return;
 
   std::map<AccountShard*, std::vector<budget::GrantCeiling>> by_shard;
   for (const pb::HeldCeiling& item :
-       this->heartbeats.Predecessor()->ceilings()) {
+       this->heartbeats->Predecessor()->ceilings()) {
     budget::GrantCeiling held;
     held.organisation = item.organisation();
     held.ceiling = Tokens(item.ceiling_tokens());
@@ -234,7 +287,7 @@
   StoreClient client(this->context, this->watchdog,
                      this->options.store_address);
   for (const auto& [shard, ceilings] : by_shard) {
-    co_await shard->Reclaim(client, this->heartbeats.PredecessorHolder(),
+    co_await shard->Reclaim(client, this->heartbeats->PredecessorHolder(),
                             ceilings, *silence);
     this->sync_needed.Notify();
   }
--- a/gateway/budget_client.h
+++ b/gateway/budget_client.h
@@ -1,20 +1,29 @@
 #pragma once
 
-#include <list>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
-#include "fuchsiadrum/budget/grant_holder.h"
+#include "fuchsiadrum/budget/reserve_outcome.h"
 #include "fuchsiadrum/serving/serving_config.h"
 #include "fuchsiadrum/store/call_pacer.h"
-#include "gateway/account_shard.h"
-#include "gateway/fleet_heartbeats.h"
+#include "gateway/async_condition.h"
+#include "gateway/event_log.h"
+#include "gateway/store_client.h"
+#include "gateway/watchdog.h"
+
+namespace fuchsiadrum::budget {
+class GrantHolder;
+}  // namespace fuchsiadrum::budget
 
 namespace fuchsiadrum::gateway {
 
+class AccountShard;
+class FleetHeartbeats;
+class TokenReport;
+struct BudgetCalls;
+
 /// Options of BudgetClient.
 struct BudgetClientOptions {
   std::string vm;
@@ -37,6 +46,8 @@
   size_t store_connections = 4;
   /// Interval at which the size of the fleet is read again.
   Duration fleet_size_interval = std::chrono::seconds(20);
+  /// Interval of the log lines that say where the budgets' tokens are.
+  Duration report_interval = std::chrono::seconds(5);
 };
 
 /// Reserves tokens of the organisations' prepaid budgets for requests. Keeps
@@ -46,6 +57,7 @@
  public:
   BudgetClient(const BudgetClientOptions& opts, asio::io_context& context,
                Watchdog& watchdog, EventLog& log);
+  ~BudgetClient();
 
   /// Starts the background coroutines, which run until the process ends.
   void Start();
@@ -68,7 +80,10 @@
   uint64_t Calls() const;
   /// Number of gateways that have ever written a heartbeat, including this one;
   /// 0 if not yet known.
-  size_t FleetSize() const { return this->heartbeats.FleetSize(); }
+  size_t FleetSize() const;
+  /// Metrics in Prometheus text format: where the tokens are, calls to the
+  /// store by purpose, and refusals for want of tokens by cause.
+  std::string MetricsText() const;
 
  private:
   /// False while a write has been unanswered for so long that no grant can be
@@ -85,6 +100,10 @@
                              std::unique_ptr<StoreClient> client);
   asio::awaitable<void> HeartbeatLoop();
   asio::awaitable<void> FleetSizeLoop();
+  /// Calls made to the store by purpose.
+  BudgetCalls CallsByPurpose() const;
+  void CountRefusal(TimePoint now, const std::string& organisation,
+                    Tokens amount, budget::ReserveOutcome outcome);
   /// Returns the tokens that the previous gateway process on this VM cannot
   /// have used.
   asio::awaitable<void> ReclaimPredecessorGrants();
@@ -94,9 +113,10 @@
   asio::io_context& context;
   Watchdog& watchdog;
   EventLog& event_log;
-  budget::GrantHolder holder;
+  std::unique_ptr<budget::GrantHolder> holder;
+  std::unique_ptr<TokenReport> report;
   store::CallPacer pacer;
-  FleetHeartbeats heartbeats;
+  std::unique_ptr<FleetHeartbeats> heartbeats;
   AsyncCondition grants_changed;
   AsyncCondition sync_needed;
   /// By topic * partitions per topic + partition.
@@ -104,6 +124,8 @@
   std::vector<std::unique_ptr<StoreClient>> clients;
   size_t active_syncs = 0;
   uint64_t calls = 0;
+  uint64_t urgent_heartbeats = 0;
+  TimePoint reported_at;
   TimePoint heartbeat_begun_at;
   bool flushed = false;
   bool closed = false;
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -68,9 +68,10 @@
   }
   /// Time since the pending write was started; zero if no write is pending.
   Duration PendingWriteAge(TimePoint now) const;
-  uint64_t Calls() const {
-    return this->write_client.Calls() + this->read_client.Calls();
-  }
+  uint64_t Calls() const { return this->WriteCalls() + this->ReadCalls(); }
+  /// Calls that write heartbeats, and those that read them.
+  uint64_t WriteCalls() const { return this->write_client.Calls(); }
+  uint64_t ReadCalls() const { return this->read_client.Calls(); }
 
  private:
   void AddMember(const store::KeyedRecord& record);
--- a/gateway/gateway_answer.h
+++ b/gateway/gateway_answer.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "fuchsiadrum/budget/grant_holder.h"
+#include "fuchsiadrum/budget/reserve_outcome.h"
 #include "fuchsiadrum/serving/attempt_policy.h"
 #include "gateway/active_request.h"
 #include "gateway/gateway_core.h"
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -302,6 +302,17 @@
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
   add("body_bytes", static_cast<double>(this->body_bytes.Held()));
   add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
+  const auto add_calls = [&add](std::string_view purpose, uint64_t calls) {
+    std::string name = "store_calls_by_purpose_total{purpose=\"";
+    name += purpose;
+    name += "\"}";
+    add(name, static_cast<double>(calls));
+  };
+  add_calls("config", this->config_follower.Calls());
+  add_calls("upstreams", this->upstream_follower.Calls());
+  add_calls("limits", this->shared_limits.Calls());
+  add_calls("quarantine", this->quarantine_client.Calls());
+  text += this->budgets.MetricsText();
   return text;
 }
 
