--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -85,6 +85,8 @@
   /// Requests per second that the upstream takes from all VMs together; empty
   /// if it names no limit.
   std::optional<double> request_limit;
+  /// Time for which the upstream will still be cold; empty if it does not say.
+  std::optional<Duration> cold_left;
   /// Why an announcement in the headers could not be parsed; empty if all
   /// could.
   std::string fault;
--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -24,6 +24,11 @@
   int64_t started_unix_ms = 0;
   int slots = 1;
   bool draining = false;
+  /// Time for which the upstream will still be cold, from the writing of the
+  /// entry.
+  Duration cold_left = Duration::zero();
+  /// Number of the entry; it grows with each entry of one process.
+  int64_t sequence = 0;
 };
 
 /// One part of a prompt, in the order of the prompt.
--- a/fuchsiadrum/serving/serving_config.h
+++ b/fuchsiadrum/serving/serving_config.h
@@ -74,6 +74,10 @@
   std::string name;
   /// Maximum number of connections that one upstream accepts in total.
   int max_connections = 100;
+  /// How long an upstream is cold after its start, and how many requests per
+  /// second it takes meanwhile; 0: it is never cold.
+  Duration cold_time = Duration::zero();
+  double cold_requests_per_s = 0;
   /// Empty if the upstreams are not model engines.
   std::optional<EngineTraits> engine;
 };
--- a/fuchsiadrum/serving/upstream_directory.cc
+++ b/fuchsiadrum/serving/upstream_directory.cc
@@ -11,12 +11,13 @@
                   std::chrono::duration_cast<Duration>(drain_time * kFraction));
 }
 
-bool UpstreamDirectory::Put(const UpstreamEntry& entry) {
+bool UpstreamDirectory::Put(TimePoint now, const UpstreamEntry& entry) {
   FleetUpstreamPtr& known = this->upstreams[entry.id];
   const bool same_incarnation =
       known && known->entry.started_unix_ms == entry.started_unix_ms &&
       known->entry.address == entry.address &&
       known->entry.service == entry.service;
+  this->cold.OnEntry(now, entry, known && !same_incarnation);
   // Draining is final: within one incarnation an upstream never becomes usable
   // again.
   const bool draining = entry.draining ||
@@ -77,11 +78,38 @@
                               sent_at);
 }
 
+void UpstreamDirectory::OnColdTime(TimePoint now, const FleetUpstream& upstream,
+                                   Duration cold_left) {
+  if (this->IsReplaced(upstream)) return;
+  this->cold.OnAnswer(now, upstream.entry.id, cold_left);
+}
+
+void UpstreamDirectory::OnLost(TimePoint now,
+                               const UpstreamIncarnation& upstream) {
+  const auto found = this->upstreams.find(upstream.id);
+  if (found == this->upstreams.end() ||
+      IncarnationOf(found->second->entry) != upstream) {
+    return;
+  }
+  this->cold.OnDoubt(now, upstream.id);
+}
+
+bool UpstreamDirectory::LiftEvacuation(TimePoint now, const std::string& zone) {
+  if (!this->evacuations.Lift(zone)) return false;
+  for (const auto& [id, upstream] : this->upstreams) {
+    if (upstream->entry.availability_zone != zone) continue;
+    this->cold.OnDoubt(now, id);
+  }
+  return true;
+}
+
 void UpstreamDirectory::OnTick(TimePoint now) {
   this->notices.OnTick(now);
-  this->limits.DropUnknown(now, [this](const std::string& id) {
+  const auto is_known = [this](const std::string& id) {
     return this->upstreams.contains(id);
-  });
+  };
+  this->limits.DropUnknown(now, is_known);
+  this->cold.DropUnknown(now, is_known);
   std::erase_if(this->upstreams, [&](const auto& item) {
     return !this->IsKept(now, *item.second);
   });
@@ -105,27 +133,59 @@
   if (!this->limits.HasPermit(now, IncarnationOf(upstream.entry))) {
     return UpstreamEligibility::kIneligible;
   }
+  if (this->IsCold(now, upstream) &&
+      !this->cold.HasPermit(now, upstream.entry)) {
+    return UpstreamEligibility::kIneligible;
+  }
   return this->UnlimitedEligibilityOf(now, upstream);
 }
 
-bool UpstreamDirectory::TakePermit(TimePoint now, const FleetUpstream& upstream,
-                                   int priority) {
-  return this->limits.TakePermit(now, IncarnationOf(upstream.entry), priority);
+std::optional<SendPermit> UpstreamDirectory::TakePermit(
+    TimePoint now, const FleetUpstream& upstream, int priority) {
+  SendPermit permit;
+  if (this->IsCold(now, upstream)) {
+    if (!this->cold.TakePermit(now, upstream.entry)) return std::nullopt;
+    permit.of_cold = true;
+  }
+  if (!this->IsLimited(upstream)) return permit;
+  permit.of_limit =
+      this->limits.TakePermit(now, IncarnationOf(upstream.entry), priority);
+  if (permit.of_limit) return permit;
+  this->ReturnPermit(now, upstream, permit);
+  return std::nullopt;
 }
 
 void UpstreamDirectory::ReturnPermit(TimePoint now,
-                                     const FleetUpstream& upstream) {
+                                     const FleetUpstream& upstream,
+                                     const SendPermit& permit) {
+  if (permit.of_cold) this->cold.ReturnPermit(upstream.entry.id);
+  if (!permit.of_limit) return;
   this->limits.ReturnPermit(now, IncarnationOf(upstream.entry));
 }
 
 bool UpstreamDirectory::MaySend(TimePoint now, const FleetUpstream& upstream,
-                                bool has_permit) const {
+                                const SendPermit& permit) const {
   if (this->UnlimitedEligibilityOf(now, upstream) ==
       UpstreamEligibility::kIneligible) {
     return false;
   }
+  if (this->IsCold(now, upstream) &&
+      !(permit.of_cold && this->cold.IsPermitValid(now, upstream.entry))) {
+    return false;
+  }
   if (!this->IsLimited(upstream)) return true;
-  return has_permit && this->limits.IsShareValid(IncarnationOf(upstream.entry));
+  return permit.of_limit &&
+         this->limits.IsShareValid(IncarnationOf(upstream.entry));
+}
+
+void UpstreamDirectory::OnSend(TimePoint now, const FleetUpstream& upstream,
+                               const SendPermit& permit) {
+  this->cold.OnSend(now, upstream.entry.id, permit.of_cold);
+}
+
+void UpstreamDirectory::OnMisdirected(const FleetUpstream& upstream,
+                                      TimePoint sent_at) {
+  this->cold.OnMisdirected(upstream.entry.id, sent_at);
 }
 
 bool UpstreamDirectory::IsLimited(const FleetUpstream& upstream) const {
@@ -135,6 +195,7 @@
 UpstreamEligibility UpstreamDirectory::UnlimitedEligibilityOf(
     TimePoint now, const FleetUpstream& upstream) const {
   if (upstream.entry.draining) return UpstreamEligibility::kIneligible;
+  if (this->IsEvacuated(upstream)) return UpstreamEligibility::kIneligible;
   if (now < this->notices.PausedUntil(IncarnationOf(upstream.entry))) {
     return UpstreamEligibility::kIneligible;
   }
@@ -144,26 +205,41 @@
                                             : UpstreamEligibility::kUsable;
 }
 
+bool UpstreamDirectory::IsHeldCold(TimePoint now,
+                                   const FleetUpstream& upstream) const {
+  return this->IsCold(now, upstream) &&
+         this->UnlimitedEligibilityOf(now, upstream) ==
+             UpstreamEligibility::kUsable;
+}
+
 std::vector<FleetUpstreamPtr> UpstreamDirectory::Candidates(
     TimePoint now, const std::string& service,
     std::span<const std::string> excluded, int priority) {
   std::vector<FleetUpstreamPtr> usable;
   std::vector<FleetUpstreamPtr> failing;
   std::vector<FleetUpstreamPtr> missing;
+  std::vector<FleetUpstreamPtr> cold_ones;
   size_t listed = 0;
+  size_t held_cold = 0;
   for (const auto& [id, upstream] : this->upstreams) {
     if (upstream->entry.service != service) continue;
     const UpstreamEligibility eligibility = this->EligibilityOf(now, *upstream);
-    if (eligibility == UpstreamEligibility::kIneligible) continue;
+    if (eligibility == UpstreamEligibility::kIneligible) {
+      if (this->IsHeldCold(now, *upstream)) ++held_cold;
+      continue;
+    }
     const bool is_missing = upstream->missing_since.us != 0;
     if (!is_missing) ++listed;
     if (std::ranges::find(excluded, id) != excluded.end()) continue;
     if (eligibility == UpstreamEligibility::kUsable) {
-      usable.push_back(upstream);
+      (this->IsCold(now, *upstream) ? cold_ones : usable).push_back(upstream);
     } else {
       (is_missing ? missing : failing).push_back(upstream);
     }
   }
+  if (usable.size() * 2 < listed + held_cold) {
+    usable.insert(usable.end(), cold_ones.begin(), cold_ones.end());
+  }
   if (usable.size() * 2 < listed) {
     usable.insert(usable.end(), failing.begin(), failing.end());
   }
@@ -185,7 +261,8 @@
     TimePoint now, std::string_view service) const {
   std::optional<TimePoint> first;
   for (const auto& [id, upstream] : this->upstreams) {
-    if (upstream->entry.service != service || upstream->entry.draining) {
+    if (upstream->entry.service != service || upstream->entry.draining ||
+        this->IsEvacuated(*upstream)) {
       continue;
     }
     const TimePoint until =
@@ -196,4 +273,42 @@
   return first;
 }
 
+std::optional<TimePoint> UpstreamDirectory::EvacuationEnd(
+    TimePoint now, std::string_view service) const {
+  std::optional<TimePoint> first;
+  for (const auto& [id, upstream] : this->upstreams) {
+    if (upstream->entry.service != service || upstream->entry.draining ||
+        upstream->missing_since.us != 0) {
+      continue;
+    }
+    if (!this->IsEvacuated(*upstream)) return std::nullopt;
+    const TimePoint end = now + this->evacuations.RetryAfter(
+                                    now, upstream->entry.availability_zone);
+    if (!first || end < *first) first = end;
+  }
+  return first;
+}
+
+std::optional<TimePoint> UpstreamDirectory::FirstColdChance(
+    TimePoint now, std::string_view service) const {
+  std::optional<TimePoint> first;
+  for (const auto& [id, upstream] : this->upstreams) {
+    if (upstream->entry.service != service ||
+        !this->IsHeldCold(now, *upstream)) {
+      continue;
+    }
+    const TimePoint chance = this->cold.NextChance(now, upstream->entry);
+    if (!first || chance < *first) first = chance;
+  }
+  return first;
+}
+
+std::set<std::string> UpstreamDirectory::ColdIds(TimePoint now) const {
+  std::set<std::string> ids;
+  for (const auto& [id, upstream] : this->upstreams) {
+    if (this->IsCold(now, *upstream)) ids.insert(id);
+  }
+  return ids;
+}
+
 }  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/upstream_directory.h
+++ b/fuchsiadrum/serving/upstream_directory.h
@@ -2,14 +2,18 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "fuchsiadrum/serving/cold_upstreams.h"
 #include "fuchsiadrum/serving/fleet_upstream.h"
+#include "fuchsiadrum/serving/send_permit.h"
 #include "fuchsiadrum/serving/upstream_limits.h"
 #include "fuchsiadrum/serving/upstream_notices.h"
+#include "fuchsiadrum/serving/zone_evacuations.h"
 
 namespace fuchsiadrum::serving {
 
@@ -26,14 +30,17 @@
   UpstreamOptions upstream;
   UpstreamNoticeOptions notices;
   UpstreamLimitsOptions limits;
+  ZoneEvacuationsOptions evacuations;
+  ColdUpstreamsOptions cold;
 };
 
 /// Whether an upstream may be sent a request.
 enum class UpstreamEligibility {
   kUsable,
   kLastResort,  // ejected, or its entry is missing: only if none is usable
-  kIneligible,  // it is shutting down, is gone, asked for a pause, or has a
-                // limit for which this VM has no permit
+  kIneligible,  // it is shutting down, is gone, asked for a pause, its zone is
+                // evacuated, or it has a limit or is cold and this VM has no
+                // permit
 };
 
 /// Returns how long a missing upstream may be kept if a stopped one must get no
@@ -47,12 +54,16 @@
 class UpstreamDirectory {
  public:
   explicit UpstreamDirectory(const UpstreamDirectoryOptions& opts)
-      : options(opts), notices(opts.notices), limits(opts.limits) {}
+      : options(opts),
+        notices(opts.notices),
+        limits(opts.limits),
+        evacuations(opts.evacuations),
+        cold(opts.cold) {}
 
   /// Stores an entry that was written. Returns true if the upstream is new,
   /// was missing or begins to drain, and false if the entry only confirms that
   /// it is alive.
-  bool Put(const UpstreamEntry& entry);
+  bool Put(TimePoint now, const UpstreamEntry& entry);
   /// An entry was deleted, or its value does not describe an upstream. Drops a
   /// draining upstream and marks any other one as missing.
   void Remove(TimePoint now, const std::string& id);
@@ -72,29 +83,61 @@
   /// known limit has changed.
   bool OnLimit(TimePoint now, const FleetUpstream& upstream,
                std::optional<double> limit, TimePoint sent_at);
+  /// An answer of the upstream says for how long it will be cold; zero: it is
+  /// not.
+  void OnColdTime(TimePoint now, const FleetUpstream& upstream,
+                  Duration cold_left);
+  /// The upstream could not be reached or broke a connection off; it may have
+  /// been started again since.
+  void OnLost(TimePoint now, const UpstreamIncarnation& upstream);
+  /// All upstreams of the zone get no request until LiftEvacuation. Returns
+  /// true if that was not known.
+  bool BeginEvacuation(TimePoint now, const std::string& zone) {
+    return this->evacuations.Begin(now, zone);
+  }
+  /// Returns true if the zone was evacuated. Its upstreams may be cold.
+  bool LiftEvacuation(TimePoint now, const std::string& zone);
   /// Drops expired notices and upstreams that have been missing for too long.
   void OnTick(TimePoint now);
 
   /// Whether the upstream may get a new request.
   UpstreamEligibility EligibilityOf(TimePoint now,
                                     const FleetUpstream& upstream) const;
-  /// Takes a permit for one request of this priority, if the upstream has a
-  /// limit. Returns false if there is none.
-  bool TakePermit(TimePoint now, const FleetUpstream& upstream, int priority);
-  /// Puts back a permit whose request was not sent.
-  void ReturnPermit(TimePoint now, const FleetUpstream& upstream);
-  /// True if a request that was placed earlier may be sent now. `has_permit`:
-  /// TakePermit was called for it while the upstream had a limit.
+  /// Takes what one request of this priority needs: a permit if the upstream
+  /// has a limit, and one if it is cold. Returns nullopt if one is not to be
+  /// had.
+  std::optional<SendPermit> TakePermit(TimePoint now,
+                                       const FleetUpstream& upstream,
+                                       int priority);
+  /// Puts back the permit of a request that was not sent.
+  void ReturnPermit(TimePoint now, const FleetUpstream& upstream,
+                    const SendPermit& permit);
+  /// True if a request that was placed earlier may be sent now. `permit`: what
+  /// TakePermit returned for it.
   bool MaySend(TimePoint now, const FleetUpstream& upstream,
-               bool has_permit) const;
+               const SendPermit& permit) const;
+  /// The request is sent.
+  void OnSend(TimePoint now, const FleetUpstream& upstream,
+              const SendPermit& permit);
+  /// Another upstream has answered the request that was sent at `sent_at`.
+  void OnMisdirected(const FleetUpstream& upstream, TimePoint sent_at);
   /// True if the upstream has a limit.
   bool IsLimited(const FleetUpstream& upstream) const;
+  /// True if the upstream's zone is evacuated.
+  bool IsEvacuated(const FleetUpstream& upstream) const {
+    return this->evacuations.IsEvacuated(upstream.entry.availability_zone);
+  }
+  /// True if the upstream is cold or may be.
+  bool IsCold(TimePoint now, const FleetUpstream& upstream) const {
+    return this->cold.IsCold(now, upstream.entry);
+  }
   /// Returns the upstreams of the service that may get a new request, without
   /// the ids in `excluded`. Ejected upstreams are included if fewer than half
   /// of the upstreams that have an entry would remain: if so many fail, the
   /// cause is not the upstreams. Missing ones are returned only if there is no
-  /// other. If all of them have limits, less urgent requests get only the
-  /// permits that more urgent ones leave.
+  /// other. Cold ones for which there is a permit are included only if fewer
+  /// than half of the upstreams are warm. If all of them have limits, less
+  /// urgent requests get only the permits that more urgent ones leave.
   std::vector<FleetUpstreamPtr> Candidates(
       TimePoint now, const std::string& service,
       std::span<const std::string> excluded = {}, int priority = 0);
@@ -102,6 +145,18 @@
   /// if no upstream has asked for a pause.
   std::optional<TimePoint> FirstPauseEnd(TimePoint now,
                                          std::string_view service) const;
+  /// Returns when the service's upstreams are expected back if the zones of all
+  /// of them are evacuated; nullopt if one is elsewhere, or there is none.
+  std::optional<TimePoint> EvacuationEnd(TimePoint now,
+                                         std::string_view service) const;
+  /// Returns when the first of the service's upstreams that are cold may get a
+  /// request of this VM; nullopt if none is cold.
+  std::optional<TimePoint> FirstColdChance(TimePoint now,
+                                           std::string_view service) const;
+  /// Ids of the upstreams that are cold or may be.
+  std::set<std::string> ColdIds(TimePoint now) const;
+  const ZoneEvacuations& Evacuations() const { return this->evacuations; }
+  ColdUpstreams& Cold() { return this->cold; }
   UpstreamLimits& Limits() { return this->limits; }
   const UpstreamLimits& Limits() const { return this->limits; }
   size_t Size() const { return this->upstreams.size(); }
@@ -110,14 +165,18 @@
   /// True if the upstream's id belongs to another incarnation by now.
   bool IsReplaced(const FleetUpstream& upstream) const;
   bool IsKept(TimePoint now, const FleetUpstream& upstream) const;
-  /// EligibilityOf without regard to a limit.
+  /// EligibilityOf without regard to permits.
   UpstreamEligibility UnlimitedEligibilityOf(
       TimePoint now, const FleetUpstream& upstream) const;
+  /// True if the upstream would be usable with a permit.
+  bool IsHeldCold(TimePoint now, const FleetUpstream& upstream) const;
   static UpstreamIncarnation IncarnationOf(const UpstreamEntry& entry);
 
   UpstreamDirectoryOptions options;
   UpstreamNotices notices;
   UpstreamLimits limits;
+  ZoneEvacuations evacuations;
+  ColdUpstreams cold;
   std::map<std::string, FleetUpstreamPtr> upstreams;
   TimePoint store_reconnected_at;
 };
--- a/gateway/answer_notices.cc
+++ b/gateway/answer_notices.cc
@@ -28,6 +28,15 @@
                     {"requests_per_s", limit.value_or(kNoLimit)}});
 }
 
+void ApplyColdTime(GatewayCore& core, const serving::FleetUpstream& upstream,
+                   const serving::UpstreamAnswer& answer) {
+  if (!answer.cold_left) return;
+  // Only the upstream itself says that it is warm, as with a limit.
+  const bool is_own = answer.has_signature || answer.not_executed;
+  if (*answer.cold_left == Duration::zero() && !is_own) return;
+  core.Upstreams().OnColdTime(Now(), upstream, *answer.cold_left);
+}
+
 }  // namespace
 
 void ApplyNotices(GatewayCore& core, serving::FleetUpstream& upstream,
@@ -53,6 +62,7 @@
                       {"ms", ToMilliseconds(*answer.pause)}});
   }
   ApplyLimit(core, upstream, answer, request);
+  ApplyColdTime(core, upstream, answer);
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/budget_client.h
+++ b/gateway/budget_client.h
@@ -69,6 +69,7 @@
   /// Number of gateways that have ever written a heartbeat, including this one;
   /// 0 if not yet known.
   size_t FleetSize() const { return this->heartbeats.FleetSize(); }
+  const FleetHeartbeats& Heartbeats() const { return this->heartbeats; }
 
  private:
   /// False while a write has been unanswered for so long that no grant can be
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -72,6 +72,7 @@
   }
   this->vms.insert(this->options.vm);
   this->fleet_size = this->vms.size();
+  ++this->reads;
   co_return true;
 }
 
@@ -118,6 +119,7 @@
     }
     if (reply.status == platform::kStoreOk) {
       this->last_offset = offset;
+      if (!this->first_written_at) this->first_written_at = Now();
       if (!this->first_heartbeat) {
         this->first_heartbeat = budget::FleetHeartbeat();
         this->first_heartbeat->vm = this->options.vm;
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -63,6 +63,13 @@
   /// Number of VMs that have ever written a heartbeat, including this one; 0 if
   /// not yet known.
   size_t FleetSize() const { return this->fleet_size; }
+  const std::set<std::string>& Vms() const { return this->vms; }
+  /// How often the heartbeats of all VMs were read.
+  uint64_t Reads() const { return this->reads; }
+  /// When this process has written its first heartbeat; empty: not yet.
+  std::optional<TimePoint> FirstWrittenAt() const {
+    return this->first_written_at;
+  }
   Duration Interval() const {
     return HeartbeatInterval(this->options, this->fleet_size);
   }
@@ -92,6 +99,8 @@
   platform::Writer writer;
   std::set<std::string> vms;
   size_t fleet_size = 0;
+  uint64_t reads = 0;
+  std::optional<TimePoint> first_written_at;
   std::optional<pb::FleetMember> predecessor;
   uint64_t predecessor_offset = 0;
   /// The first heartbeat that this process wrote.
--- a/gateway/gateway_answer.cc
+++ b/gateway/gateway_answer.cc
@@ -36,11 +36,25 @@
                                    const ActiveRequest& active, int runs) {
   if (runs > 0) return {502, "no other upstream", std::nullopt};
   const TimePoint now = Now();
+  const std::optional<TimePoint> evacuation_end =
+      core.Upstreams().EvacuationEnd(now, active.service);
+  if (evacuation_end) {
+    core.Metrics().CountWithheld("evacuated");
+    return {503, "zones evacuated", *evacuation_end - now};
+  }
   const std::optional<TimePoint> pause_end =
       core.Upstreams().FirstPauseEnd(now, active.service);
   const std::optional<TimePoint> limit_end =
       core.Upstreams().Limits().NextForPriority(now, active.service,
                                                 active.Priority());
+  const std::optional<TimePoint> cold_end =
+      core.Upstreams().FirstColdChance(now, active.service);
+  if (cold_end && (!pause_end || *cold_end < *pause_end) &&
+      (!limit_end || *cold_end < *limit_end)) {
+    core.Metrics().CountWithheld("cold");
+    return {503, "upstreams cold",
+            std::max(*cold_end - now, kRetryAfterOtherVm)};
+  }
   if (limit_end && (!pause_end || *limit_end < *pause_end)) {
     return {503, "upstreams limited",
             std::max(*limit_end - now, kRetryAfterOtherVm)};
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -21,6 +21,10 @@
 /// Age of the last read of the configuration above which a change may be
 /// unknown: the wait of a held read, its timeout and some slack.
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
+/// After a pause of the process, nothing is sent until the evacuations have
+/// been read again, but for this time at most: if the store is away, the last
+/// ones remain in force.
+constexpr Duration kMaxEvacuationRead = std::chrono::milliseconds(1000);
 constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr size_t kBytesPerMegabyte = 1000000;
 /// Bodies may take the process's memory divided by this: each body is copied
@@ -52,6 +56,9 @@
   options.keep_missing = serving::KeepMissingTime(
       std::chrono::milliseconds(settings.bounds().drain_ms()));
   options.limits.holder = HolderName(settings);
+  options.cold.overage = settings.bounds().cold_overage();
+  options.cold.slack = settings.bounds().cold_slack();
+  options.cold.share.vm = settings.vm().name();
   return options;
 }
 
@@ -89,31 +96,30 @@
       loop_delay(serving::LoopDelayOptions()),
       body_bytes(gateway_settings.vm().memory_mb() * kBytesPerMegabyte /
                  kBodyMemoryDivisor),
-      pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link),
-      config_follower({.stream = platform::Stream::kOperators,
-                       .long_poll_wait = kConfigReadWait,
-                       .skip_to_newest_after_failure = true,
-                       .max_lag_records = 1,
-                       .timeout = StoreTimeout(gateway_settings)},
-                      {.on_change =
-                           [this](const auto& r) {
-                             // The stream has other keys, whose records may
-                             // come in the same read.
-                             if (r.key == platform::ConfigKey())
-                               this->pending_config = r;
-                           },
-                       .on_read = [this] { this->ApplyPendingConfig(); },
-                       .on_recovered = [] {}},
-                      io_context, this->watchdog, this->log,
-                      gateway_settings.store().address()),
+      pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link,
+           [this](const auto& entry) { this->OnUpstreamLost(entry); }),
+      config_follower(
+          {.stream = platform::Stream::kOperators,
+           .long_poll_wait = kConfigReadWait,
+           .skip_to_newest_after_failure = true,
+           .max_lag_records = 1,
+           .timeout = StoreTimeout(gateway_settings)},
+          {.on_change = [this](const auto& r) { this->OnOperatorsRecord(r); },
+           .on_read = [this] { this->ApplyPendingConfig(); },
+           .on_recovered = [] {}},
+          io_context, this->watchdog, this->log,
+          gateway_settings.store().address()),
       upstream_follower(
           {.stream = platform::Stream::kUpstreams,
            .interval = kUpstreamReadInterval,
            .timeout = StoreTimeout(gateway_settings)},
           {.on_change = [this](const auto& r) { this->OnUpstreamRecord(r); },
-           .on_read = [] {},
-           .on_recovered =
-               [this] { this->directory.OnStoreReconnected(Now()); }},
+           .on_read =
+               [this] {
+                 if (!this->upstream_follower.IsCurrent()) return;
+                 this->directory.Cold().OnEntriesRead();
+               },
+           .on_recovered = [this] { this->OnStoreRecovered(); }},
           io_context, this->watchdog, this->log,
           gateway_settings.store().address()),
       budgets(BudgetOptions(gateway_settings), io_context, this->watchdog,
@@ -145,6 +151,7 @@
 }
 
 void GatewayCore::OnTick(TimePoint now) {
+  this->CheckPause();
   this->watchdog.Check(now);
   this->UpdateLoad(now);
   this->shared_limits.CheckLease();
@@ -153,6 +160,8 @@
     this->last_pool_sweep = now;
     this->pool.OnTick(now);
     this->directory.OnTick(now);
+    this->UpdateFleet();
+    this->LogColdUpstreams(now);
     if (this->budgets.FleetSize() > 0) {
       this->retries.SetFleetSize(this->budgets.FleetSize());
       this->shared_limits.SetFleetSize(this->budgets.FleetSize());
@@ -222,9 +231,93 @@
                   {{"upstream", upstream}, {"field", name}});
 }
 
+void GatewayCore::OnOperatorsRecord(const store::KeyedRecord& record) {
+  // The stream has other keys, whose records may come in the same read.
+  if (record.key == platform::ConfigKey()) this->pending_config = record;
+  const auto zone = platform::EvacuatedZone(record.key);
+  if (zone) this->OnEvacuationRecord(record, *zone);
+}
+
+void GatewayCore::OnEvacuationRecord(const store::KeyedRecord& record,
+                                     const std::string& zone) {
+  const TimePoint now = Now();
+  const auto offset = static_cast<int64_t>(record.offset);
+  // The newest records of all keys may include those that delete a key.
+  if (!record.value || record.value->empty()) {
+    if (!this->directory.LiftEvacuation(now, zone)) return;
+    this->log.Write("zone-evacuation-lifted",
+                    {{"zone", zone}, {"offset", offset}});
+    return;
+  }
+  if (!platform::IsEvacuationValue(*record.value)) {
+    ++this->unusable_evacuations;
+    this->log.Write("zone-evacuation-unusable",
+                    {{"zone", zone}, {"offset", offset}});
+  }
+  if (!this->directory.BeginEvacuation(now, zone)) return;
+  this->log.Write("zone-evacuated", {{"zone", zone}, {"offset", offset}});
+}
+
+void GatewayCore::OnStoreRecovered() {
+  this->directory.OnStoreReconnected(Now());
+  // A pending read of the operators' stream may wait for an answer that was
+  // lost. The evacuations are needed before requests are sent.
+  const bool is_promised = this->settings.bounds().evacuate_ms() > 0;
+  if (is_promised && this->IsConfigStale(Now())) {
+    this->config_follower.ReadAgain();
+  }
+}
+
+void GatewayCore::CheckPause() {
+  const TimePoint now = Now();
+  if (!this->directory.Cold().OnClock(now, BootNow())) return;
+  this->log.Write("process-paused", {});
+  if (this->settings.bounds().evacuate_ms() == 0) return;
+  this->paused_until = now;
+  this->config_follower.ReadAgain();
+}
+
+bool GatewayCore::AreEvacuationsUnknown(TimePoint now) const {
+  if (now - this->paused_until >= kMaxEvacuationRead) return false;
+  return this->config_follower.LastReadBegun() < this->paused_until ||
+         !this->config_follower.HasReadNewest();
+}
+
+void GatewayCore::UpdateFleet() {
+  const FleetHeartbeats& heartbeats = this->budgets.Heartbeats();
+  if (heartbeats.Reads() == this->fleet_reads) return;
+  this->fleet_reads = heartbeats.Reads();
+  this->directory.Cold().SetFleet(
+      {.vms = heartbeats.Vms(),
+       .reads = heartbeats.Reads(),
+       .was_listed = heartbeats.Predecessor().has_value(),
+       .first_heartbeat_at = heartbeats.FirstWrittenAt()});
+}
+
+void GatewayCore::LogColdUpstreams(TimePoint now) {
+  std::set<std::string> cold = this->directory.ColdIds(now);
+  for (const std::string& id : cold) {
+    if (this->logged_cold.contains(id)) continue;
+    this->log.Write("upstream-cold", {{"upstream", id}});
+  }
+  for (const std::string& id : this->logged_cold) {
+    if (cold.contains(id)) continue;
+    this->log.Write("upstream-warm", {{"upstream", id}});
+  }
+  this->logged_cold = std::move(cold);
+}
+
+void GatewayCore::OnUpstreamLost(const serving::UpstreamEntry& entry) {
+  this->directory.OnLost(
+      Now(), {.id = entry.id, .started_unix_ms = entry.started_unix_ms});
+}
+
 void GatewayCore::ApplyPendingConfig() {
   // If one read returned several versions, only the last one is decoded.
   if (!this->pending_config) return;
+  // The first configuration begins to send requests: the evacuations, which may
+  // be on a later page, must be known by then.
+  if (!this->config.Get() && !this->config_follower.HasReadNewest()) return;
   const store::KeyedRecord record = std::move(*this->pending_config);
   this->pending_config.reset();
   if (!record.value) return;
@@ -244,6 +337,7 @@
                    {"in_force", taken}});
   if (!taken) return;
   this->budgets.OnConfig(*offered);
+  this->directory.Cold().OnConfig(*offered);
   this->answer_times.KeepRoutesOf(*offered);
 }
 
@@ -263,7 +357,7 @@
     this->directory.Remove(now, record.key);
     return;
   }
-  const bool changed = this->directory.Put(*entry);
+  const bool changed = this->directory.Put(now, *entry);
   if (changed) {
     this->log.Write("upstream-entry",
                     {{"upstream", entry->id},
@@ -274,6 +368,7 @@
 }
 
 void GatewayCore::OnUpstreamCrash(const serving::UpstreamCrash& crash) {
+  this->directory.OnLost(Now(), crash.upstream);
   this->quarantines.OnCrash(Now(), crash);
   this->quarantine_client.LogChanges();
   this->quarantine_client.Notify();
@@ -289,6 +384,12 @@
                             : 0);
   add("callers", static_cast<double>(this->callers.size()));
   add("upstreams", static_cast<double>(this->directory.Size()));
+  add("evacuated_zones",
+      static_cast<double>(this->directory.Evacuations().Size()));
+  add("unusable_evacuations_total",
+      static_cast<double>(this->unusable_evacuations));
+  add("cold_upstreams",
+      static_cast<double>(this->directory.ColdIds(Now()).size()));
   add("upstream_connections_total", static_cast<double>(this->pool.Opened()));
   add("store_calls_total", static_cast<double>(this->config_follower.Calls() +
                                                this->upstream_follower.Calls() +
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -64,6 +64,14 @@
   /// True if the configuration was last read so long ago that it may have
   /// changed since. A key or route that it does not name may then be new.
   bool IsConfigStale(TimePoint now) const;
+  /// Finds out whether the process has been paused, for example with its VM.
+  /// Call it before a request is sent.
+  void CheckPause();
+  /// True if zones may have been evacuated while the process was paused, and
+  /// the operators' stream is being read again.
+  bool AreEvacuationsUnknown(TimePoint now) const;
+  /// The upstream could not be reached, or broke its connection off.
+  void OnUpstreamLost(const serving::UpstreamEntry& entry);
   serving::CallerLimits Limits() const;
 
   const serving::ServingConfigPtr& Config() const { return this->config.Get(); }
@@ -93,7 +101,15 @@
 
  private:
   void UpdateLoad(TimePoint now);
+  /// A record of the operators' stream was read.
+  void OnOperatorsRecord(const store::KeyedRecord& record);
+  void OnEvacuationRecord(const store::KeyedRecord& record,
+                          const std::string& zone);
   void ApplyPendingConfig();
+  void OnStoreRecovered();
+  /// Takes over what is known of the fleet's VMs, if that has changed.
+  void UpdateFleet();
+  void LogColdUpstreams(TimePoint now);
   void OnUpstreamRecord(const store::KeyedRecord& record);
   void OnUpstreamCrash(const serving::UpstreamCrash& crash);
 
@@ -125,6 +141,14 @@
   std::set<RequestTask*> tasks;
   /// Names of unknown announcements that were logged.
   std::set<std::string> unknown_notices;
+  /// Records of the operators' stream that could not be read whole.
+  uint64_t unusable_evacuations = 0;
+  /// Upstreams that were logged as cold.
+  std::set<std::string> logged_cold;
+  /// Number of reads of the fleet that `directory` knows.
+  uint64_t fleet_reads = 0;
+  /// When the process went on after its last pause; us is 0: it had none.
+  TimePoint paused_until;
   TimePoint last_pool_sweep;
   serving::StopSchedule stop_schedule;
   serving::AnswerTimes answer_times;
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -42,6 +42,10 @@
   ++this->held_back[route];
 }
 
+void GatewayMetrics::CountWithheld(std::string_view cause) {
+  ++this->withheld[std::string(cause)];
+}
+
 void GatewayMetrics::CountOversizedAnswer(std::string_view limit) {
   ++this->oversized_answers[std::string(limit)];
 }
@@ -76,6 +80,10 @@
     text += Line("held_back_total{route=\"" + route + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [cause, count] : this->withheld) {
+    text += Line("withheld_total{cause=\"" + cause + "\"}",
+                 static_cast<double>(count));
+  }
   for (const auto& [limit, count] : this->oversized_answers) {
     text += Line("oversized_answers_total{limit=\"" + limit + "\"}",
                  static_cast<double>(count));
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -31,6 +31,10 @@
   /// Counts a request that is not sent because of a part of its prompt.
   void CountHeldBack(const std::string& route);
 
+  /// Counts a request that is not sent to an upstream, or is refused, because
+  /// of `cause`: "evacuated" or "cold".
+  void CountWithheld(std::string_view cause);
+
   /// Counts an answer of an upstream that has exceeded a bound (AnswerLimit).
   void CountOversizedAnswer(std::string_view limit);
 
@@ -50,6 +54,9 @@
   std::map<std::string, uint64_t> limited_sends;
   /// Requests that were held back, by route.
   std::map<std::string, uint64_t> held_back;
+  /// Requests that were not sent because of an evacuation or a cold upstream,
+  /// by cause.
+  std::map<std::string, uint64_t, std::less<>> withheld;
   /// Answers that have exceeded a bound, by its name.
   std::map<std::string, uint64_t, std::less<>> oversized_answers;
   /// Times to first byte by route.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -416,7 +416,7 @@
   static_cast<void>(co_await this->reader.ReadWholeBody(connection));
   connection.NeverExpire();
   if (serving::IsFromOtherUpstream(answer)) {
-    this->core.Upstreams().EraseMisdirected(attempt.Upstream());
+    attempt.OnMisdirected();
   }
 }
 
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -40,6 +40,10 @@
   /// Closes the connection: its last answer was none to the call that was made,
   /// so that the next one may be that answer.
   void Disconnect();
+  /// Lets the pending call fail, if there is one.
+  void Abort() {
+    if (this->connection) this->connection->Close();
+  }
   /// Disconnects and logs the reply, which does not fit the call.
   void DropUnproven(const StoreReply& reply, EventLog& log);
   const std::string& Address() const { return this->address; }
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -40,6 +40,9 @@
 }
 
 asio::awaitable<bool> StreamFollower::ReadOnce() {
+  if (this->reads_again) this->view.OnExpired();
+  this->reads_again = false;
+  const TimePoint begun = Now();
   const store::KeyedView::NextRead next = this->view.Next();
   const Duration long_poll_wait =
       next.tail ? this->options.long_poll_wait : Duration::zero();
@@ -47,8 +50,11 @@
   const StoreReply reply = co_await this->client.Call(
       std::move(text), this->options.timeout + long_poll_wait);
   this->last_status = reply.status;
-  const bool applied = this->ApplyReply(next, reply);
+  const bool applied = !this->reads_again && this->ApplyReply(next, reply);
   if (!applied) this->client.Disconnect();
+  if (applied && reply.status == platform::kStoreOk) {
+    this->last_read_begun = begun;
+  }
   co_return applied;
 }
 
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -63,6 +63,16 @@
   bool IsPausing() const { return this->pausing; }
   /// Starts the next read at once if the follower is pausing.
   void Wake() { this->timer.Notify(); }
+  /// Reads the newest record of each key next, also if a read is pending: its
+  /// answer may be old or never come.
+  void ReadAgain() {
+    this->reads_again = true;
+    this->client.Abort();
+    this->Wake();
+  }
+  /// True if the newest record of each key has been read since the start, or
+  /// since the tail was last lost.
+  bool HasReadNewest() const { return this->view.Next().tail; }
   /// True if all records up to the known end of the stream were read.
   bool IsCurrent() const {
     return this->view.IsConsistent() && !this->view.IsBehind();
@@ -71,6 +81,8 @@
   uint64_t NextOffset() const { return this->view.NextOffset(); }
   /// Time of the last successful read; us is 0 if there was none yet.
   TimePoint LastRead() const { return this->last_read; }
+  /// When the last successful read was begun; us is 0 if there was none yet.
+  TimePoint LastReadBegun() const { return this->last_read_begun; }
   uint64_t Calls() const { return this->client.Calls(); }
 
  private:
@@ -89,7 +101,10 @@
   store::KeyedView view;
   AsyncCondition timer;
   TimePoint last_read;
+  TimePoint last_read_begun;
   bool pausing = false;
+  /// The pending read does not count.
+  bool reads_again = false;
   int failures = 0;
   int last_status = 0;
 };
--- a/gateway/upstream_attempt.cc
+++ b/gateway/upstream_attempt.cc
@@ -12,10 +12,9 @@
     GatewayCore& gateway_core, const ActiveRequest& active_request,
     const serving::PlacementChoice& placement_choice)
     : core(gateway_core), active(active_request), choice(placement_choice) {
-  serving::UpstreamDirectory& directory = this->core.Upstreams();
-  this->has_permit =
-      directory.IsLimited(this->Upstream()) &&
-      directory.TakePermit(Now(), this->Upstream(), this->active.Priority());
+  const auto taken = this->core.Upstreams().TakePermit(Now(), this->Upstream(),
+                                                       this->active.Priority());
+  if (taken) this->permit = *taken;
 }
 
 void UpstreamAttempt::Begin() {
@@ -27,9 +26,26 @@
 }
 
 bool UpstreamAttempt::MaySend() const {
-  if (this->has_permit) this->core.SharedLimits().CheckLease();
-  return this->core.Upstreams().MaySend(Now(), this->Upstream(),
-                                        this->has_permit);
+  if (this->permit.of_limit) this->core.SharedLimits().CheckLease();
+  this->core.CheckPause();
+  const TimePoint now = Now();
+  if (!this->core.AreEvacuationsUnknown(now) &&
+      this->core.Upstreams().MaySend(now, this->Upstream(), this->permit)) {
+    return true;
+  }
+  this->CountWithheld();
+  return false;
+}
+
+void UpstreamAttempt::CountWithheld() const {
+  const serving::UpstreamDirectory& directory = this->core.Upstreams();
+  const TimePoint now = Now();
+  if (directory.IsEvacuated(this->Upstream()) ||
+      this->core.AreEvacuationsUnknown(now)) {
+    this->core.Metrics().CountWithheld("evacuated");
+  } else if (directory.IsCold(now, this->Upstream())) {
+    this->core.Metrics().CountWithheld("cold");
+  }
 }
 
 void UpstreamAttempt::Send(HttpConnection& connection,
@@ -46,7 +62,8 @@
   this->sent_at = Now();
   this->last_progress = this->sent_at;
   this->was_sent = true;
-  if (this->has_permit) {
+  this->core.Upstreams().OnSend(this->sent_at, this->Upstream(), this->permit);
+  if (this->permit.of_limit) {
     this->core.Metrics().CountLimitedSend(this->active.service);
   }
   const serving::CallerRequest& request = this->active.request;
@@ -92,11 +109,17 @@
   upstream.OnSuccess(now, ratio);
 }
 
+void UpstreamAttempt::OnMisdirected() {
+  serving::UpstreamDirectory& directory = this->core.Upstreams();
+  directory.OnMisdirected(this->Upstream(), this->sent_at);
+  directory.EraseMisdirected(this->Upstream());
+}
+
 void UpstreamAttempt::End() {
-  if (this->has_permit && !this->was_sent) {
-    this->core.Upstreams().ReturnPermit(Now(), this->Upstream());
+  if (!this->was_sent) {
+    this->core.Upstreams().ReturnPermit(Now(), this->Upstream(), this->permit);
   }
-  this->has_permit = false;
+  this->permit = {};
   if (!this->was_begun) return;
   this->was_begun = false;
   this->Upstream().OnEnd();
@@ -110,10 +133,14 @@
   switch (outcome) {
     case AttemptOutcome::kNotSent:
       upstream.OnUnreachable(Now());
+      this->core.OnUpstreamLost(upstream.entry);
       break;
-    case AttemptOutcome::kRejected:
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kBrokenMidway:
+      upstream.OnFailure(Now());
+      this->core.OnUpstreamLost(upstream.entry);
+      break;
+    case AttemptOutcome::kRejected:
       upstream.OnFailure(Now());
       break;
     case AttemptOutcome::kWithheld:
--- a/gateway/upstream_attempt.h
+++ b/gateway/upstream_attempt.h
@@ -13,7 +13,7 @@
 /// was sent, and when the upstream last made progress.
 class UpstreamAttempt {
  public:
-  /// Takes a permit if the upstream has a limit.
+  /// Takes a permit if the upstream has a limit or is cold.
   UpstreamAttempt(GatewayCore& gateway_core,
                   const ActiveRequest& active_request,
                   const serving::PlacementChoice& placement_choice);
@@ -23,8 +23,8 @@
   /// Counts the request as load of the upstream, until End.
   void Begin();
   /// True if the request may be sent now. While the connection was being
-  /// opened, the upstream may have announced that it is leaving or limited, or
-  /// the VM may have been suspended.
+  /// opened, the upstream may have announced that it is leaving or limited, its
+  /// zone may have been evacuated, or the VM may have been suspended.
   bool MaySend() const;
   /// Starts to send the request on the connection. `last_event`: the event
   /// after which the upstream resumes a stream.
@@ -36,6 +36,8 @@
   /// another answer. `ratio` of observed and expected time is counted for the
   /// upstream.
   void OnFirstByte();
+  /// The answer shows that another upstream has received the request.
+  void OnMisdirected();
   /// Ends the attempt; puts back the permit unless the request was sent.
   void End();
   /// Counts the outcome for the metrics and the upstream's failure statistics.
@@ -56,11 +58,13 @@
 
  private:
   void EndPending();
+  /// Counts a request that is not sent because of the upstream's state.
+  void CountWithheld() const;
 
   GatewayCore& core;
   const ActiveRequest& active;
   serving::PlacementChoice choice;
-  bool has_permit = false;
+  serving::SendPermit permit;
   bool was_begun = false;
   bool was_sent = false;
   /// True while the prompt's tokens count as pending at the upstream.
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -26,8 +26,9 @@
                                             this->options.max_idle_unrepeatable;
     if (too_old && now < candidate.until) return nullptr;
     connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
-    if (now < candidate.until && candidate.connection->IsReusable()) {
-      return candidate.connection;
+    if (now < candidate.until) {
+      if (candidate.connection->IsReusable()) return candidate.connection;
+      this->on_lost(entry);
     }
     candidate.connection->Close();
   }
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -29,12 +30,17 @@
 /// address or start than before gets new connections.
 class UpstreamPool {
  public:
+  using OnLost = std::function<void(const serving::UpstreamEntry&)>;
+
+  /// `handler` is called when an idle connection is found closed before its
+  /// time: the upstream may have been started again.
   UpstreamPool(const UpstreamPoolOptions& opts, asio::io_context& io_context,
-               Watchdog& timeouts, serving::LinkLoad& link_load)
+               Watchdog& timeouts, serving::LinkLoad& link_load, OnLost handler)
       : options(opts),
         context(io_context),
         watchdog(timeouts),
-        link(link_load) {}
+        link(link_load),
+        on_lost(std::move(handler)) {}
 
   /// Removes a reusable idle connection that has not carried a request with
   /// this id from the pool and returns it, or nullptr if there is none.
@@ -68,6 +74,7 @@
   asio::io_context& context;
   Watchdog& watchdog;
   serving::LinkLoad& link;
+  OnLost on_lost;
   /// Connections by the upstream's id, address and start.
   std::unordered_map<std::string, std::vector<IdleConnection>> idle;
   uint64_t opened = 0;
--- a/tests/platform/config_codec_test.cc
+++ b/tests/platform/config_codec_test.cc
@@ -79,6 +79,47 @@
   EXPECT_TRUE(entry->draining);
 }
 
+// FAILBACK: an upstream is taken for warm whose entry says that it is cold.
+TEST_F(ConfigCodecTest, UpstreamEntry_SaysHowLongItIsCold) {
+  const auto entry = DecodeUpstreamEntry(
+      "i-1",
+      R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":64,
+          "state":"ready","cold_left_ms":2750,"sequence":41})",
+      this->reason);
+  ASSERT_TRUE(entry) << this->reason;
+  EXPECT_EQ(entry->cold_left, std::chrono::milliseconds(2750));
+  EXPECT_EQ(entry->sequence, 41);
+}
+
+// A wrong time or rate of one service must not lose the configuration.
+TEST_F(ConfigCodecTest, ColdTimes_InvalidOnesCountAsNeverCold) {
+  const auto service = [this](const std::string& fields) {
+    const std::string text = R"({"version":1,"routes":[],"services":[
+        {"name":"s1","max_connections":1)" +
+                             fields + "}]}";
+    const serving::ServingConfigPtr config = DecodeConfig(text, this->reason);
+    EXPECT_TRUE(config) << text << this->reason;
+    return config->services[0];
+  };
+  const serving::Service cold = service(R"(,"cold_s":3.5,"cold_per_s":11)");
+  EXPECT_EQ(cold.cold_time, std::chrono::milliseconds(3500));
+  EXPECT_DOUBLE_EQ(cold.cold_requests_per_s, 11);
+
+  EXPECT_EQ(service("").cold_time, Duration::zero());
+  for (const char* bad : {"-3", "\"3\"", "[]", "null", "0"}) {
+    EXPECT_EQ(
+        service(std::string(R"(,"cold_per_s":11,"cold_s":)") + bad).cold_time,
+        Duration::zero())
+        << bad;
+    EXPECT_EQ(service(std::string(R"(,"cold_s":3,"cold_per_s":)") + bad)
+                  .cold_requests_per_s,
+              0)
+        << bad;
+  }
+  EXPECT_LT(service(R"(,"cold_s":1e300,"cold_per_s":1e300)").cold_time,
+            std::chrono::hours(1000));
+}
+
 // The stream may hold entries of other writers in any format.
 TEST_F(ConfigCodecTest, MalformedEntry_IsRefusedWithAReason) {
   for (const char* bad :
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -89,6 +89,11 @@
   std::atomic<int> failed_account_answers{0};
   /// Time that an append takes, in milliseconds.
   std::atomic<int> append_ms{0};
+  /// Number of next reads of the tail of the operators' stream that are
+  /// answered as if its beginning were no longer retained.
+  std::atomic<int> expired_config_reads{0};
+  /// While set, the newest records leave out keys that were deleted.
+  std::atomic<bool> omits_deleted{false};
   /// While set, a read at the end of a stream waits for the next record for as
   /// long as it asks.
   std::atomic<bool> holds_reads{false};
@@ -114,6 +119,13 @@
     const std::string target(request.target());
     const bool reads_config = target.starts_with("/log-newest?topic=keyed.op");
     if (reads_config) ++this->config_reads;
+    if (target.starts_with("/log-read?topic=keyed.op") &&
+        this->expired_config_reads > 0) {
+      --this->expired_config_reads;
+      HttpAnswer expired(http::status::gone, 11);
+      expired.body() = R"({"first":0})";
+      return expired;
+    }
     const bool writes_account =
         target.starts_with("/log-append?topic=keyed.fuchsiadrum-accounts");
     if (writes_account && this->repeated_account_answers > 0) {
@@ -225,7 +237,7 @@
     }
   }
 
-  static std::string NewestPage(const std::vector<std::string>& stream) {
+  std::string NewestPage(const std::vector<std::string>& stream) const {
     std::map<std::string, std::pair<std::string, size_t>> newest;
     for (size_t i = 0; i < stream.size(); ++i) {
       const size_t size = static_cast<unsigned char>(stream[i][0]);
@@ -235,6 +247,7 @@
                            {"more_pages", false},
                            {"end_offset", stream.size()}};
     for (const auto& [key, value] : newest) {
+      if (this->omits_deleted && value.first.empty()) continue;
       page["items"].push_back({{"key", key},
                                {"value", ToBase64(value.first)},
                                {"offset", value.second}});
--- a/tests/platform/gateway_process.h
+++ b/tests/platform/gateway_process.h
@@ -25,6 +25,8 @@
   double grace_s = 8;
   /// Memory of the VM in megabytes; 0: unknown.
   int memory_mb = 0;
+  /// Lines of the section [bounds].
+  std::string bounds;
 };
 
 /// fuchsiadrum-gateway as a child process with settings of its own. It is
@@ -46,7 +48,8 @@
         << "\nreadiness = " << Local(this->readiness_port)
         << "\nmetrics = " << Local(this->metrics_port)
         << "\n[store]\naddress = " << options.store_address
-        << "\n[stop]\ngrace_s = " << options.grace_s << "\n";
+        << "\n[stop]\ngrace_s = " << options.grace_s << "\n[bounds]\n"
+        << options.bounds;
 
     posix_spawn_file_actions_t actions;
     ::posix_spawn_file_actions_init(&actions);
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -179,6 +179,29 @@
   }
 }
 
+// FAILBACK: of several times the shortest is believed.
+TEST_F(RequestCodecTest, ColdTime_IsDecoded_TheLongestCounts) {
+  HttpAnswerHead answer;
+  answer.result(200);
+  EXPECT_FALSE(DecodeAnswer(answer).cold_left);
+  answer.insert("Cold-Ms", "0");
+  EXPECT_EQ(DecodeAnswer(answer).cold_left, Duration::zero());
+  answer.insert("Cold-Ms", "1250.5");
+  answer.insert("Cold-Ms", "30");
+  EXPECT_EQ(DecodeAnswer(answer).cold_left, std::chrono::microseconds(1250500));
+}
+
+TEST_F(RequestCodecTest, MalformedColdTime_IsIgnoredAndReported) {
+  for (const char* text : {"", "soon", "-1", "nan", "inf", "2,4", "3 s"}) {
+    HttpAnswerHead answer;
+    answer.result(200);
+    answer.set("Cold-Ms", text);
+    const serving::UpstreamAnswer decoded = DecodeAnswer(answer);
+    EXPECT_FALSE(decoded.cold_left) << text;
+    EXPECT_FALSE(decoded.fault.empty()) << text;
+  }
+}
+
 // A word of an upstream that nobody decodes must not be passed over silently.
 TEST_F(RequestCodecTest, UnknownNotice_IsReported) {
   HttpAnswerHead answer;
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -24,6 +24,25 @@
   }
 };
 
+// EVAC: a key that names no zone evacuates one, or one that does is passed
+// over.
+TEST_F(StoreCodecTest, EvacuatedZone_IsNamedByTheKey) {
+  EXPECT_EQ(EvacuatedZone("evacuate/bogota-b"), "bogota-b");
+  EXPECT_EQ(EvacuatedZone("evacuate/a/b"), "a/b");
+  for (const char* key :
+       {"", "config", "evacuate", "evacuate/", "Evacuate/a", "xevacuate/a"}) {
+    EXPECT_FALSE(EvacuatedZone(key)) << key;
+  }
+}
+
+TEST_F(StoreCodecTest, EvacuationValue_IsAnObject) {
+  EXPECT_TRUE(IsEvacuationValue("{}"));
+  EXPECT_TRUE(IsEvacuationValue(R"({"since":1})"));
+  for (const char* value : {"", "{", "[]", "null", "1", "\xff\xfe"}) {
+    EXPECT_FALSE(IsEvacuationValue(value)) << value;
+  }
+}
+
 TEST_F(StoreCodecTest, AppendedRecords_AreReadBack) {
   const auto page =
       DecodeTail(Page(BodyOf({{.key = "a", .value = "1"},
--- a/tests/serving/upstream_directory_test.cc
+++ b/tests/serving/upstream_directory_test.cc
@@ -39,26 +39,26 @@
 };
 
 TEST_F(UpstreamDirectoryTest, DrainingUpstream_GetsNoRequest) {
-  this->directory.Put(Entry("a"));
-  this->directory.Put(Entry("a", true));
+  this->directory.Put(this->now, Entry("a"));
+  this->directory.Put(this->now, Entry("a", true));
 
   EXPECT_TRUE(this->Usable().empty());
 }
 
 TEST_F(UpstreamDirectoryTest, DrainingUpstream_StaysSoInTheSameIncarnation) {
-  this->directory.Put(Entry("a", true));
-  this->directory.Put(Entry("a", false));
+  this->directory.Put(this->now, Entry("a", true));
+  this->directory.Put(this->now, Entry("a", false));
   EXPECT_TRUE(this->Usable().empty());
 
   UpstreamEntry restarted = Entry("a");
   restarted.started_unix_ms = 8;
-  this->directory.Put(restarted);
+  this->directory.Put(this->now, restarted);
   EXPECT_EQ(this->Usable().size(), 1U);
 }
 
 TEST_F(UpstreamDirectoryTest, MissingUpstream_IsUsedOnlyWithoutAnother) {
-  this->directory.Put(Entry("a"));
-  this->directory.Put(Entry("b"));
+  this->directory.Put(this->now, Entry("a"));
+  this->directory.Put(this->now, Entry("b"));
   this->directory.Remove(this->now, "a");
   EXPECT_EQ(this->Usable(), std::vector<std::string>{"b"});
 
@@ -69,7 +69,7 @@
 // Drain rule: an upstream whose entry was deleted gets no request after the
 // drain time.
 TEST_F(UpstreamDirectoryTest, MissingUpstream_IsGoneAfterItsTime) {
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   this->directory.Remove(this->now, "a");
   this->now = this->now + std::chrono::milliseconds(1300);
 
@@ -87,7 +87,7 @@
 // after that.
 TEST_F(UpstreamDirectoryTest,
        EntriesExpiredInAnOutage_AreKeptUntilTheyReappear) {
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   this->directory.OnStoreReconnected(this->now);
   this->directory.Remove(this->now, "a");
   this->now = this->now + std::chrono::milliseconds(2000);
@@ -99,12 +99,12 @@
 
 // An upstream that restarts under the same id has lost its prompt cache.
 TEST_F(UpstreamDirectoryTest, SameIdWithAnotherStart_IsANewUpstream) {
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   const std::vector<PromptPart> parts = {{.id = 1, .tokens = 100}};
   this->directory.Candidates(this->now, "draft")[0]->cache.Use(parts);
   UpstreamEntry restarted = Entry("a");
   restarted.started_unix_ms = 8;
-  this->directory.Put(restarted);
+  this->directory.Put(this->now, restarted);
 
   EXPECT_EQ(
       this->directory.Candidates(this->now, "draft")[0]->cache.CachedTokens(
@@ -114,7 +114,7 @@
 
 TEST_F(UpstreamDirectoryTest, EjectedUpstream_IsOmitted_UnlessMostAre) {
   for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
-    this->directory.Put(Entry(id));
+    this->directory.Put(this->now, Entry(id));
   }
   this->Find("a")->OnUnreachable(this->now);
   EXPECT_EQ(this->Usable(),
@@ -129,8 +129,8 @@
 // A request that was rejected by one of two upstreams must reach the other one,
 // even if that one was ejected.
 TEST_F(UpstreamDirectoryTest, ExcludedUpstream_LeavesTheEjectedOne) {
-  this->directory.Put(Entry("a"));
-  this->directory.Put(Entry("b"));
+  this->directory.Put(this->now, Entry("a"));
+  this->directory.Put(this->now, Entry("b"));
   this->Find("b")->OnUnreachable(this->now);
   EXPECT_EQ(this->Usable(), std::vector<std::string>{"a"});
   EXPECT_EQ(this->Usable({"a"}), std::vector<std::string>{"b"});
@@ -140,29 +140,29 @@
 // Drain rule: an announced shutdown holds although the store may still list the
 // upstream as ready, and its entry may be deleted and reappear.
 TEST_F(UpstreamDirectoryTest, AnnouncedShutdown_OutlivesTheEntry) {
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   EXPECT_TRUE(this->directory.OnLeaving(this->now, *this->Find("a")));
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   EXPECT_TRUE(this->Usable().empty());
 
   this->directory.Remove(this->now, "a");
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   EXPECT_TRUE(this->Usable().empty());
 
   UpstreamEntry restarted = Entry("a");
   restarted.started_unix_ms = 8;
-  this->directory.Put(restarted);
+  this->directory.Put(this->now, restarted);
   EXPECT_EQ(this->Usable().size(), 1U);
 }
 
 // An answer of the former incarnation that arrives late must not replace what
 // the new one has announced, nor remove its entry.
 TEST_F(UpstreamDirectoryTest, LateAnswerOfFormerIncarnation_ChangesNothing) {
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   const FleetUpstreamPtr former = this->Find("a");
   UpstreamEntry restarted = Entry("a");
   restarted.started_unix_ms = 8;
-  this->directory.Put(restarted);
+  this->directory.Put(this->now, restarted);
   const FleetUpstreamPtr current = this->Find("a");
   ASSERT_NE(former, current);
   this->directory.OnPause(this->now, *current, std::chrono::seconds(5));
@@ -182,8 +182,8 @@
 
 // Budget rule: a requested pause is kept even if no other upstream is left.
 TEST_F(UpstreamDirectoryTest, PausingUpstream_GetsNoRequestUntilThePauseEnds) {
-  this->directory.Put(Entry("a"));
-  this->directory.Put(Entry("b"));
+  this->directory.Put(this->now, Entry("a"));
+  this->directory.Put(this->now, Entry("b"));
   const FleetUpstreamPtr first = this->Find("a");
   const FleetUpstreamPtr second = this->Find("b");
   this->directory.OnPause(this->now, *first, std::chrono::seconds(2));
@@ -201,11 +201,11 @@
 // forget what the new one has announced.
 TEST_F(UpstreamDirectoryTest,
        NoticeOfTheFormerProcess_LeavesTheNewOnesInForce) {
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   const FleetUpstreamPtr former = this->Find("a");
   UpstreamEntry restarted = Entry("a");
   restarted.started_unix_ms = 8;
-  this->directory.Put(restarted);
+  this->directory.Put(this->now, restarted);
   this->directory.OnPause(this->now, *this->Find("a"), std::chrono::seconds(1));
   ASSERT_TRUE(this->Usable().empty());
 
@@ -214,7 +214,7 @@
 }
 
 TEST_F(UpstreamDirectoryTest, PauseWithoutEnd_IsBounded) {
-  this->directory.Put(Entry("a"));
+  this->directory.Put(this->now, Entry("a"));
   this->directory.OnPause(this->now, *this->Find("a"), std::chrono::hours(500));
 
   this->now = this->now + std::chrono::minutes(10);
