--- a/gateway/budget_client.h
+++ b/gateway/budget_client.h
@@ -47,7 +47,7 @@
   /// Interval at which the size of the fleet is read again.
   Duration fleet_size_interval = std::chrono::seconds(20);
   /// Interval of the log lines that say where the budgets' tokens are.
-  Duration report_interval = std::chrono::seconds(5);
+  Duration report_interval = std::chrono::seconds(15);
 };
 
 /// Reserves tokens of the organisations' prepaid budgets for requests. Keeps
@@ -84,6 +84,7 @@
   /// Metrics in Prometheus text format: where the tokens are, calls to the
   /// store by purpose, and refusals for want of tokens by cause.
   std::string MetricsText() const;
+  const FleetHeartbeats& Heartbeats() const { return *this->heartbeats; }
 
  private:
   /// False while a write has been unanswered for so long that no grant can be
