--- a/tests/platform/gateway_process.h
+++ b/tests/platform/gateway_process.h
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <thread>
@@ -25,6 +26,8 @@
   double grace_s = 8;
   /// Memory of the VM in megabytes; 0: unknown.
   int memory_mb = 0;
+  /// Limit of the process's open descriptors; 0: that of the test.
+  int descriptors = 0;
 };
 
 /// fuchsiadrum-gateway as a child process with settings of its own. It is
@@ -52,11 +55,17 @@
     ::posix_spawn_file_actions_init(&actions);
     ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null",
                                        O_WRONLY, 0);
-    std::string program = FUCHSIADRUM_GATEWAY_PROGRAM;
-    std::string option = "--config";
-    std::string file = settings;
+    // The shell sets the limit of descriptors and is replaced by the program.
+    std::string program = "/bin/sh";
+    std::string option = "-c";
+    std::string command =
+        (options.descriptors > 0
+             ? "ulimit -n " + std::to_string(options.descriptors) + " && "
+             : "") +
+        "exec '" + FUCHSIADRUM_GATEWAY_PROGRAM + "' --config '" + settings +
+        "'";
     std::array<char*, 4> arguments = {program.data(), option.data(),
-                                      file.data(), nullptr};
+                                      command.data(), nullptr};
     if (::posix_spawn(&this->pid, program.c_str(), &actions, nullptr,
                       arguments.data(), environ) != 0) {
       this->pid = -1;
@@ -89,6 +98,14 @@
     }
     return 0;
   }
+  /// Number of descriptors that the process has open.
+  size_t OpenDescriptors() const {
+    std::error_code error;
+    const std::filesystem::directory_iterator all(
+        "/proc/" + std::to_string(this->pid) + "/fd", error);
+    return static_cast<size_t>(
+        std::distance(begin(all), std::filesystem::directory_iterator()));
+  }
   void Signal(int signal) const {
     if (this->pid > 0) ::kill(this->pid, signal);
   }
