Limits on what clients make a process hold (gateway and fuchsiadrumd)

Cause: heads of very many short fields, heads and trailers without a limit in total, and connections at every address made the gateway hold more than the memory and the descriptors of its VM; fuchsiadrumd shares the reader's fault. Change: serving::ClientLimits derives the limits, serving::ClientQueue orders connections by progress, daemon::ClientGate closes the oldest one, daemon::RequestParser counts the bytes and fields of a head, and one sum counts connections, heads, buffers, bodies, tasks and whole answers. Refused clients are counted and logged at most once a second for each limit. An answer of which the caller takes nothing for idle_timeout_ms is given up.

--- a/daemon/admin_connection.cc
+++ b/daemon/admin_connection.cc
@@ -21,8 +21,10 @@
 }  // namespace
 
 AdminConnection::AdminConnection(AdminServer& owner, Tcp::socket socket,
-                                 const HttpLimits& limits)
-    : HttpServerConnection(std::move(socket), limits), server(owner) {}
+                                 const HttpLimits& limits,
+                                 std::shared_ptr<ClientShare> client_share)
+    : HttpServerConnection(std::move(socket), limits, std::move(client_share)),
+      server(owner) {}
 
 void AdminConnection::OnRequest(HttpRequest request) {
   this->keep_alive = request.keep_alive;
--- a/daemon/admin_connection.h
+++ b/daemon/admin_connection.h
@@ -12,7 +12,8 @@
 class AdminConnection : public HttpServerConnection {
  public:
   AdminConnection(AdminServer& owner, Tcp::socket socket,
-                  const HttpLimits& limits);
+                  const HttpLimits& limits,
+                  std::shared_ptr<ClientShare> client_share);
 
  protected:
   void OnRequest(HttpRequest request) override;
--- a/daemon/admin_server.cc
+++ b/daemon/admin_server.cc
@@ -10,6 +10,12 @@
 
 constexpr Duration kAliveWithin = std::chrono::seconds(5);
 
+ClientShareOptions ShareOf(const pb::AdminSettings& settings) {
+  return {.server = "admin",
+          .max_connections = settings.max_connections(),
+          .max_bytes = settings.request_memory_bytes()};
+}
+
 // A handler that may be called in any thread and runs the given one in the
 // connection's thread, if the connection still exists.
 template <typename T>
@@ -26,7 +32,8 @@
 
 }  // namespace
 
-AdminServer::AdminServer(asio::io_context& io_context,
+AdminServer::AdminServer(const pb::AdminSettings& settings,
+                         asio::io_context& io_context,
                          Ring<FromAdmin>& to_control,
                          const Control& control_part,
                          DaemonMetrics& daemon_metrics)
@@ -34,9 +41,11 @@
       ring(to_control),
       control(control_part),
       metrics(daemon_metrics),
-      listener(io_context, [this](Tcp::socket socket) {
-        this->OnSocket(std::move(socket));
-      }) {}
+      share(std::make_shared<ClientShare>(ShareOf(settings), daemon_metrics)),
+      listener(
+          io_context,
+          [this](Tcp::socket socket) { this->OnSocket(std::move(socket)); },
+          [this] { this->share->Gate().OnAcceptFailure(Now()); }) {}
 
 std::string AdminServer::Open(const std::string& address) {
   const auto endpoint = settings::Endpoint::Parse(address);
@@ -45,7 +54,10 @@
 }
 
 void AdminServer::OnSocket(Tcp::socket socket) {
-  std::make_shared<AdminConnection>(*this, std::move(socket), HttpLimits{})
+  // Operators and monitoring systems ask again; nothing of this was read.
+  if (!this->share->Gate().MakeRoom(Now())) return;
+  std::make_shared<AdminConnection>(*this, std::move(socket), HttpLimits{},
+                                    this->share)
       ->Start();
 }
 
--- a/daemon/admin_server.h
+++ b/daemon/admin_server.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "daemon/admin_connection.h"
+#include "daemon/client_share.h"
 #include "daemon/control.h"
 #include "daemon/http_listener.h"
 
@@ -12,8 +14,9 @@
 /// The operators' HTTP server, in the admin thread.
 class AdminServer {
  public:
-  AdminServer(asio::io_context& io_context, Ring<FromAdmin>& to_control,
-              const Control& control_part, DaemonMetrics& daemon_metrics);
+  AdminServer(const pb::AdminSettings& settings, asio::io_context& io_context,
+              Ring<FromAdmin>& to_control, const Control& control_part,
+              DaemonMetrics& daemon_metrics);
 
   /// Opens "IP:port"; otherwise the reason. Call it before the thread starts.
   std::string Open(const std::string& address);
@@ -39,6 +42,7 @@
   Ring<FromAdmin>& ring;
   const Control& control;
   DaemonMetrics& metrics;
+  std::shared_ptr<ClientShare> share;
   HttpListener listener;
 };
 
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -53,8 +53,8 @@
             this->rings.to_peers, this->rings.from_peers, this->metrics),
       platform(this->settings.platform(), this->log_thread.Context(),
                this->rings.to_log, this->rings.from_log, this->metrics),
-      admin(this->admin_thread.Context(), this->rings.from_admin, this->control,
-            this->metrics),
+      admin(this->settings.admin(), this->admin_thread.Context(),
+            this->rings.from_admin, this->control, this->metrics),
       stop(this->settings.stop(), this->control_thread.Context(), this->control,
            this->front) {
   this->rings.to_front.SetHandler(
--- a/daemon/front_connection.cc
+++ b/daemon/front_connection.cc
@@ -18,6 +18,11 @@
 // Path of the same call at the decision core.
 constexpr const char* kKeysTarget = "/admin/idempotency-keys";
 
+/// Seconds after which refused input may be sent again; 0: never.
+int RetryAfter(const BadInput& input) {
+  return input.status == 503 ? kRetryAfterS : 0;
+}
+
 std::weak_ptr<FrontConnection> WeakOf(FrontConnection& connection) {
   return std::static_pointer_cast<FrontConnection>(
       connection.shared_from_this());
@@ -26,8 +31,9 @@
 }  // namespace
 
 FrontConnection::FrontConnection(FrontServer& owner, Tcp::socket socket,
-                                 const HttpLimits& limits)
-    : HttpServerConnection(std::move(socket), limits),
+                                 const HttpLimits& limits,
+                                 std::shared_ptr<ClientShare> client_share)
+    : HttpServerConnection(std::move(socket), limits, std::move(client_share)),
       server(owner),
       connections(owner.Connections()) {
   ++*this->connections;
@@ -154,6 +160,7 @@
   HttpResponse response = ProblemResponse({.status = input.status,
                                            .step = "front",
                                            .reason = input.reason,
+                                           .retry_after_s = RetryAfter(input),
                                            .request_id = this->request_id});
   response.keep_alive = false;
   this->FinishAndClose(response.ToText());
--- a/daemon/front_connection.h
+++ b/daemon/front_connection.h
@@ -18,7 +18,8 @@
 class FrontConnection : public HttpServerConnection {
  public:
   FrontConnection(FrontServer& owner, Tcp::socket socket,
-                  const HttpLimits& limits);
+                  const HttpLimits& limits,
+                  std::shared_ptr<ClientShare> client_share);
   ~FrontConnection() override;
 
   /// The node decided; `action` is a reply.
--- a/daemon/front_server.cc
+++ b/daemon/front_server.cc
@@ -1,9 +1,12 @@
 #include "daemon/front_server.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
+#include "daemon/clock.h"
 #include "fuchsiadrum/core/hash.h"
+#include "fuchsiadrum/serving/client_limits.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
@@ -11,12 +14,26 @@
 HttpLimits LimitsOf(const pb::FrontSettings& settings) {
   return {
       .header_bytes = settings.max_header_bytes(),
+      .header_fields = settings.max_header_fields() > 0
+                           ? settings.max_header_fields()
+                           : HttpLimits().header_fields,
       .body_bytes = settings.max_body_bytes(),
       .header_timeout = std::chrono::milliseconds(settings.header_timeout_ms()),
       .body_timeout = std::chrono::milliseconds(settings.body_timeout_ms()),
       .write_timeout = std::chrono::milliseconds(settings.write_timeout_ms())};
 }
 
+ClientShareOptions ShareOf(const pb::FrontSettings& settings) {
+  // Each caller that is served needs a connection to an upstream.
+  const size_t possible =
+      serving::ClientLimits::For({.descriptors = SystemDescriptors()})
+          .connections;
+  const size_t set = settings.max_connections();
+  return {.server = "front",
+          .max_connections = possible > 0 ? std::min(set, possible) : set,
+          .max_bytes = settings.request_memory_bytes()};
+}
+
 std::string Hex(uint64_t number) {
   char out[17];
   std::snprintf(out, sizeof out, "%016llx",
@@ -32,6 +49,8 @@
                          DaemonMetrics& daemon_metrics)
     : options(std::move(front_options)),
       limits(LimitsOf(this->options.settings)),
+      share(std::make_shared<ClientShare>(ShareOf(this->options.settings),
+                                          daemon_metrics)),
       context(io_context),
       ring(to_control),
       sender(to_control, io_context),
@@ -39,7 +58,8 @@
       reader(this->options.settings),
       listener(
           io_context,
-          [this](Tcp::socket socket) { this->OnSocket(std::move(socket)); }),
+          [this](Tcp::socket socket) { this->OnSocket(std::move(socket)); },
+          [this] { this->share->Gate().OnAcceptFailure(Now()); }),
       id_prefix(Hex(Hash64(this->options.self.ToString()))) {}
 
 std::string FrontServer::Open() {
@@ -50,10 +70,10 @@
 }
 
 void FrontServer::OnSocket(Tcp::socket socket) {
-  const auto connection =
-      std::make_shared<FrontConnection>(*this, std::move(socket), this->limits);
-  if (*this->Connections() >
-      static_cast<int64_t>(this->options.settings.max_connections())) {
+  const bool has_room = this->share->Gate().MakeRoom(Now());
+  const auto connection = std::make_shared<FrontConnection>(
+      *this, std::move(socket), this->limits, this->share);
+  if (!has_room) {
     this->metrics.Count("refused_total", "cause", "max-connections");
     connection->RefuseConnection();
     return;
--- a/daemon/front_server.h
+++ b/daemon/front_server.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "daemon/client_share.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/front_connection.h"
 #include "daemon/http_listener.h"
@@ -69,6 +70,7 @@
 
   FrontOptions options;
   HttpLimits limits;
+  std::shared_ptr<ClientShare> share;
   asio::io_context& context;
   Ring<FromFront>& ring;
   RingSender<FromFront> sender;
--- a/daemon/http_listener.cc
+++ b/daemon/http_listener.cc
@@ -12,11 +12,13 @@
 
 }  // namespace
 
-HttpListener::HttpListener(asio::io_context& io_context, OnSocket new_handler)
+HttpListener::HttpListener(asio::io_context& io_context, OnSocket new_handler,
+                           std::function<void()> failure_handler)
     : context(io_context),
       acceptor(io_context),
       retry(io_context),
-      handler(std::move(new_handler)) {}
+      handler(std::move(new_handler)),
+      on_failure(std::move(failure_handler)) {}
 
 std::string HttpListener::Open(const settings::Endpoint& endpoint) {
   const Tcp::endpoint address(asio::ip::make_address(endpoint.ip),
@@ -48,6 +50,7 @@
           this->handler(std::move(socket));
           return this->Accept();
         }
+        this->on_failure();
         this->retry.expires_after(kAcceptRetry);
         this->retry.async_wait([this](ErrorCode cancelled) {
           if (!cancelled && this->acceptor.is_open()) this->Accept();
--- a/daemon/http_listener.h
+++ b/daemon/http_listener.h
@@ -13,7 +13,10 @@
  public:
   using OnSocket = std::function<void(Tcp::socket)>;
 
-  HttpListener(asio::io_context& io_context, OnSocket new_handler);
+  /// `failure_handler` is called when a connection cannot be accepted; the
+  /// usual cause is a lack of descriptors.
+  HttpListener(asio::io_context& io_context, OnSocket new_handler,
+               std::function<void()> failure_handler);
 
   /// Opens the address; otherwise the reason.
   std::string Open(const settings::Endpoint& endpoint);
@@ -29,6 +32,7 @@
   Tcp::acceptor acceptor;
   asio::steady_timer retry;
   OnSocket handler;
+  std::function<void()> on_failure;
 };
 
 }  // namespace fuchsiadrum::daemon
--- a/daemon/http_server_connection.cc
+++ b/daemon/http_server_connection.cc
@@ -4,6 +4,8 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "daemon/clock.h"
+
 namespace fuchsiadrum::daemon {
 namespace {
 
@@ -17,17 +19,22 @@
 // At most as many bytes as a body may have are read.
 constexpr Duration kLinger = std::chrono::seconds(1);
 constexpr size_t kScratchBytes = 4096;
-/// One read of a body. With the limit of the head it bounds the bytes that are
-/// buffered for the parser, which does not limit the length of a chunk-size
-/// line itself.
-constexpr size_t kReadBytes = 65536;
-
-BadInput BadInputOf(ErrorCode error) {
-  if (error == http::error::header_limit) {
-    return {431, "header-too-large", "the header is too large"};
-  }
-  if (error == http::error::body_limit) {
-    return {413, "body-too-large", "the body is too large"};
+/// Memory of a connection: its objects, its timer and its scratch.
+constexpr size_t kConnectionBytes = 8192;
+
+BadInput BadInputOf(RequestFault fault) {
+  switch (fault) {
+    case RequestFault::kHeadBytes:
+      return {431, "header-too-large", "the header is too large"};
+    case RequestFault::kHeadFields:
+      return {431, "too-many-fields", "the header has too many fields"};
+    case RequestFault::kBodyBytes:
+      return {413, "body-too-large", "the body is too large"};
+    case RequestFault::kLineBytes:
+    case RequestFault::kMalformedHead:
+    case RequestFault::kMalformedBody:
+    case RequestFault::kNone:
+      break;
   }
   return {400, "malformed-http", "the request is not valid HTTP"};
 }
@@ -35,15 +42,13 @@
 }  // namespace
 
 struct HttpServerConnection::Io {
-  Io(Tcp::socket accepted, size_t max_header_bytes)
-      : socket(std::move(accepted)),
-        timer(socket.get_executor()),
-        buffer(max_header_bytes + kReadBytes) {}
+  explicit Io(Tcp::socket accepted)
+      : socket(std::move(accepted)), timer(socket.get_executor()) {}
 
   Tcp::socket socket;
   asio::steady_timer timer;
   beast::flat_buffer buffer;
-  std::optional<http::request_parser<http::string_body>> parser;
+  std::optional<RequestParser> parser;
   std::string outgoing;
   char scratch[kScratchBytes];
   size_t lingered_bytes = 0;
@@ -56,16 +61,34 @@
   std::shared_ptr<HttpServerConnection> held;
 };
 
-HttpServerConnection::HttpServerConnection(Tcp::socket socket,
-                                           const HttpLimits& connection_limits)
-    : io(std::make_unique<Io>(std::move(socket),
-                              connection_limits.header_bytes)),
-      limits(connection_limits) {
+HttpServerConnection::HttpServerConnection(
+    Tcp::socket socket, const HttpLimits& connection_limits,
+    std::shared_ptr<ClientShare> client_share)
+    : limits(connection_limits),
+      share(std::move(client_share)),
+      held_bytes(this->share->Bytes()),
+      io(std::make_unique<Io>(std::move(socket))) {
   ErrorCode ignored;
   this->io->socket.set_option(Tcp::no_delay(true), ignored);
+  this->share->Gate().Queue().Add(*this, Now());
+  this->held_bytes.Set(kConnectionBytes);
+}
+
+HttpServerConnection::~HttpServerConnection() {
+  this->share->Gate().Queue().Remove(*this);
 }
 
-HttpServerConnection::~HttpServerConnection() = default;
+bool HttpServerConnection::HasUnreadBytes() {
+  ErrorCode error;
+  return !this->io->closed && this->io->socket.available(error) > 0;
+}
+
+void HttpServerConnection::CloseForOthers() {
+  if (this->Phase() != serving::ClientPhase::kUnread) return this->Close();
+  // The write that waits for the client fails, and the request is given up.
+  ErrorCode ignored;
+  this->io->socket.cancel(ignored);
+}
 
 void HttpServerConnection::Arm(Duration timeout) {
   Io& state = *this->io;
@@ -98,26 +121,54 @@
     state.socket.cancel(ignored);
   }
 
-  state.parser.emplace();
-  state.parser->header_limit(static_cast<uint32_t>(this->limits.header_bytes));
-  state.parser->body_limit(this->limits.body_bytes);
+  state.parser.reset();
+  if (state.buffer.size() == 0) state.buffer.shrink_to_fit();
+  this->held_bytes.Set(kConnectionBytes);
+  const RequestBounds bounds = {.head_bytes = this->limits.header_bytes,
+                                .fields = this->limits.header_fields,
+                                .body_bytes = this->limits.body_bytes};
+  state.parser.emplace(bounds, state.buffer);
+  this->share->Gate().Queue().SetPhase(*this,
+                                       state.first_request
+                                           ? serving::ClientPhase::kReading
+                                           : serving::ClientPhase::kIdle,
+                                       Now());
   this->Arm(state.first_request ? this->limits.header_timeout : kKeepAlive);
   state.first_request = false;
-  http::async_read_header(
-      state.socket, state.buffer, *state.parser,
-      [self = this->shared_from_this()](ErrorCode error, size_t) {
-        if (self->io->closed) return;
-        if (error) return self->FailRead(error);
-        self->ReadBody();
-      });
+  if (state.buffer.size() == 0) return this->ReadSome();
+  // Not at once: the caller of this may still be at work for the last request.
+  asio::post(state.socket.get_executor(), [self = this->shared_from_this()] {
+    if (!self->io->closed) self->Continue();
+  });
 }
 
-void HttpServerConnection::ReadBody() {
+void HttpServerConnection::Continue() {
   Io& state = *this->io;
-  if (state.parser->is_done()) return this->Deliver();
+  ParseStatus status = state.parser->Parse();
+  if (status == ParseStatus::kHead) {
+    if (!this->Hold(state.parser->HeldBytes() + state.parser->MissingBytes())) {
+      return this->RefuseMemory();
+    }
+    status = state.parser->Parse();
+    if (status == ParseStatus::kMore) this->OnHead();
+  }
+  if (status == ParseStatus::kRefused) {
+    this->Disarm();
+    return this->OnBadInput(BadInputOf(state.parser->Fault()));
+  }
+  const size_t next =
+      status == ParseStatus::kMore ? state.parser->ReadBytes() : 0;
+  if (!this->Hold(state.parser->HeldBytes() + next)) {
+    return this->RefuseMemory();
+  }
+  if (status == ParseStatus::kWhole) return this->Deliver();
+  this->ReadSome();
+}
 
+void HttpServerConnection::OnHead() {
+  Io& state = *this->io;
   // Without this answer some callers wait before they send the body.
-  if (beast::iequals(state.parser->get()[http::field::expect],
+  if (beast::iequals(state.parser->Message()[http::field::expect],
                      "100-continue")) {
     static constexpr std::string_view kContinue =
         "HTTP/1.1 100 Continue\r\n\r\n";
@@ -125,37 +176,57 @@
     state.socket.non_blocking(true, ignored);
     state.socket.write_some(asio::buffer(kContinue), ignored);
   }
-
   this->Arm(this->limits.body_timeout);
-  http::async_read(state.socket, state.buffer, *state.parser,
-                   [self = this->shared_from_this()](ErrorCode error, size_t) {
-                     if (self->io->closed) return;
-                     if (error) return self->FailRead(error);
-                     self->Deliver();
-                   });
 }
 
-void HttpServerConnection::FailRead(ErrorCode error) {
+void HttpServerConnection::ReadSome() {
   Io& state = *this->io;
-  this->Disarm();
-  const bool started = state.parser->got_some() || state.buffer.size() > 0;
-  if (state.timed_out) {
-    if (!started) return this->Close();
-    return this->OnBadInput(
-        {408, "request-timeout", "the request did not arrive in time"});
-  }
-  if (error == http::error::end_of_stream || !error.category().name() ||
-      error.category() == asio::error::get_system_category() ||
-      error.category() == asio::error::get_misc_category()) {
-    return this->Close();
+  state.socket.async_read_some(
+      state.buffer.prepare(state.parser->ReadBytes()),
+      [self = this->shared_from_this()](ErrorCode error, size_t bytes) {
+        Io& read = *self->io;
+        if (read.closed) return;
+        if (error) return self->FailRead();
+        read.buffer.commit(bytes);
+        serving::ClientQueue& queue = self->share->Gate().Queue();
+        if (self->Phase() == serving::ClientPhase::kIdle) {
+          queue.SetPhase(*self, serving::ClientPhase::kReading, Now());
+        }
+        queue.OnBytes(*self, bytes, Now());
+        self->Continue();
+      });
+}
+
+bool HttpServerConnection::Hold(size_t bytes) {
+  const size_t total = kConnectionBytes + bytes;
+  const size_t bound = this->share->BoundFor(total);
+  while (!this->held_bytes.Resize(total, bound)) {
+    if (!this->share->Gate().FreeMemory(*this, Now())) return false;
   }
-  this->OnBadInput(BadInputOf(error));
+  return true;
+}
+
+void HttpServerConnection::RefuseMemory() {
+  this->Disarm();
+  this->share->CountMemory();
+  this->OnBadInput(
+      {503, "request-memory", "the memory for requests is in use"});
+}
+
+void HttpServerConnection::FailRead() {
+  Io& state = *this->io;
+  this->Disarm();
+  if (!state.timed_out || !state.parser->HasBegun()) return this->Close();
+  this->OnBadInput(
+      {408, "request-timeout", "the request did not arrive in time"});
 }
 
 void HttpServerConnection::Deliver() {
   this->Disarm();
   this->io->held = this->shared_from_this();
-  auto message = this->io->parser->release();
+  this->share->Gate().Queue().SetPhase(*this, serving::ClientPhase::kServed,
+                                       Now());
+  const RequestParser::Head& message = this->io->parser->Message();
   HttpRequest request;
   request.method = message.method_string().to_string();
   request.target = message.target().to_string();
@@ -165,7 +236,8 @@
     request.headers.emplace_back(field.name_string().to_string(),
                                  field.value().to_string());
   }
-  request.body = std::move(message.body());
+  request.body = this->io->parser->TakeBody();
+  this->io->parser->DropFields();
   this->OnRequest(std::move(request));
 }
 
@@ -174,10 +246,14 @@
   if (state.closed) return;
   state.outgoing = std::move(text);
   this->Arm(this->limits.write_timeout);
+  this->share->Gate().Queue().SetPhase(*this, serving::ClientPhase::kUnread,
+                                       Now());
   asio::async_write(state.socket, asio::buffer(state.outgoing),
                     [self = this->shared_from_this()](ErrorCode error, size_t) {
                       if (self->io->closed) return;
                       self->Disarm();
+                      self->share->Gate().Queue().SetPhase(
+                          *self, serving::ClientPhase::kServed, Now());
                       if (error) self->Close();
                       self->OnWritten(!error);
                     });
@@ -242,6 +318,8 @@
   Io& state = *this->io;
   if (state.closed) return;
   state.closed = true;
+  this->share->Gate().Queue().Remove(*this);
+  this->held_bytes.Set(0);
   const auto released = std::exchange(state.held, nullptr);
   this->Disarm();
   ErrorCode ignored;
--- a/daemon/http_server_connection.h
+++ b/daemon/http_server_connection.h
@@ -5,7 +5,9 @@
 #include <string>
 
 #include "daemon/asio.h"
+#include "daemon/client_share.h"
 #include "daemon/http_message.h"
+#include "daemon/request_parser.h"
 #include "fuchsiadrum/core/types.h"
 
 namespace fuchsiadrum::daemon {
@@ -13,6 +15,8 @@
 /// Limits of one connection.
 struct HttpLimits {
   size_t header_bytes = 16384;
+  /// Ordinary heads have a few dozen.
+  size_t header_fields = 256;
   size_t body_bytes = 4194304;
   Duration header_timeout = std::chrono::seconds(5);
   Duration body_timeout = std::chrono::seconds(30);
@@ -32,9 +36,12 @@
 /// Server side of one HTTP connection: reads one request at a time within the
 /// limits and writes what the subclass composes.
 class HttpServerConnection
-    : public std::enable_shared_from_this<HttpServerConnection> {
+    : public std::enable_shared_from_this<HttpServerConnection>,
+      public GatedClient {
  public:
-  HttpServerConnection(Tcp::socket socket, const HttpLimits& limits);
+  /// `client_share`: what all connections of the server may hold.
+  HttpServerConnection(Tcp::socket socket, const HttpLimits& limits,
+                       std::shared_ptr<ClientShare> client_share);
   virtual ~HttpServerConnection();
   HttpServerConnection(const HttpServerConnection&) = delete;
   HttpServerConnection& operator=(const HttpServerConnection&) = delete;
@@ -43,6 +50,8 @@
   void Start() { this->ReadNext(); }
   /// Closes the connection at once.
   void Close();
+  bool HasUnreadBytes() override;
+  void CloseForOthers() override;
 
  protected:
   /// A whole request was read. Nothing more is read until ReadNext.
@@ -66,16 +75,25 @@
  private:
   struct Io;
 
-  void ReadBody();
-  void FailRead(ErrorCode error);
+  /// Parses what has arrived, and reads more if that does not suffice.
+  void Continue();
+  void OnHead();
+  void ReadSome();
+  /// Holds this much memory for the request; false if the limits do not allow
+  /// it.
+  bool Hold(size_t bytes);
+  void FailRead();
+  void RefuseMemory();
   void Deliver();
   void Linger();
   void CheckClosed();
   void Arm(Duration timeout);
   void Disarm();
 
-  std::unique_ptr<Io> io;
   HttpLimits limits;
+  std::shared_ptr<ClientShare> share;
+  ByteHold held_bytes;
+  std::unique_ptr<Io> io;
 };
 
 }  // namespace fuchsiadrum::daemon
--- a/fuchsiadrum/core/byte_budget.h
+++ b/fuchsiadrum/core/byte_budget.h
@@ -30,15 +30,21 @@
   /// Holds this many bytes from now on; false: the budget does not allow them,
   /// and nothing changes.
   bool Resize(size_t new_bytes) {
+    return this->Resize(new_bytes, this->budget.most);
+  }
+  /// The same if all owners together hold `bound` bytes at most afterwards; 0:
+  /// not limited.
+  bool Resize(size_t new_bytes, size_t bound) {
     const size_t total = this->budget.held - this->bytes + new_bytes;
-    const bool grows = new_bytes > this->bytes;
-    if (grows && this->budget.most > 0 && total > this->budget.most) {
-      return false;
-    }
-    this->budget.held = total;
-    this->bytes = new_bytes;
+    if (new_bytes > this->bytes && bound > 0 && total > bound) return false;
+    this->Set(new_bytes);
     return true;
   }
+  /// Holds this many bytes from now on, whatever the budget allows.
+  void Set(size_t new_bytes) {
+    this->budget.held += new_bytes - this->bytes;
+    this->bytes = new_bytes;
+  }
 
  private:
   ByteBudget& budget;
--- a/gateway/acceptor.cc
+++ b/gateway/acceptor.cc
@@ -26,7 +26,8 @@
 }
 
 asio::awaitable<void> AcceptAll(Tcp::acceptor& acceptor,
-                                std::function<void(Tcp::socket)> handler) {
+                                std::function<void(Tcp::socket)> handler,
+                                std::function<void()> on_failure) {
   asio::steady_timer retry(acceptor.get_executor());
   while (true) {
     ErrorCode error;
@@ -40,6 +41,7 @@
       handler(std::move(socket));
       continue;
     }
+    on_failure();
     retry.expires_after(kAcceptRetryDelay);
     ErrorCode ignored;
     co_await retry.async_wait(
--- a/gateway/acceptor.h
+++ b/gateway/acceptor.h
@@ -12,7 +12,10 @@
 std::string OpenAcceptor(Tcp::acceptor& acceptor, const std::string& address);
 
 /// Passes each new connection to the handler until the acceptor is closed.
+/// `on_failure` is called when a connection cannot be accepted; the usual cause
+/// is a lack of descriptors.
 asio::awaitable<void> AcceptAll(Tcp::acceptor& acceptor,
-                                std::function<void(Tcp::socket)> handler);
+                                std::function<void(Tcp::socket)> handler,
+                                std::function<void()> on_failure);
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -2,9 +2,7 @@
 
 #include <sys/socket.h>
 
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <charconv>
+#include <array>
 #include <vector>
 
 #include "gateway/clock.h"
@@ -17,9 +15,10 @@
 
 namespace http = boost::beast::http;
 
-/// Maximum number of bytes buffered for the parser: a head and one read. The
-/// parser itself does not limit the length of a chunk-size line.
-constexpr size_t kMaxBufferedBytes = 262144;
+/// Memory of a connection, and of a request that is served: its task, its
+/// coroutines, and the read buffer of its connection to an upstream.
+constexpr size_t kConnectionBytes = 4096;
+constexpr size_t kTaskBytes = 16384;
 /// Bytes of a refused request that are read at a time.
 constexpr size_t kLingerReadBytes = 4096;
 /// Time that the caller has to read its last answer before the connection
@@ -34,6 +33,17 @@
 /// within it.
 constexpr Duration kMinIdleTime = std::chrono::milliseconds(200);
 
+/// Bytes of a request that are thrown away with its connection: closing it with
+/// unread bytes would reset it, and the caller might lose the answer.
+constexpr size_t kDiscardBytes = 16384;
+
+daemon::RequestBounds BoundsOf(const GatewayCore& core,
+                               const serving::CallerLimits& limits) {
+  return {.head_bytes = limits.header_bytes,
+          .fields = core.LimitsOfClients().header_fields,
+          .body_bytes = limits.body_bytes};
+}
+
 /// True if two HTTP parsers could frame the request differently. Such requests
 /// are refused to prevent request smuggling, where a second request is hidden
 /// in the body of the first.
@@ -54,35 +64,67 @@
                                    GatewayCore& gateway_core)
     : socket(std::move(accepted)),
       core(gateway_core),
-      buffer(kMaxBufferedBytes),
       request_bytes(gateway_core.BodyBytes()) {
   ErrorCode ignored;
   this->socket.set_option(Tcp::no_delay(true), ignored);
   this->core.Callers().insert(this);
+  this->core.CallerGate().Queue().Add(*this, Now());
+  this->request_bytes.Set(kConnectionBytes);
+}
+
+CallerConnection::~CallerConnection() {
+  this->core.Callers().erase(this);
+  this->core.CallerGate().Queue().Remove(*this);
+}
+
+bool CallerConnection::HasUnreadBytes() {
+  ErrorCode error;
+  return this->socket.is_open() && this->socket.available(error) > 0;
 }
 
-CallerConnection::~CallerConnection() { this->core.Callers().erase(this); }
+void CallerConnection::CloseForOthers() {
+  if (this->reading && this->socket.is_open()) {
+    // Such a request is not run, also if its last bytes are on their way.
+    const std::string text = platform::EncodeGatewayAnswer(
+        503, this->request_id, kRetryAfterUnread, true);
+    static_cast<void>(send(this->socket.native_handle(), text.data(),
+                           text.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+  }
+  this->request_bytes.Set(0);
+  this->Interrupt(true);
+  this->Abort();
+}
 
 asio::awaitable<void> CallerConnection::Run() {
   const auto self = this->shared_from_this();
+  serving::ClientQueue& queue = this->core.CallerGate().Queue();
   while (this->socket.is_open()) {
     this->idle = true;
     this->idle_since = Now();
+    if (this->has_served_request) {
+      queue.SetPhase(*this, serving::ClientPhase::kIdle, this->idle_since);
+    }
     if (this->buffer.size() == 0 && !co_await this->WaitForBytes()) break;
     this->idle = false;
     this->reading = true;
+    if (this->has_served_request) {
+      queue.SetPhase(*this, serving::ClientPhase::kReading, Now());
+    }
     std::optional<serving::CallerRequest> request =
         co_await this->ReadRequest();
     this->reading = false;
     if (!request) break;
 
     this->NeverExpire();
+    queue.SetPhase(*this, serving::ClientPhase::kServed, Now());
+    // An idle connection, or one whose request is served, needs no buffer.
+    if (this->buffer.size() == 0) this->buffer.shrink_to_fit();
     this->close_after = request->close_after;
     this->has_served_request = true;
     RequestTask task(this->core, *this, std::move(*request));
     const bool complete = co_await task.Run();
     this->Disarm();
-    this->request_bytes.Resize(0);
+    this->request_bytes.Set(kConnectionBytes);
     if (complete) this->SetResetOnClose(false);
     if (complete && this->close_announced) {
       co_await this->Linger();
@@ -110,39 +152,12 @@
 CallerConnection::ReadRequest() {
   const TimePoint begun_at = Now();
   const serving::CallerLimits limits = this->core.Limits();
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
-  parser.body_limit(limits.body_bytes);
+  daemon::RequestParser reader(BoundsOf(this->core, limits), this->buffer);
+  this->request_id.clear();
+  this->ExpireAt(begun_at + limits.header_timeout);
+  if (!co_await this->ReadPart(reader)) co_return std::nullopt;
 
-  this->ExpireAt(Now() + limits.header_timeout);
-  ErrorCode error;
-  const size_t head_bytes = co_await http::async_read_header(
-      this->socket, this->buffer, parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (error == http::error::header_limit) {
-    co_await this->Refuse(431, "header too large", "");
-    co_return std::nullopt;
-  }
-  if (error == http::error::body_limit) {
-    co_await this->Refuse(413, "body too large", "");
-    co_return std::nullopt;
-  }
-  if (error) {
-    const bool malformed =
-        error.category() ==
-            http::make_error_code(http::error::bad_method).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message;
-    if (malformed) {
-      co_await this->Refuse(400, "malformed head", "");
-    }
-    if (this->reading_ended) {
-      co_await this->Refuse(503, "stopping", "", kRetryAfterUnread);
-    }
-    co_return std::nullopt;
-  }
-  this->core.Link().OnReceived(head_bytes);
-  if (HasAmbiguousFraming(parser.get())) {
+  if (HasAmbiguousFraming(reader.Message())) {
     co_await this->Refuse(400, "ambiguous framing", "");
     co_return std::nullopt;
   }
@@ -150,50 +165,115 @@
   // is decoded before the body is read.
   std::string reason;
   std::optional<serving::CallerRequest> request =
-      platform::DecodeRequest(parser.get(), reason);
-
-  if (boost::beast::iequals(parser.get()[http::field::expect],
-                            "100-continue") &&
-      !co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n")) {
+      platform::DecodeRequest(reader.Message(), reason);
+  if (request) this->request_id = request->id;
+  const bool awaits_continue = boost::beast::iequals(
+      reader.Message()[http::field::expect], "100-continue");
+  reader.DropFields();
+
+  if (!this->MayHold(reader.HeldBytes(), reader.MissingBytes())) {
+    this->core.LimitLog().Count(ClientLimit::kMemory);
+    co_await this->RefuseUnread("request memory exhausted");
     co_return std::nullopt;
   }
-  this->ExpireAt(Now() + limits.idle_timeout);
-  while (!parser.is_done() && !error) {
-    const size_t body_bytes = co_await http::async_read_some(
-        this->socket, this->buffer, parser,
-        asio::redirect_error(asio::use_awaitable, error));
-    this->core.Link().OnReceived(body_bytes);
-    if (!this->request_bytes.Resize(parser.get().body().size())) {
-      co_await this->RefuseUnread(parser.get(),
-                                  "request body memory exhausted");
-      co_return std::nullopt;
-    }
-  }
-  if (error == http::error::body_limit) {
-    co_await this->Refuse(413, "body too large", "");
-    co_return std::nullopt;
-  }
-  if (this->reading_ended && !parser.is_done()) {
-    co_await this->RefuseUnread(parser.get(), "stopping");
+  if (awaits_continue &&
+      !co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n")) {
     co_return std::nullopt;
   }
-  if (error) co_return std::nullopt;
+  this->ExpireAt(Now() + limits.idle_timeout);
+  if (!co_await this->ReadPart(reader)) co_return std::nullopt;
 
   if (!request) {
     co_await this->Refuse(400, reason, "");
     co_return std::nullopt;
   }
   request->begun_at = begun_at;
-  request->body = std::move(parser.get().body());
+  request->body = reader.TakeBody();
   co_return request;
 }
 
-asio::awaitable<void> CallerConnection::RefuseUnread(
-    const platform::HttpRequestHead& head, std::string reason) {
-  std::string ignored;
-  const auto request = platform::DecodeRequest(head, ignored);
-  const std::string id = request ? request->id : std::string();
-  co_await this->Refuse(503, std::move(reason), id, kRetryAfterUnread);
+asio::awaitable<bool> CallerConnection::ReadPart(
+    daemon::RequestParser& reader) {
+  while (true) {
+    const daemon::ParseStatus status = reader.Parse();
+    if (status == daemon::ParseStatus::kRefused) {
+      co_await this->RefuseFault(reader.Fault());
+      co_return false;
+    }
+    if (!this->Hold(reader.HeldBytes() + (status == daemon::ParseStatus::kMore
+                                              ? reader.ReadBytes()
+                                              : 0))) {
+      this->core.LimitLog().Count(ClientLimit::kMemory);
+      co_await this->RefuseUnread("request memory exhausted");
+      co_return false;
+    }
+    if (status != daemon::ParseStatus::kMore) co_return true;
+    if (!co_await this->ReadSome(reader)) co_return false;
+  }
+}
+
+asio::awaitable<bool> CallerConnection::ReadSome(
+    daemon::RequestParser& reader) {
+  if (this->reading_ended) {
+    co_await this->RefuseUnread("stopping");
+    co_return false;
+  }
+  ErrorCode error;
+  const auto space = this->buffer.prepare(reader.ReadBytes());
+  const size_t bytes = co_await this->socket.async_read_some(
+      space, asio::redirect_error(asio::use_awaitable, error));
+  this->buffer.commit(bytes);
+  this->core.Link().OnReceived(bytes);
+  if (!error) {
+    this->core.CallerGate().Queue().OnBytes(*this, bytes, Now());
+    co_return true;
+  }
+  if (this->reading_ended) {
+    co_await this->RefuseUnread("stopping");
+  }
+  co_return false;
+}
+
+bool CallerConnection::Hold(size_t bytes) {
+  const size_t total = kConnectionBytes + kTaskBytes + bytes;
+  const size_t bound = this->core.LimitsOfClients().BoundFor(total);
+  while (!this->request_bytes.Resize(total, bound)) {
+    if (!this->core.CallerGate().FreeMemory(*this, Now())) return false;
+  }
+  return true;
+}
+
+bool CallerConnection::MayHold(size_t held, size_t missing) {
+  const bool may_hold = this->Hold(held + missing);
+  // What has not arrived yet takes no memory.
+  if (may_hold) this->request_bytes.Set(kConnectionBytes + kTaskBytes + held);
+  return may_hold;
+}
+
+asio::awaitable<void> CallerConnection::RefuseFault(
+    daemon::RequestFault fault) {
+  this->core.LimitLog().Count(fault);
+  switch (fault) {
+    case daemon::RequestFault::kHeadBytes:
+      co_return co_await this->Refuse(431, "header too large", "");
+    case daemon::RequestFault::kHeadFields:
+      co_return co_await this->Refuse(431, "too many header fields", "");
+    case daemon::RequestFault::kBodyBytes:
+      co_return co_await this->Refuse(413, "body too large", this->request_id);
+    case daemon::RequestFault::kLineBytes:
+      co_return co_await this->Refuse(
+          400, "chunk-size line or trailer too large", this->request_id);
+    case daemon::RequestFault::kMalformedHead:
+      co_return co_await this->Refuse(400, "malformed head", "");
+    case daemon::RequestFault::kMalformedBody:
+    case daemon::RequestFault::kNone:
+      co_return;
+  }
+}
+
+asio::awaitable<void> CallerConnection::RefuseUnread(std::string reason) {
+  co_await this->Refuse(503, std::move(reason), this->request_id,
+                        kRetryAfterUnread);
 }
 
 asio::awaitable<void> CallerConnection::Refuse(
@@ -223,20 +303,46 @@
 }
 
 void CallerConnection::LogBadInput(int status, const std::string& reason) {
+  if (!this->core.LimitLog().MayLogClient(Now())) return;
   this->core.Log().Write("bad-input", {{"status", static_cast<int64_t>(status)},
                                        {"reason", reason}});
 }
 
 asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
-  ErrorCode error;
   this->core.Link().OnSent(bytes.size());
-  co_await asio::async_write(this->socket,
-                             asio::buffer(bytes.data(), bytes.size()),
-                             asio::redirect_error(asio::use_awaitable, error));
+  ErrorCode error;
+  while (!error && !bytes.empty()) {
+    const ssize_t sent = send(this->socket.native_handle(), bytes.data(),
+                              bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent >= 0) {
+      bytes.remove_prefix(static_cast<size_t>(sent));
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      co_await this->WaitForReader(error);
+    } else if (errno != EINTR) {
+      co_return false;
+    }
+  }
   co_return !error;
 }
 
+asio::awaitable<void> CallerConnection::WaitForReader(ErrorCode& error) {
+  serving::ClientQueue& queue = this->core.CallerGate().Queue();
+  const bool is_served = this->Phase() == serving::ClientPhase::kServed;
+  // While an attempt runs, the deadline of the request ends the wait; a refusal
+  // has its own time.
+  const bool is_timed = is_served && !this->interrupt;
+  if (is_served) queue.SetPhase(*this, serving::ClientPhase::kUnread, Now());
+  if (is_timed) this->ExpireAt(Now() + this->core.Limits().idle_timeout);
+  co_await this->socket.async_wait(
+      Tcp::socket::wait_write,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (is_served) queue.SetPhase(*this, serving::ClientPhase::kServed, Now());
+  if (is_timed) this->NeverExpire();
+  if (!this->socket.is_open()) error = asio::error::operation_aborted;
+}
+
 void CallerConnection::Abort() {
+  this->core.CallerGate().Queue().Remove(*this);
   ErrorCode ignored;
   this->socket.close(ignored);
 }
@@ -329,6 +435,9 @@
 }
 
 void CallerConnection::OnExpired() {
+  if (this->Phase() == serving::ClientPhase::kUnread) {
+    this->core.LimitLog().Count(ClientLimit::kUnreadTime);
+  }
   if (this->interrupt) {
     this->Interrupt(false);
   } else {
@@ -336,4 +445,17 @@
   }
 }
 
+void RefuseConnection(Tcp::socket socket) {
+  std::array<char, kDiscardBytes> discarded;
+  const int descriptor = socket.native_handle();
+  static_cast<void>(
+      recv(descriptor, discarded.data(), discarded.size(), MSG_DONTWAIT));
+  const std::string text =
+      platform::EncodeGatewayAnswer(503, "", kRetryAfterUnread, true);
+  static_cast<void>(
+      send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+  ErrorCode ignored;
+  socket.close(ignored);
+}
+
 }  // namespace fuchsiadrum::gateway
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -33,11 +33,11 @@
     : settings(gateway_settings),
       core(gateway_settings, this->context),
       acceptor(this->context),
-      readiness(this->context, this->core.Timeouts(),
+      readiness(this->context, this->core,
                 [this](std::string_view) {
                   return PageServer::Page{this->core.IsReady() ? 200 : 503, ""};
                 }),
-      metrics(this->context, this->core.Timeouts(), [this](std::string_view) {
+      metrics(this->context, this->core, [this](std::string_view) {
         return PageServer::Page{200, this->core.MetricsText()};
       }) {}
 
@@ -61,8 +61,10 @@
   this->core.Start();
   asio::co_spawn(
       this->context,
-      AcceptAll(this->acceptor,
-                [this](Tcp::socket socket) { this->Serve(std::move(socket)); }),
+      AcceptAll(
+          this->acceptor,
+          [this](Tcp::socket socket) { this->Serve(std::move(socket)); },
+          [this] { this->core.CallerGate().OnAcceptFailure(Now()); }),
       asio::detached);
   asio::co_spawn(this->context, this->TickLoop(), asio::detached);
   asio::co_spawn(this->context, this->WaitForSignals(), asio::detached);
@@ -72,6 +74,10 @@
 }
 
 void Gateway::Serve(Tcp::socket socket) {
+  if (!this->core.CallerGate().MakeRoom(Now())) {
+    RefuseConnection(std::move(socket));
+    return;
+  }
   auto caller =
       std::make_shared<CallerConnection>(std::move(socket), this->core);
   this->core.Timeouts().Watch(*caller);
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -23,9 +23,6 @@
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
 constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr size_t kBytesPerMegabyte = 1000000;
-/// Bodies may take the process's memory divided by this: each body is copied
-/// once while it is forwarded, and connections and cached state need the rest.
-constexpr size_t kBodyMemoryDivisor = 4;
 /// Interval at which idle connections and upstreams are checked and the fleet's
 /// size is taken over.
 constexpr Duration kPoolSweepInterval = std::chrono::milliseconds(500);
@@ -62,6 +59,34 @@
   return options;
 }
 
+/// Descriptors that the process may have open; 0: not known.
+size_t MaxDescriptors(const pb::GatewaySettings& settings) {
+  const size_t system = daemon::SystemDescriptors();
+  const size_t set = settings.vm().max_fds();
+  if (set == 0 || system == 0) return std::max(set, system);
+  return std::min(set, system);
+}
+
+serving::ClientLimits LimitsOf(const pb::GatewaySettings& settings) {
+  const auto& clients = settings.clients();
+  const size_t memory_bytes = settings.vm().memory_mb() * kBytesPerMegabyte;
+  serving::ClientLimits limits = serving::ClientLimits::For(
+      {.memory_bytes = memory_bytes, .descriptors = MaxDescriptors(settings)});
+  if (clients.held_mb() > 0) {
+    limits.SetTotal(clients.held_mb() * kBytesPerMegabyte);
+  }
+  if (clients.max_connections() > 0) {
+    limits.connections = clients.max_connections();
+  }
+  if (clients.max_page_connections() > 0) {
+    limits.page_connections = clients.max_page_connections();
+  }
+  if (clients.max_header_fields() > 0) {
+    limits.header_fields = clients.max_header_fields();
+  }
+  return limits;
+}
+
 BudgetClientOptions BudgetOptions(const pb::GatewaySettings& settings) {
   return {.vm = settings.vm().name(),
           .incarnation = daemon::StartIncarnation(),
@@ -87,8 +112,11 @@
       link({.bytes_per_s =
                 gateway_settings.vm().link_mbps() * kBytesPerMegabit}),
       loop_delay(serving::LoopDelayOptions()),
-      body_bytes(gateway_settings.vm().memory_mb() * kBytesPerMegabyte /
-                 kBodyMemoryDivisor),
+      client_limits(LimitsOf(gateway_settings)),
+      client_bytes(this->client_limits.total_bytes),
+      limit_log(this->log),
+      caller_gate({.max_connections = this->client_limits.connections},
+                  [this](auto action) { this->limit_log.Count(action); }),
       pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link),
       config_follower(
           {.stream = platform::Stream::kOperators,
@@ -155,6 +183,7 @@
     }
   }
   this->quarantine_client.LogChanges();
+  this->limit_log.OnTick(now);
   this->log.Flush();
 }
 
@@ -300,7 +329,8 @@
       static_cast<double>(this->quarantines.Quarantined()));
   add("link_use", this->link.Utilization());
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
-  add("body_bytes", static_cast<double>(this->body_bytes.Held()));
+  add("client_bytes", static_cast<double>(this->client_bytes.Held()));
+  this->limit_log.AddMetrics(text);
   add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
   return text;
 }
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -6,6 +6,7 @@
 
 #include "fuchsiadrum/core/byte_budget.h"
 #include "fuchsiadrum/serving/answer_times.h"
+#include "fuchsiadrum/serving/client_limits.h"
 #include "fuchsiadrum/serving/link_load.h"
 #include "fuchsiadrum/serving/loop_delay.h"
 #include "fuchsiadrum/serving/placement.h"
@@ -15,6 +16,7 @@
 #include "fuchsiadrum/serving/stop_schedule.h"
 #include "fuchsiadrum/serving/upstream_directory.h"
 #include "gateway/budget_client.h"
+#include "gateway/client_limit_log.h"
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
@@ -78,8 +80,15 @@
   BudgetClient& Budgets() { return this->budgets; }
   serving::LinkLoad& Link() { return this->link; }
   const serving::LoopDelay& EventLoopDelay() const { return this->loop_delay; }
-  /// Limits the memory of the bodies of all requests and answers.
-  ByteBudget& BodyBytes() { return this->body_bytes; }
+  /// Limits what clients make the process hold: connections, requests, and
+  /// answers that are read whole.
+  ByteBudget& BodyBytes() { return this->client_bytes; }
+  const serving::ClientLimits& LimitsOfClients() const {
+    return this->client_limits;
+  }
+  ClientLimitLog& LimitLog() { return this->limit_log; }
+  /// Connections of callers.
+  daemon::ClientGate& CallerGate() { return this->caller_gate; }
   UpstreamPool& Pool() { return this->pool; }
   serving::AnswerTimes& Times() { return this->answer_times; }
   EventLog& Log() { return this->log; }
@@ -111,7 +120,10 @@
   serving::RetryAllowance retries;
   serving::LinkLoad link;
   serving::LoopDelay loop_delay;
-  ByteBudget body_bytes;
+  serving::ClientLimits client_limits;
+  ByteBudget client_bytes;
+  ClientLimitLog limit_log;
+  daemon::ClientGate caller_gate;
   UpstreamPool pool;
   StreamFollower config_follower;
   StreamFollower upstream_follower;
--- a/gateway/main.cc
+++ b/gateway/main.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -10,6 +12,15 @@
 namespace fuchsiadrum::gateway {
 namespace {
 
+/// Bodies of this size and more are mapped, so that their memory is given back
+/// when they end. Without a fixed value, glibc raises its own to the largest
+/// body, and bodies of which little has arrived would keep the memory of
+/// earlier ones.
+constexpr int kMapBytes = 131072;
+/// Free memory at the end of the heap above which it is given back. Less would
+/// cost system calls on every request.
+constexpr int kTrimBytes = 2097152;
+
 int Main(int argc, char** argv) {
   pb::GatewaySettings settings;
   const std::optional<int> ended = settings::RunSettingsCommand(
@@ -24,6 +35,8 @@
       pb::GatewaySettings());
   if (ended) return *ended;
 
+  mallopt(M_MMAP_THRESHOLD, kMapBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
   std::signal(SIGPIPE, SIG_IGN);
   // Never destroyed, because connections that are still open refer to it.
   static Gateway& gateway = *new Gateway(settings);
--- a/gateway/page_server.h
+++ b/gateway/page_server.h
@@ -3,11 +3,13 @@
 #include <functional>
 #include <string>
 
+#include "daemon/client_gate.h"
 #include "gateway/asio.h"
-#include "gateway/watchdog.h"
 
 namespace fuchsiadrum::gateway {
 
+class GatewayCore;
+
 /// Small HTTP server for pages that are generated for each request: readiness
 /// and metrics.
 class PageServer {
@@ -18,12 +20,8 @@
   };
   using Handler = std::function<Page(std::string_view path)>;
 
-  PageServer(asio::io_context& io_context, Watchdog& timeouts,
-             Handler page_handler)
-      : context(io_context),
-        watchdog(timeouts),
-        handler(std::move(page_handler)),
-        acceptor(io_context) {}
+  PageServer(asio::io_context& io_context, GatewayCore& gateway_core,
+             Handler page_handler);
 
   /// Listens at "IP:port" and serves it. Returns the reason of a failure, or an
   /// empty string.
@@ -34,8 +32,9 @@
   void Serve(Tcp::socket socket);
 
   asio::io_context& context;
-  Watchdog& watchdog;
+  GatewayCore& core;
   Handler handler;
+  daemon::ClientGate gate;
   Tcp::acceptor acceptor;
 };
 
--- a/tests/core/byte_budget_test.cc
+++ b/tests/core/byte_budget_test.cc
@@ -33,5 +33,19 @@
   EXPECT_TRUE(hold.Resize(size_t{1} << 40));
 }
 
+// Large requests may fill only a part of the budget; the rest is left to
+// others.
+TEST_F(ByteBudgetTest, LowerBound_LimitsOnlyWhatGrows) {
+  ByteHold large(this->budget);
+  ByteHold small(this->budget);
+  EXPECT_FALSE(large.Resize(60, 50));
+  EXPECT_TRUE(large.Resize(50, 50));
+  EXPECT_TRUE(small.Resize(50));
+  EXPECT_TRUE(large.Resize(40, 50));
+  EXPECT_FALSE(large.Resize(41, 50));
+  large.Set(70);
+  EXPECT_EQ(this->budget.Held(), 120U);
+}
+
 }  // namespace
 }  // namespace fuchsiadrum
