Gateway: no copy of whole answers, a bound on idle upstream connections

Cause: an answer that is read whole was copied once more to be written, so that unread ones took twice what the sum counts. Each request with an id that was used before opened a connection to an upstream, which stayed idle for 4 s: 100 clients that sent requests with one id ahead held 1,090 of 2,000 descriptors. Change: head and body are sent from where they stand with one system call; a fifth of the descriptors at most is for idle upstream connections.

--- a/fuchsiadrum/serving/client_limits.cc
+++ b/fuchsiadrum/serving/client_limits.cc
@@ -42,8 +42,11 @@
   const size_t kept = std::min(kFileDescriptors, reserve) +
                       std::min(kOwnDescriptors, reserve) +
                       kPageAddresses * limits.page_connections;
-  // Each caller that is served needs a connection to an upstream.
-  limits.connections = all > kept + 2 ? (all - kept) / 2 : 1;
+  // Each caller that is served needs a connection to an upstream, and there are
+  // half as many idle ones.
+  const size_t left = all > kept ? all - kept : 0;
+  limits.connections = std::max<size_t>(1, left * 2 / 5);
+  limits.idle_upstreams = std::max<size_t>(1, left / 5);
   return limits;
 }
 
--- a/fuchsiadrum/serving/client_limits.h
+++ b/fuchsiadrum/serving/client_limits.h
@@ -25,6 +25,8 @@
   size_t large_request_bytes = 0;
   /// Connections of callers.
   size_t connections = 0;
+  /// Connections to upstreams that are open and not in use.
+  size_t idle_upstreams = 0;
   /// Connections of each address that serves pages.
   size_t page_connections = 0;
   /// Fields of a request's head. Ordinary heads have a few dozen.
--- a/gateway/answer_relay.cc
+++ b/gateway/answer_relay.cc
@@ -53,8 +53,8 @@
     out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   }
   out += "\r\n";
-  out += body;
-  co_return co_await this->caller.Write(out);
+  // The body may be large and its caller slow, so that it is not copied.
+  co_return co_await this->caller.Write(out, body);
 }
 
 asio::awaitable<bool> AnswerRelay::SendGatewayAnswer(
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -1,7 +1,9 @@
 #include "gateway/caller_connection.h"
 
 #include <sys/socket.h>
+#include <sys/uio.h>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -44,6 +46,18 @@
           .body_bytes = limits.body_bytes};
 }
 
+/// Sends as much of the two parts as the socket takes at once.
+ssize_t SendNow(int descriptor, std::string_view first,
+                std::string_view second) {
+  std::array<iovec, 2> parts = {
+      iovec{const_cast<char*>(first.data()), first.size()},
+      iovec{const_cast<char*>(second.data()), second.size()}};
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  return sendmsg(descriptor, &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 /// True if two HTTP parsers could frame the request differently. Such requests
 /// are refused to prevent request smuggling, where a second request is hidden
 /// in the body of the first.
@@ -309,13 +323,19 @@
 }
 
 asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
-  this->core.Link().OnSent(bytes.size());
+  return this->Write(bytes, std::string_view());
+}
+
+asio::awaitable<bool> CallerConnection::Write(std::string_view first,
+                                              std::string_view second) {
+  this->core.Link().OnSent(first.size() + second.size());
   ErrorCode error;
-  while (!error && !bytes.empty()) {
-    const ssize_t sent = send(this->socket.native_handle(), bytes.data(),
-                              bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  while (!error && first.size() + second.size() > 0) {
+    const ssize_t sent = SendNow(this->socket.native_handle(), first, second);
     if (sent >= 0) {
-      bytes.remove_prefix(static_cast<size_t>(sent));
+      const size_t of_first = std::min(first.size(), static_cast<size_t>(sent));
+      first.remove_prefix(of_first);
+      second.remove_prefix(static_cast<size_t>(sent) - of_first);
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       co_await this->WaitForReader(error);
     } else if (errno != EINTR) {
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -36,6 +36,8 @@
   /// Writes bytes of an answer. Returns false if the caller is gone, or if it
   /// takes none for the idle timeout of the configuration.
   asio::awaitable<bool> Write(std::string_view bytes);
+  /// The same for bytes that stand in two places.
+  asio::awaitable<bool> Write(std::string_view first, std::string_view second);
   /// Closes the connection without completing the answer.
   void Abort();
   /// Only the end of the connection will end the answer. From now on, the
--- a/gateway/upstream_pool.cc
+++ b/gateway/upstream_pool.cc
@@ -26,6 +26,7 @@
                                             this->options.max_idle_unrepeatable;
     if (too_old && now < candidate.until) return nullptr;
     connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
+    --this->idle_count;
     if (now < candidate.until && candidate.connection->IsReusable()) {
       return candidate.connection;
     }
@@ -46,10 +47,13 @@
                            std::shared_ptr<HttpConnection> connection,
                            std::optional<Duration> keep_alive) {
   connection->NeverExpire();
-  if (!connection->IsReusable()) {
+  const bool is_full = this->options.max_connections > 0 &&
+                       this->idle_count >= this->options.max_connections;
+  if (is_full || !connection->IsReusable()) {
     connection->Close();
     return;
   }
+  ++this->idle_count;
   Duration idle_limit = this->options.max_idle;
   if (keep_alive) {
     const auto usable = std::chrono::duration_cast<Duration>(
@@ -64,11 +68,12 @@
 
 void UpstreamPool::OnTick(TimePoint now) {
   for (auto it = this->idle.begin(); it != this->idle.end();) {
-    std::erase_if(it->second, [now](const IdleConnection& entry) {
-      if (now < entry.until) return false;
-      entry.connection->Close();
-      return true;
-    });
+    this->idle_count -=
+        std::erase_if(it->second, [now](const IdleConnection& entry) {
+          if (now < entry.until) return false;
+          entry.connection->Close();
+          return true;
+        });
     it = it->second.empty() ? this->idle.erase(it) : std::next(it);
   }
 }
--- a/gateway/upstream_pool.h
+++ b/gateway/upstream_pool.h
@@ -23,6 +23,9 @@
   /// Fraction of the idle timeout announced by the upstream for which a
   /// connection is kept.
   double keep_alive_fraction = 0.6;
+  /// Idle connections to all upstreams; 0: no limit. A caller that uses one
+  /// request id again and again gets a new connection for each request.
+  size_t max_connections = 0;
 };
 
 /// Idle connections to upstreams. An upstream that is listed with another
@@ -70,6 +73,8 @@
   serving::LinkLoad& link;
   /// Connections by the upstream's id, address and start.
   std::unordered_map<std::string, std::vector<IdleConnection>> idle;
+  /// Number of connections in `idle`.
+  size_t idle_count = 0;
   uint64_t opened = 0;
 };
 
--- a/tests/flood/caller_flood_test.cc
+++ b/tests/flood/caller_flood_test.cc
@@ -318,6 +318,16 @@
                             .receive_buffer = 4096});
 }
 
+// Each request with an id that was used before opens a connection to an
+// upstream, which is kept; they used up all descriptors.
+TEST_F(CallerFloodTest, RepeatedIds_LeaveDescriptorsForOthers) {
+  this->Start(kFewDescriptors);
+  std::string ahead;
+  while (ahead.size() < 100000) ahead += PostWithLength(kServed, 4, "body");
+  this->ExpectServedBeside(
+      {.port = this->Callers(), .clients = 40, .bytes = ahead});
+}
+
 // Clients that send a byte now and then hold connections for long.
 TEST_F(CallerFloodTest, SlowSenders_LeaveDescriptorsForOthers) {
   this->Start(kFewDescriptors);
