--- a/tests/flood/caller_flood_test.cc
+++ b/tests/flood/caller_flood_test.cc
@@ -319,7 +319,7 @@
 }
 
 // Each request with an id that was used before opens a connection to an
-// upstream, which is kept; they used up all descriptors.
+// upstream, which is kept for seconds, so that descriptors run short.
 TEST_F(CallerFloodTest, RepeatedIds_LeaveDescriptorsForOthers) {
   this->Start(kFewDescriptors);
   std::string ahead;
