--- a/tests/flood/client_crowd.h
+++ b/tests/flood/client_crowd.h
@@ -111,7 +111,8 @@
   constexpr size_t kStatusEnd = std::string_view("HTTP/1.1 200").size();
   bool has_ended = false;
   while (!has_ended && answer.size() < kStatusEnd && Clock::now() < end) {
-    const auto wanted = static_cast<short>(bytes.empty() ? POLLIN : POLLOUT);
+    const auto wanted =
+        static_cast<decltype(pollfd::events)>(bytes.empty() ? POLLIN : POLLOUT);
     pollfd poll_fd{fd, wanted, 0};
     constexpr int kPollMs = 50;
     if (::poll(&poll_fd, 1, kPollMs) <= 0) continue;
