Ceilings: headroom for the next request in large fleets, within a fifth of what is unspent

Cause: for a budget that is spread over the fleet the headroom was the demand of 2.4 s, at most VMs less than one request, so that nearly each request waited for a heartbeat with a higher ceiling, and none was served in the first two seconds of a cut.

Change: where there is demand, the headroom covers 1.5 of the largest recent request, as long as all such headrooms together take at most a fifth of what is unspent.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -8,6 +8,11 @@
 namespace fuchsiadrum::budget {
 namespace {
 
+/// Fraction of the unspent tokens that the minimum headrooms of all gateways
+/// may take together if the budget is spread over the fleet: a crash of all
+/// gateways would strand them.
+constexpr double kMaxMinHeadroomFraction = 0.2;
+
 Tokens Scale(double factor, Tokens amount) {
   return Tokens(
       static_cast<int64_t>(factor * static_cast<double>(amount.count)));
@@ -264,8 +269,24 @@
     headroom = std::max(
         headroom, this->options.min_ceiling_requests * this->typical_request);
   }
-  return std::max(pool.unmet_amount,
-                  Tokens(static_cast<int64_t>(headroom_fraction * headroom)));
+  headroom *= headroom_fraction;
+
+  const double own = pool.demand.Rate();
+  if (own > 0 && this->IsSpreadOverFleet(pool)) {
+    const Tokens others = pool.account.demand - pool.recorded.demand;
+    const double fleet = own + std::max(0.0, static_cast<double>(others.count));
+    const double pool_fraction =
+        std::max(own / fleet, 1.0 / static_cast<double>(this->fleet_size));
+    const double unspent =
+        UnspentFraction(pool) * static_cast<double>(pool.limit->count);
+    const double next_requests =
+        this->options.min_ceiling_requests *
+        std::max(this->typical_request, pool.demand.Largest());
+    headroom = std::max(
+        headroom, std::min(next_requests,
+                           kMaxMinHeadroomFraction * pool_fraction * unspent));
+  }
+  return std::max(pool.unmet_amount, Tokens(static_cast<int64_t>(headroom)));
 }
 
 Tokens GrantHolder::NextCeiling(const Pool& pool, Tokens total) const {
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -29,12 +29,12 @@
   /// covers the expected demand for this time. It has to span the release delay
   /// and the age of the last heartbeat, which can raise the ceiling.
   Duration ceiling_horizon = std::chrono::milliseconds(2400);
-  /// Minimum number of typical requests that the headroom covers if the budget
-  /// is not spread over the whole fleet (see `max_spread_fraction`). With few
-  /// requests the expected demand is low, yet the next request should be served
-  /// also right after the gateway lost the store. The minimum does not apply to
-  /// a budget that is spread over the fleet: a crash of all gateways would
-  /// strand too much.
+  /// Minimum number of typical requests that the headroom covers, so that the
+  /// next request is served also right after the gateway lost the store. If the
+  /// budget is spread over the fleet (see `max_spread_fraction`), the largest
+  /// recent request counts, only where there is demand, and all minimums take
+  /// a bounded part of the unspent tokens: a crash of all gateways would strand
+  /// them.
   double min_ceiling_requests = 1.5;
   /// Once the unspent fraction of the budget falls below this one, the headroom
   /// shrinks in proportion to it, down to `min_headroom_fraction` of its full
