--- a/tests/platform/stream_review_test.cc
+++ b/tests/platform/stream_review_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "daemon/clock.h"
+#include "schema/fleet.pb.h"
 #include "tests/platform/platform_fixture.h"
 #include "tests/platform/scripted_upstream.h"
 
