--- a/fuchsiadrum/budget/fleet_account.h
+++ b/fuchsiadrum/budget/fleet_account.h
@@ -35,12 +35,22 @@
   /// written only for a limited budget.
   Tokens limit;
   uint64_t limit_version = 0;
-
-  /// Replaces the contribution of one holder to the sums.
-  void Replace(const RecordedGrant& before, const RecordedGrant& after) {
+  /// Parts of `demand` by the availability zone of the holders. An
+  /// organisation's callers are often in one zone.
+  std::map<std::string, Tokens> zone_demand;
+
+  /// Replaces the contribution of one holder, which is in that zone, to the
+  /// sums.
+  void Replace(const std::string& zone, const RecordedGrant& before,
+               const RecordedGrant& after) {
     this->granted += after.granted - before.granted;
     this->spent += after.spent - before.spent;
     this->demand += after.demand - before.demand;
+    if (zone.empty() || after.demand == before.demand) return;
+    Tokens& in_zone = this->zone_demand[zone];
+    in_zone += after.demand - before.demand;
+    // A zone whose demand was not recorded from the start.
+    if (in_zone.count <= 0) this->zone_demand.erase(zone);
   }
 };
 
--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -1,7 +1,5 @@
 #include "fuchsiadrum/budget/grant_holder.h"
 
-#include <cmath>
-
 #include "fuchsiadrum/core/assert.h"
 #include "fuchsiadrum/core/duration.h"
 
@@ -16,7 +14,11 @@
 }  // namespace
 
 GrantHolder::GrantHolder(const GrantHolderOptions& holder_options)
-    : options(holder_options) {}
+    : options(holder_options),
+      sizer(holder_options),
+      ceiling_policy(holder_options),
+      pace(holder_options.paced_calls_per_s),
+      returns(holder_options) {}
 
 void GrantHolder::SetLimit(const std::string& organisation,
                            std::optional<Tokens> limit, uint64_t version) {
@@ -38,6 +40,7 @@
   Pool& pool = this->PoolOf(organisation);
   pool.demand.Add(now, amount);
   pool.long_term_demand.Add(now, amount);
+  pool.burst_demand.Add(now, amount);
   const auto size = static_cast<double>(amount.count);
   const double weight =
       this->typical_request > 0 ? this->options.typical_request_weight : 1;
@@ -91,8 +94,27 @@
   // or, if that is later, from the start of the heartbeat that is under way.
   const Duration silence =
       now - std::max(this->heartbeat_written_at, this->heartbeat_started_at);
-  return ReleasedTotal(this->options.release, pool.Ceiling(),
-                       pool.spendable_total, silence);
+  Tokens ceiling = pool.Ceiling();
+  if (this->Breaks(GrantMutation::kIgnoreCeiling)) {
+    return pool.spendable_total;
+  }
+  if (this->Breaks(GrantMutation::kUnrecordedHeadroom)) {
+    ceiling = std::max(ceiling, pool.InUse() + this->CeilingHeadroom(
+                                                   pool, pool.spendable_total));
+  }
+  const bool is_early = this->Breaks(GrantMutation::kReleaseWithoutDelay);
+  return ReleasedTotal(
+      this->options.release, ceiling, pool.spendable_total,
+      is_early ? silence + this->options.release.release_delay : silence);
+}
+
+void GrantHolder::AddWaiting(const std::string& organisation, Tokens amount) {
+  this->PoolOf(organisation).waiting.Add(amount);
+}
+
+void GrantHolder::RemoveWaiting(const std::string& organisation,
+                                Tokens amount) {
+  this->PoolOf(organisation).waiting.Remove(amount);
 }
 
 void GrantHolder::Settle(const std::string& organisation, Tokens amount,
@@ -111,7 +133,8 @@
   Pool& pool = this->PoolOf(organisation);
   if (!pool.limit || pool.in_flight) return false;
   // A request that only needs a higher ceiling waits for the next heartbeat.
-  if (this->HasUnmetRequest(organisation)) return true;
+  if (this->IsUrgent(now, organisation)) return true;
+  if (pool.answers_call) return true;
   if (!this->closed && now - pool.checked_at < this->options.check_interval) {
     return false;
   }
@@ -139,16 +162,30 @@
   const auto interval = std::chrono::duration_cast<Duration>(
       TimeToExhaustion(pool, pool.account) *
       this->options.account_refresh_fraction);
-  return std::clamp(interval, this->options.min_account_refresh_interval,
+  const Duration shortest = std::clamp(
+      this->PacedInterval(pool), this->options.min_account_refresh_interval,
+      this->options.max_account_refresh_interval);
+  return std::clamp(interval, shortest,
                     this->options.max_account_refresh_interval);
 }
 
-bool GrantHolder::HasUnmetRequest(const std::string& organisation) const {
+bool GrantHolder::IsUrgent(TimePoint now,
+                           const std::string& organisation) const {
   const auto found = this->pools.find(organisation);
   if (found == this->pools.end() || !found->second.limit) return false;
   const Pool& pool = found->second;
-  return !pool.in_flight &&
-         pool.InUse() + pool.unmet_amount > pool.spendable_total;
+  if (pool.in_flight || now < pool.short_until) return false;
+  return pool.InUse() + pool.Need() > pool.spendable_total ||
+         this->IsRunningLow(pool);
+}
+
+bool GrantHolder::IsRunningLow(const Pool& pool) const {
+  const double soon =
+      pool.burst_demand.Rate() * ToSeconds(this->options.urgent_burst_time);
+  const Tokens unused = pool.spendable_total - pool.InUse();
+  // Sparse requests are no burst.
+  return soon > this->options.min_burst_requests * this->typical_request &&
+         soon > static_cast<double>(unused.count);
 }
 
 std::optional<GrantUpdate> GrantHolder::PlanWrite(
@@ -160,15 +197,21 @@
   pool.account_at = now;
   pool.checked_at = now;
   const std::optional<Tokens> total = this->NextTotal(now, pool, account);
+  pool.answers_call = false;
   // Too few tokens are ungranted. A request that still waits sets the unmet
   // amount again when it retries.
-  if (!total || pool.InUse() + pool.unmet_amount > *total) {
+  if (!total || pool.InUse() + pool.Need() > *total) {
     pool.unmet_amount = Tokens(0);
+    pool.short_until = now + this->options.short_retry_interval;
   }
   if (!total) return std::nullopt;
 
   pool.in_flight = true;
-  pool.spendable_total = std::min(pool.spendable_total, *total);
+  if (this->Breaks(GrantMutation::kSpendBeforeWritten)) {
+    pool.spendable_total = *total;
+  } else if (!this->Breaks(GrantMutation::kReturnBindsLate)) {
+    pool.spendable_total = std::min(pool.spendable_total, *total);
+  }
   pool.planned = {
       .granted = *total,
       .spent = pool.spent,
@@ -180,7 +223,7 @@
   pool.planned_account.limit = LimitOf(pool, account);
   pool.planned_account.limit_version =
       std::max(account.limit_version, pool.limit_version);
-  pool.planned_account.Replace(pool.recorded, pool.planned);
+  pool.planned_account.Replace(this->zone, pool.recorded, pool.planned);
   FD_ASSERT(pool.planned.granted <= pool.recorded.granted ||
                 pool.planned_account.granted <= pool.planned_account.limit,
             "planned grant raises the account above the budget");
@@ -205,13 +248,17 @@
 void GrantHolder::OnRefused(const std::string& organisation) {
   Pool& pool = this->PoolOf(organisation);
   pool.in_flight = false;
+  if (this->Breaks(GrantMutation::kRefusedCountsWritten)) {
+    pool.recorded = pool.planned;
+  }
   pool.spendable_total = pool.recorded.granted;
   pool.grant_ceiling = pool.recorded.ceiling;
 }
 
 void GrantHolder::OnOutcomeUnknown(const std::string& organisation) {
   Pool& pool = this->PoolOf(organisation);
-  if (pool.planned.granted < pool.recorded.granted) {
+  if (pool.planned.granted < pool.recorded.granted &&
+      !this->Breaks(GrantMutation::kUnknownKeepsHigher)) {
     pool.recorded = pool.planned;
   }
   this->OnRefused(organisation);
@@ -229,7 +276,9 @@
     pool.planned_heartbeat_ceiling =
         this->NextCeiling(pool, pool.spendable_total);
     pool.heartbeat_ceiling =
-        std::min(pool.heartbeat_ceiling, pool.planned_heartbeat_ceiling);
+        this->Breaks(GrantMutation::kPlannedCeilingCounts)
+            ? pool.planned_heartbeat_ceiling
+            : std::min(pool.heartbeat_ceiling, pool.planned_heartbeat_ceiling);
     if (pool.planned_heartbeat_ceiling >= pool.recorded.granted) continue;
     ceilings.push_back(
         {.organisation = name, .ceiling = pool.planned_heartbeat_ceiling});
@@ -248,38 +297,36 @@
 bool GrantHolder::IsHeartbeatUrgent() const {
   return std::ranges::any_of(this->pools, [](const auto& entry) {
     const Pool& pool = entry.second;
-    return pool.unmet_amount.count > 0 &&
-           pool.InUse() + pool.unmet_amount <= pool.spendable_total &&
-           pool.InUse() + pool.unmet_amount > pool.Ceiling();
+    const Tokens needed = pool.InUse() + pool.SmallestNeed();
+    return pool.SmallestNeed().count > 0 && needed <= pool.spendable_total &&
+           needed > pool.Ceiling();
   });
 }
 
-Tokens GrantHolder::CeilingHeadroom(const Pool& pool) const {
-  const double headroom_fraction =
-      std::clamp(UnspentFraction(pool) / this->options.full_headroom_fraction,
-                 this->options.min_headroom_fraction, 1.0);
-  double headroom =
-      pool.expected_rate * ToSeconds(this->options.ceiling_horizon);
-  if (!this->IsSpreadOverFleet(pool)) {
-    headroom = std::max(
-        headroom, this->options.min_ceiling_requests * this->typical_request);
-  }
-  return std::max(pool.unmet_amount,
-                  Tokens(static_cast<int64_t>(headroom_fraction * headroom)));
+Tokens GrantHolder::CeilingHeadroom(const Pool& pool, Tokens total) const {
+  CeilingSituation situation;
+  situation.expected_rate = pool.expected_rate;
+  situation.own_rate = pool.demand.Rate();
+  situation.fleet_rate = pool.fleet_rate;
+  situation.burst_rate = pool.burst_demand.Rate();
+  situation.largest_request = pool.demand.Largest();
+  situation.typical_request = this->typical_request > 0
+                                  ? this->typical_request
+                                  : this->options.assumed_request_tokens;
+  situation.fleet_size = this->fleet_size;
+  situation.is_spread = this->IsSpreadOverFleet(pool);
+  situation.limit = *pool.limit;
+  situation.unspent = *pool.limit - pool.account.spent;
+  situation.unused = std::max(Tokens(0), total - pool.InUse());
+  situation.waiting = pool.Need();
+  return this->ceiling_policy.Headroom(situation);
 }
 
 Tokens GrantHolder::NextCeiling(const Pool& pool, Tokens total) const {
   const Tokens in_use = pool.InUse();
   if (this->closed) return in_use;
   return std::max(in_use,
-                  std::min(total, in_use + this->CeilingHeadroom(pool)));
-}
-
-double GrantHolder::UnspentFraction(const Pool& pool) {
-  if (pool.limit->count <= 0) return 0;
-  const Tokens unspent = *pool.limit - pool.account.spent;
-  return static_cast<double>(unspent.count) /
-         static_cast<double>(pool.limit->count);
+                  std::min(total, in_use + this->CeilingHeadroom(pool, total)));
 }
 
 Tokens GrantHolder::Available(TimePoint now,
@@ -301,16 +348,17 @@
                                static_cast<double>(pool.limit->count);
 }
 
-double GrantHolder::UpdateExpectedRate(TimePoint now, Pool& pool) const {
+void GrantHolder::UpdateExpectedRate(TimePoint now, Pool& pool) const {
   const double own = pool.demand.Rate();
   const Tokens others = pool.account.demand - pool.recorded.demand;
   const double fleet = own + std::max(0.0, static_cast<double>(others.count));
+  pool.fleet_rate = fleet;
   if (fleet > 0 && pool.demand_known_since.us == 0) {
     pool.demand_known_since = now;
   }
   if (!this->IsSpreadOverFleet(pool) || fleet <= 0) {
     pool.expected_rate = own;
-    return fleet;
+    return;
   }
 
   const double observed =
@@ -322,89 +370,65 @@
       (own * observed + average * average_weight) / (observed + average_weight);
   // The callers of some organisations all reach the same gateway, so the
   // demand seen here counts in full.
-  pool.expected_rate = std::max(own, weighted_mean);
-  return fleet;
+  pool.expected_rate = std::max({own, weighted_mean, this->ZoneAverage(pool)});
 }
 
-double GrantHolder::InitialShare(TimePoint now, const Pool& pool) const {
-  if (!this->IsSpreadOverFleet(pool)) return 0;
-  // The share shrinks linearly to 0 while the demand becomes known.
-  double unknown_fraction = 1;
-  if (pool.demand_known_since.us != 0) {
-    unknown_fraction -= ToSeconds(now - pool.demand_known_since) /
-                        ToSeconds(this->options.demand_time_constant);
-  }
-  return std::max(0.0, unknown_fraction) * this->options.initial_fraction *
-         static_cast<double>(pool.limit->count) /
-         static_cast<double>(this->fleet_size);
-}
-
-bool GrantHolder::HasSteadyPool(const Pool& pool) const {
-  return this->IsSpreadOverFleet(pool) ||
-         pool.expected_rate * ToSeconds(this->options.horizon) >=
-             this->options.min_steady_requests * this->typical_request;
-}
-
-double GrantHolder::SparseDemand(const Pool& pool) const {
-  const double horizon = ToSeconds(this->options.horizon);
-  const double long_term = pool.long_term_demand.Rate() * horizon;
-  const double recent = pool.expected_rate * horizon;
-  // Without regular demand at this gateway a single request says nothing about
-  // the next one.
-  if (long_term <
-      this->options.min_long_term_requests * this->typical_request) {
-    return recent;
-  }
-  return std::max(recent,
-                  long_term + std::sqrt(long_term * this->typical_request));
+double GrantHolder::ZoneAverage(const Pool& pool) const {
+  const auto found = pool.account.zone_demand.find(this->zone);
+  if (this->zone_size == 0 || found == pool.account.zone_demand.end()) return 0;
+  return static_cast<double>(found->second.count) /
+         static_cast<double>(this->zone_size);
+}
+
+Duration GrantHolder::PacedInterval(const Pool& pool) const {
+  // Only gateways with requests of the organisation hold pools of a budget that
+  // is not spread, and it is too small to wait for what they return.
+  if (!this->IsSpreadOverFleet(pool)) return Duration::zero();
+  const double fraction =
+      pool.fleet_rate > 0 ? pool.demand.Rate() / pool.fleet_rate : 0;
+  return this->pace.Interval(this->fleet_size, fraction);
+}
+
+bool GrantHolder::IsRefillDue(TimePoint now, const Pool& pool,
+                              Tokens target) const {
+  const Tokens unused = pool.recorded.granted - pool.InUse();
+  if (unused < Scale(this->options.urgent_low_water, target)) return true;
+  // A step below half a request is not worth a write.
+  const auto step = static_cast<double>((target - unused).count);
+  return unused < Scale(this->options.low_water, target) &&
+         step >= this->options.min_refill_requests * this->typical_request &&
+         now - pool.recorded_at >= this->PacedInterval(pool);
 }
 
 Tokens GrantHolder::Target(TimePoint now, Pool& pool,
                            const FleetAccount& account) const {
-  const double fleet = this->UpdateExpectedRate(now, pool);
-  const double expected = pool.expected_rate * ToSeconds(this->options.horizon);
-  double pool_fraction = this->options.min_pool_fraction;
-  if (this->IsSpreadOverFleet(pool)) {
-    pool_fraction =
-        std::max(pool_fraction, 1.0 / static_cast<double>(this->fleet_size));
-  }
-  if (fleet > 0) {
-    pool_fraction = std::max(pool_fraction, pool.expected_rate / fleet);
-  }
-
-  double by_demand = 0;
-  double pooled_fraction = this->options.max_pooled_fraction;
-  if (this->HasSteadyPool(pool)) {
-    const double deviation = std::sqrt(expected * this->typical_request);
-    by_demand =
-        std::max({expected + this->options.demand_deviations * deviation,
-                  this->options.min_largest_requests * pool.demand.Largest(),
-                  this->InitialShare(now, pool)});
-  } else {
-    // The next request may reach any gateway. Tokens held here would be missing
-    // at the gateway that it reaches.
-    by_demand = this->SparseDemand(pool);
-    pooled_fraction = this->options.max_sparse_pooled_fraction;
+  this->UpdateExpectedRate(now, pool);
+  PoolSituation situation;
+  situation.fleet_rate = pool.fleet_rate;
+  situation.expected_rate = pool.expected_rate;
+  situation.burst_rate = pool.burst_demand.Rate();
+  situation.long_term_rate = pool.long_term_demand.Rate();
+  situation.largest_request = pool.demand.Largest();
+  situation.typical_request = this->typical_request;
+  situation.fleet_size = this->fleet_size;
+  situation.is_spread = this->IsSpreadOverFleet(pool);
+  situation.limit = *pool.limit;
+  if (pool.demand_known_since.us != 0) {
+    situation.demand_known_for = now - pool.demand_known_since;
   }
-
-  // The unused tokens of this pool count as ungranted, since the target decides
+  // The unused tokens of this pool count as free, since the target decides
   // about them.
-  const Tokens ungranted = MaxTotal(pool, account) - pool.InUse();
-  const double by_ungranted =
-      static_cast<double>(std::max<int64_t>(0, ungranted.count)) *
-      pooled_fraction * pool_fraction;
-  const double target = std::min(by_demand, by_ungranted);
-  // Tokens for less than a typical request are of no use here.
-  if (!this->HasSteadyPool(pool) && target < this->typical_request) {
-    return Tokens(0);
-  }
-  return Tokens(static_cast<int64_t>(target));
+  situation.free = MaxTotal(pool, account) - pool.InUse();
+  const Tokens target = this->sizer.Target(situation);
+  if (!this->IsCalled(now, pool)) return target;
+  return std::min(target, this->returns.Kept(this->SituationOf(pool)));
 }
 
 std::optional<Tokens> GrantHolder::NextTotal(
     TimePoint now, Pool& pool, const FleetAccount& account) const {
   pool.demand.Advance(now);
   pool.long_term_demand.Advance(now);
+  pool.burst_demand.Advance(now);
   const Tokens recorded = pool.recorded.granted;
   const Tokens in_use = pool.InUse();
   const bool over_limit = account.granted > LimitOf(pool, account);
@@ -415,20 +439,26 @@
 
   const Tokens target = this->Target(now, pool, account);
   const Tokens unused = recorded - in_use;
-  if (unused < pool.unmet_amount ||
-      unused < Scale(this->options.low_water, target)) {
+  const Tokens need = pool.Need();
+  if (unused < need || this->IsRefillDue(now, pool, target)) {
     const Tokens max_total = MaxTotal(pool, account);
-    const Tokens total =
-        std::min(in_use + std::max(target, pool.unmet_amount), max_total);
-    if (total > recorded && total >= in_use + pool.unmet_amount) return total;
+    const Tokens total = std::min(in_use + std::max(target, need), max_total);
+    // Tokens that are too few for all waiting requests serve the smallest ones.
+    if (total > recorded && total >= in_use + pool.SmallestNeed()) return total;
     return std::nullopt;
   }
+  if (pool.answers_call && unused > target &&
+      MaxTotal(pool, account) - recorded < pool.called_amount) {
+    const bool forgets = this->Breaks(GrantMutation::kAnswerForgetsReserved);
+    return (forgets ? pool.spent : in_use) + std::max(target, need);
+  }
   const double high_water =
       TimeToExhaustion(pool, account) > this->options.ample_time
           ? this->options.ample_high_water
           : this->options.high_water;
-  if (unused > Scale(high_water, target) && unused > pool.unmet_amount) {
-    const Tokens total = in_use + std::max(target, pool.unmet_amount);
+  if (unused > Scale(high_water, target) && unused > need &&
+      now - pool.recorded_at >= this->PacedInterval(pool)) {
+    const Tokens total = in_use + std::max(target, need);
     if (total < recorded) return total;
   }
   if (this->IsSpendStale(now, pool, account)) return recorded;
@@ -438,7 +468,8 @@
 bool GrantHolder::IsSpendStale(TimePoint now, const Pool& pool,
                                const FleetAccount& account) const {
   if (pool.spent == pool.recorded.spent) return false;
-  if (now - pool.recorded_at < this->options.spend_refresh_interval) {
+  if (now - pool.recorded_at < std::max(this->options.spend_refresh_interval,
+                                        this->PacedInterval(pool))) {
     return false;
   }
   const auto limit = static_cast<double>(pool.limit->count);
@@ -456,6 +487,8 @@
   pool.long_term_demand =
       DemandMeter(this->options.long_term_time_constant,
                   this->options.largest_request_time_constant);
+  pool.burst_demand = DemandMeter(this->options.burst_time_constant,
+                                  this->options.largest_request_time_constant);
   return pool;
 }
 
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -7,129 +7,21 @@
 #include <string>
 #include <vector>
 
+#include "fuchsiadrum/budget/ceiling_policy.h"
 #include "fuchsiadrum/budget/demand_meter.h"
 #include "fuchsiadrum/budget/fleet_account.h"
+#include "fuchsiadrum/budget/grant_holder_options.h"
+#include "fuchsiadrum/budget/pool_sizer.h"
 #include "fuchsiadrum/budget/reclaim.h"
 #include "fuchsiadrum/budget/reserve_outcome.h"
+#include "fuchsiadrum/budget/return_policy.h"
 #include "fuchsiadrum/budget/token_breakdown.h"
+#include "fuchsiadrum/budget/waiting_requests.h"
+#include "fuchsiadrum/budget/write_pace.h"
 #include "fuchsiadrum/core/types.h"
 
 namespace fuchsiadrum::budget {
 
-/// Options of a GrantHolder. A "fraction" is a number from 0 to 1.
-struct GrantHolderOptions {
-  /// Time for which a full pool covers the demand. It bounds the tokens that a
-  /// crash strands if none can be reclaimed, and the time for which a gateway
-  /// serves without the store. Store outages of 4 to 9 s are common.
-  Duration horizon = std::chrono::seconds(12);
-  /// When the tokens above the ceiling come into use while the store does not
-  /// answer.
-  ReleaseOptions release;
-  /// The headroom, that is, the tokens between those in use and the ceiling,
-  /// covers the expected demand for this time. It has to span the release delay
-  /// and the age of the last heartbeat, which can raise the ceiling.
-  Duration ceiling_horizon = std::chrono::milliseconds(2400);
-  /// Minimum number of typical requests that the headroom covers if the budget
-  /// is not spread over the whole fleet (see `max_spread_fraction`). With few
-  /// requests the expected demand is low, yet the next request should be served
-  /// also right after the gateway lost the store. The minimum does not apply to
-  /// a budget that is spread over the fleet: a crash of all gateways would
-  /// strand too much.
-  double min_ceiling_requests = 1.5;
-  /// Once the unspent fraction of the budget falls below this one, the headroom
-  /// shrinks in proportion to it, down to `min_headroom_fraction` of its full
-  /// size. Near the end of a budget the tokens that a crash strands are missed,
-  /// whereas a pause after the loss of the store costs no tokens.
-  double full_headroom_fraction = 0.5;
-  double min_headroom_fraction = 0.33;
-  /// Fraction of the available tokens that all pools together may take, each
-  /// according to its fraction of the fleet's demand. Available are the
-  /// ungranted tokens and the unused ones of the pool in question. The rest
-  /// stays ungranted, so that every gateway can get tokens near the end of a
-  /// budget.
-  double max_pooled_fraction = 0.85;
-  /// Takes the place of `max_pooled_fraction` in the target of a pool with
-  /// sparse traffic: the budget is not spread over the fleet, and the gateway
-  /// expects fewer than `min_steady_requests` requests of the organisation
-  /// within the horizon. The next request is likely to reach another gateway,
-  /// which needs ungranted tokens then.
-  double max_sparse_pooled_fraction = 0.5;
-  double min_steady_requests = 2.0;
-  /// A gateway with sparse traffic holds tokens for its long-term demand if
-  /// that amounts to at least this many requests within the horizon. The
-  /// long-term demand is measured with `long_term_time_constant` instead of
-  /// `demand_time_constant`.
-  double min_long_term_requests = 0.7;
-  Duration long_term_time_constant = std::chrono::seconds(20);
-  /// A gateway with unused tokens reads the account again after this fraction
-  /// of the time in which the fleet's demand uses up the ungranted tokens,
-  /// clamped to the two intervals below. With the newer account its target may
-  /// be lower, so that it returns tokens that other gateways need.
-  double account_refresh_fraction = 0.33;
-  Duration min_account_refresh_interval = std::chrono::milliseconds(1500);
-  Duration max_account_refresh_interval = std::chrono::seconds(15);
-  /// Weight of the fleet's average demand per gateway in the expected demand:
-  /// it counts as much as the gateway's own demand measured over this time. A
-  /// gateway sees few requests of a small organisation, but may get the next
-  /// ones.
-  Duration fleet_average_weight = std::chrono::seconds(4);
-  /// A budget is spread over the whole fleet, so that every gateway holds a
-  /// pool of it, only if a typical request's tokens times the number of
-  /// gateways are no more than this fraction of the budget, and if
-  /// `max_spread_grants` permits it. Otherwise a gateway holds no tokens of an
-  /// organisation before it has seen a request of it, and fetches them for that
-  /// request.
-  double max_spread_fraction = 0.5;
-  /// Tokens of a typical request, assumed until the first request.
-  double assumed_request_tokens = 4000;
-  /// Budgets are spread over the fleet only if the number of gateways times the
-  /// number of organisations is no more than this.
-  size_t max_spread_grants = 4000;
-  /// Standard deviations of the demand within the horizon that a pool covers in
-  /// addition to its expected value.
-  double demand_deviations = 2.0;
-  /// Fraction of a budget spread over the fleet that all pools together hold
-  /// before any demand is known, so that the first requests need not wait and
-  /// are served even if the store fails immediately. It shrinks to 0 within
-  /// `demand_time_constant` after demand is first seen.
-  double initial_fraction = 0.4;
-  /// Weight of one request in the moving average that gives the size of a
-  /// typical request.
-  double typical_request_weight = 0.05;
-  /// A full pool covers at least this many requests of the largest recent size.
-  /// With few requests the demand says little about the next one.
-  double min_largest_requests = 2.0;
-  /// Minimum fraction of the tokens available to all pools (see
-  /// `max_pooled_fraction`) that a single pool may take.
-  double min_pool_fraction = 0.02;
-  /// Time constants for the decay of the measured demand and of the largest
-  /// recent request.
-  Duration demand_time_constant = std::chrono::seconds(15);
-  Duration largest_request_time_constant = std::chrono::seconds(20);
-  /// The target of a pool is the number of unused tokens that it should hold. A
-  /// pool is refilled to the target when it falls below this fraction of it.
-  double low_water = 0.8;
-  /// A pool with more unused tokens than this factor times its target returns
-  /// those above the target. `ample_high_water` is the factor while the
-  /// ungranted tokens last for longer than `ample_time` at the fleet's demand.
-  double high_water = 1.5;
-  double ample_high_water = 4.0;
-  Duration ample_time = std::chrono::seconds(20);
-  /// Interval at which a pool is compared with its target while no request
-  /// waits for tokens.
-  Duration check_interval = std::chrono::milliseconds(500);
-  /// Maximum age of the last read account at which a request may be refused
-  /// because the account has too few ungranted tokens. An older account is read
-  /// again first.
-  Duration max_account_age = std::chrono::milliseconds(800);
-  /// Ungranted fraction of the budget below which the holder updates the spend
-  /// in its grant record even if its total stays the same, and the minimum
-  /// interval at which it does. By the recorded spend other holders tell
-  /// whether a budget is exhausted or tokens are unused elsewhere.
-  double spend_refresh_threshold = 0.15;
-  Duration spend_refresh_interval = std::chrono::seconds(3);
-};
-
 /// A grant record to be written, and the account after that write.
 struct GrantUpdate {
   std::string organisation;
@@ -182,6 +74,12 @@
   /// Sets the number of gateways over which demand is spread. Until it is
   /// known, only the gateway's own demand counts.
   void SetFleetSize(size_t size) { this->fleet_size = size; }
+  /// Sets this gateway's availability zone and the number of gateways in it.
+  /// Until it is known, the demand of the zone does not count.
+  void SetZone(const std::string& name, size_t size) {
+    this->zone = name;
+    this->zone_size = size;
+  }
 
   /// Sets the organisation's budget according to the configuration of that
   /// version; nullopt means unlimited, for which no account is written. If an
@@ -195,6 +93,11 @@
   /// Reserves the amount from the pool, if it holds enough.
   ReserveOutcome Reserve(TimePoint now, const std::string& organisation,
                          Tokens amount);
+  /// Registers a request that waits for tokens after Reserve has failed, so
+  /// that one write covers all waiting requests. RemoveWaiting ends the wait,
+  /// whatever its outcome.
+  void AddWaiting(const std::string& organisation, Tokens amount);
+  void RemoveWaiting(const std::string& organisation, Tokens amount);
   /// Ends a reservation of `amount` tokens, of which `spent` were used.
   void Settle(const std::string& organisation, Tokens amount, Tokens spent);
 
@@ -203,11 +106,23 @@
   /// Unless a request needs tokens or Close was called, only one call in each
   /// `check_interval` checks the pool; the others return false.
   bool IsDue(TimePoint now, const std::string& organisation);
-  /// Returns true if a request needs a larger grant and no planned change
-  /// awaits its outcome.
-  bool HasUnmetRequest(const std::string& organisation) const;
+  /// Returns true if a larger grant is needed at once: a request waits for it,
+  /// or a burst uses up the pool within `urgent_burst_time`; no planned change
+  /// awaits its outcome, and the account was not found too short just now.
+  bool IsUrgent(TimePoint now, const std::string& organisation) const;
   /// Returns true if the grant covers the amount but the ceiling does not.
   bool NeedsOnlyCeiling(const std::string& organisation, Tokens amount) const;
+  /// Returns true if other holders hold enough tokens beyond their recorded
+  /// spend for this amount, so that some may come back.
+  bool MayComeBack(const std::string& organisation, Tokens amount) const;
+  /// Returns how many tokens this gateway calls for now, because the account is
+  /// short; 0: none. The caller announces the call to all gateways.
+  Tokens PlanCall(TimePoint now, const std::string& organisation);
+  /// A gateway, possibly this one, calls for tokens of the organisation. `draw`
+  /// is a random number from 0 to 1. Nothing but an early return of tokens
+  /// follows from a call.
+  void OnCall(TimePoint now, const std::string& organisation, Tokens amount,
+              double draw);
   /// Plans a change of the grant on this state of the account; nullopt if there
   /// is nothing to write. No other change is planned until one of the three
   /// functions below reports the outcome.
@@ -286,18 +201,40 @@
     /// Largest amount that could not be reserved and that no grant has covered
     /// since then; 0 if there is none.
     Tokens unmet_amount;
+    /// Requests that wait for tokens.
+    WaitingRequests waiting;
+    /// Until when a request causes no further read of the account, because the
+    /// ungranted tokens did not cover it.
+    TimePoint short_until;
+    /// When a call for tokens was last made or heard, for how many tokens, and
+    /// whether this gateway is to answer it.
+    TimePoint called_at;
+    Tokens called_amount;
+    bool answers_call = false;
     /// Demand of the requests that reach this gateway.
     DemandMeter demand;
     /// The same, measured with `long_term_time_constant`.
     DemandMeter long_term_demand;
+    /// The same, measured with `burst_time_constant`.
+    DemandMeter burst_demand;
     /// Expected demand in tokens per second at this gateway, from its own and
     /// the fleet's demand, and the time since when any demand is known.
     double expected_rate = 0;
+    double fleet_rate = 0;
     TimePoint demand_known_since;
     /// When the pool was last compared with its target.
     TimePoint checked_at;
 
     Tokens InUse() const { return this->spent + this->reserved; }
+    /// Tokens that the waiting requests need, and the smallest amount that
+    /// helps one of them.
+    Tokens Need() const {
+      return std::max(this->unmet_amount, this->waiting.Sum());
+    }
+    Tokens SmallestNeed() const {
+      return this->waiting.IsEmpty() ? this->unmet_amount
+                                     : this->waiting.Smallest();
+    }
     Tokens Ceiling() const {
       return std::max(this->grant_ceiling, this->heartbeat_ceiling);
     }
@@ -316,32 +253,35 @@
   /// Ceiling to write for a grant of `total`: the tokens in use and the
   /// headroom, as far as the grant covers them.
   Tokens NextCeiling(const Pool& pool, Tokens total) const;
-  /// Headroom that the demand and the waiting requests call for.
-  Tokens CeilingHeadroom(const Pool& pool) const;
+  /// Headroom for a grant of `total`.
+  Tokens CeilingHeadroom(const Pool& pool, Tokens total) const;
   Pool& PoolOf(const std::string& organisation);
-  /// Fraction of the budget that is not recorded as spent.
-  static double UnspentFraction(const Pool& pool);
+  bool Breaks(GrantMutation rule) const {
+    return this->options.mutation == rule;
+  }
   /// Returns true if every gateway may hold a pool of this organisation, even
   /// without requests of it.
   bool IsSpreadOverFleet(const Pool& pool) const;
-  /// Updates the expected rate of the pool; returns the demand of the whole
-  /// fleet in tokens per second.
-  double UpdateExpectedRate(TimePoint now, Pool& pool) const;
-  /// Tokens of the budget that this gateway holds while no demand is known.
-  double InitialShare(TimePoint now, const Pool& pool) const;
-  /// Returns true if the budget is spread over the fleet or the traffic at this
-  /// gateway is not sparse. Such a pool keeps its tokens through pauses between
-  /// requests.
-  bool HasSteadyPool(const Pool& pool) const;
+  /// Updates the expected rate and the fleet's rate of the pool.
+  void UpdateExpectedRate(TimePoint now, Pool& pool) const;
+  /// Returns true if a burst uses up the pool within `urgent_burst_time`.
+  bool IsRunningLow(const Pool& pool) const;
+  /// Average demand of the gateways of this zone, in tokens per second.
+  double ZoneAverage(const Pool& pool) const;
+  ReturnSituation SituationOf(const Pool& pool) const;
+  /// Returns true while a call for tokens is in force.
+  bool IsCalled(TimePoint now, const Pool& pool) const;
+  /// Minimum interval between two calls to the account that no request waits
+  /// for.
+  Duration PacedInterval(const Pool& pool) const;
+  /// Returns true if the pool should be refilled to its target.
+  bool IsRefillDue(TimePoint now, const Pool& pool, Tokens target) const;
   /// Time in which the fleet's demand uses up the ungranted tokens.
   static Duration TimeToExhaustion(const Pool& pool,
                                    const FleetAccount& account);
   /// Age of the last read account above which it is read again because other
   /// gateways may need this one's unused tokens.
   Duration AccountRefreshInterval(const Pool& pool) const;
-  /// Tokens that the demand within the horizon calls for at a gateway with
-  /// sparse traffic.
-  double SparseDemand(const Pool& pool) const;
   /// Unused tokens that the pool should hold.
   Tokens Target(TimePoint now, Pool& pool, const FleetAccount& account) const;
   /// Total of the next grant record to write; nullopt: no write is needed.
@@ -352,8 +292,14 @@
                     const FleetAccount& account) const;
 
   GrantHolderOptions options;
+  PoolSizer sizer;
+  CeilingPolicy ceiling_policy;
+  WritePace pace;
+  ReturnPolicy returns;
   std::map<std::string, Pool> pools;
   size_t fleet_size = 0;
+  std::string zone;
+  size_t zone_size = 0;
   /// Tokens of a typical request, over all organisations; 0: not known.
   double typical_request = 0;
   /// When the last heartbeat was answered, and when the write of the latest one
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -2,17 +2,16 @@
 
 #include <algorithm>
 
+#include "fuchsiadrum/core/hash.h"
+#include "gateway/account_records.h"
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
 
-constexpr std::string_view kBookKey = "book";
-constexpr std::string_view kGrantKeyPrefix = "grant/";
 /// Size limit of one read: enough for the records of a few writes by other
 /// gateways since the last read.
 constexpr size_t kReadBytes = 4096;
-constexpr Duration kReadTimeout = std::chrono::milliseconds(400);
 /// Attempts to find the partition's last record, which moves while other
 /// gateways write.
 constexpr int kMaxReads = 6;
@@ -29,73 +28,26 @@
 /// gateways are likely to have changed it, and a failed write costs one call
 /// more than a read.
 constexpr Duration kMaxBookAge = std::chrono::milliseconds(200);
+/// Delay of a sync that lost a race and that no request waits for. Another
+/// gateway's urgent write takes up to 100 ms on a slow VM.
+constexpr Duration kMinYield = std::chrono::milliseconds(200);
+constexpr Duration kMaxYield = std::chrono::milliseconds(1000);
 constexpr int kTooManyCalls = 429;
 /// Epoch used to fence off a process that has ended. It is higher than any
 /// epoch that a process reaches by itself, because a process starts a new epoch
 /// only when the store has rejected its sequence number.
 constexpr uint64_t kFenceEpoch = 1000000;
 
-std::string GrantKey(const std::string& organisation,
-                     const std::string& holder) {
-  return std::string(kGrantKeyPrefix) + organisation + "/" + holder;
-}
-
-store::KeyedRecord EncodeGrant(const std::string& organisation,
-                               const std::string& holder,
-                               const budget::RecordedGrant& recorded) {
-  pb::FleetRecord record;
-  pb::BudgetGrant& grant = *record.mutable_grant();
-  grant.set_organisation(organisation);
-  grant.set_holder(holder);
-  grant.set_granted_tokens(recorded.granted.count);
-  grant.set_spent_tokens(recorded.spent.count);
-  grant.set_demand_tokens_per_s(recorded.demand.count);
-  grant.set_ceiling_tokens(recorded.ceiling.count);
-  return {.key = GrantKey(organisation, holder),
-          .value = record.SerializeAsString()};
-}
-
-budget::RecordedGrant DecodeGrant(const pb::BudgetGrant& grant) {
-  return {.granted = Tokens(grant.granted_tokens()),
-          .spent = Tokens(grant.spent_tokens()),
-          .demand = Tokens(grant.demand_tokens_per_s()),
-          .ceiling = Tokens(grant.ceiling_tokens())};
-}
-
-store::KeyedRecord EncodeBook(const budget::AccountBook& book) {
-  pb::FleetRecord record;
-  pb::AccountBook& content = *record.mutable_book();
-  for (const auto& [name, account] : book) {
-    pb::FleetAccount& item = *content.add_accounts();
-    item.set_organisation(name);
-    item.set_granted_tokens(account.granted.count);
-    item.set_spent_tokens(account.spent.count);
-    item.set_demand_tokens_per_s(account.demand.count);
-    item.set_limit_tokens(account.limit.count);
-    item.set_limit_version(account.limit_version);
-  }
-  return {.key = std::string(kBookKey), .value = record.SerializeAsString()};
-}
-
-budget::AccountBook DecodeBook(const pb::AccountBook& content) {
-  budget::AccountBook book;
-  for (const pb::FleetAccount& item : content.accounts()) {
-    budget::FleetAccount& account = book[item.organisation()];
-    account.granted = Tokens(item.granted_tokens());
-    account.spent = Tokens(item.spent_tokens());
-    account.demand = Tokens(item.demand_tokens_per_s());
-    account.limit = Tokens(item.limit_tokens());
-    account.limit_version = item.limit_version();
-  }
-  return book;
-}
-
 }  // namespace
 
 AccountShard::AccountShard(const AccountShardOptions& opts,
                            asio::io_context& context,
                            budget::GrantHolder& grant_holder, EventLog& log)
-    : options(opts), holder(grant_holder), event_log(log), timer(context) {
+    : options(opts),
+      holder(grant_holder),
+      event_log(log),
+      timer(context),
+      rng(Hash64(opts.holder)) {
   this->writer.name = opts.holder;
 }
 
@@ -106,15 +58,16 @@
   }
 }
 
-bool AccountShard::IsUrgent() const {
+bool AccountShard::IsUrgent(TimePoint now) const {
   return std::ranges::any_of(this->organisations, [&](const auto& name) {
-    return this->holder.HasUnmetRequest(name);
+    return this->holder.IsUrgent(now, name);
   });
 }
 
 bool AccountShard::IsDue(TimePoint now) {
   if (now < this->backoff_until) return false;
   if (!this->pending_reclaims.empty()) return true;
+  if (now < this->yield_until && !this->IsUrgent(now)) return false;
   return std::ranges::any_of(this->organisations, [&](const auto& name) {
     return this->holder.IsDue(now, name);
   });
@@ -124,7 +77,7 @@
   return this->write_begun.us == 0 ? Duration::zero() : now - this->write_begun;
 }
 
-asio::awaitable<void> AccountShard::Sync(StoreClient& client) {
+asio::awaitable<void> AccountShard::Sync(StoreClient& client, bool urgent) {
   this->busy = true;
   this->rate_limited = false;
   const uint64_t calls_before = client.Calls() - this->calls.appends;
@@ -132,7 +85,7 @@
   if (!is_fresh) {
     is_fresh = co_await this->ReadBook(client);
   }
-  if (!is_fresh) this->BackOff();
+  if (!is_fresh) this->BackOff(urgent);
   for (int attempt = 0; is_fresh && attempt < kMaxAppendAttempts; ++attempt) {
     const Change change = this->PlanChange(Now());
     if (change.records.empty()) break;
@@ -143,19 +96,31 @@
     this->OnOutcome(change, outcome);
     if (outcome == Outcome::kDone) this->failures = 0;
     if (outcome == Outcome::kDone) break;
-    if (outcome == Outcome::kRefused) this->BackOff();
+    if (outcome == Outcome::kRefused) this->BackOff(false);
     if (outcome == Outcome::kRefused) break;
     if (outcome == Outcome::kEndMoved) ++this->calls.lost_races;
+    if (outcome == Outcome::kEndMoved && !urgent) {
+      this->Yield();
+      break;
+    }
     is_fresh = co_await this->ReadBook(client);
   }
   this->calls.reads += client.Calls() - this->calls.appends - calls_before;
   this->busy = false;
 }
 
-void AccountShard::BackOff() {
+void AccountShard::Yield() {
+  this->yield_until =
+      Now() + Duration(this->rng.Between(kMinYield.count(), kMaxYield.count()));
+  // The book is outdated.
+  this->book_at = TimePoint();
+}
+
+void AccountShard::BackOff(bool urgent) {
   constexpr int kMaxDoublings = 6;
-  const Duration backoff =
-      kInitialBackoff * (1 << std::min(this->failures, kMaxDoublings));
+  // A read that took too long on a full link is repeated while requests wait.
+  const int doublings = urgent ? 0 : std::min(this->failures, kMaxDoublings);
+  const Duration backoff = kInitialBackoff * (1 << doublings);
   ++this->failures;
   this->backoff_until = Now() + std::min(backoff, kMaxBackoff);
 }
@@ -164,8 +129,8 @@
   Change change;
   change.book = this->book;
   for (const ReclaimedGrant& reclaimed : this->pending_reclaims) {
-    change.book[reclaimed.organisation].Replace(reclaimed.before,
-                                                reclaimed.after);
+    change.book[reclaimed.organisation].Replace(
+        this->options.zone, reclaimed.before, reclaimed.after);
     change.records.push_back(
         EncodeGrant(reclaimed.organisation, reclaimed.holder, reclaimed.after));
   }
@@ -215,11 +180,12 @@
   // The store may still apply an unanswered write later, while the partition's
   // end is as expected, so the write is retried until its outcome is known.
   bool is_outcome_unknown = false;
-  Duration timeout = this->options.initial_timeout;
+  Duration append_timeout =
+      std::max(this->options.initial_timeout, this->timeout.Value() / 2);
   int unproven = 0;
   while (true) {
     ++this->calls.appends;
-    StoreReply reply = co_await client.Call(text, timeout);
+    StoreReply reply = co_await client.Call(text, append_timeout);
     if (!this->IsAnswerToAppend(reply)) {
       client.DropUnproven(reply, this->event_log);
       reply = StoreReply();
@@ -260,7 +226,7 @@
       co_return Outcome::kRefused;
     }
     is_outcome_unknown = true;
-    timeout = std::min(2 * timeout, this->options.max_timeout);
+    append_timeout = std::min(2 * append_timeout, this->options.max_timeout);
     co_await this->timer.Wait(kRetryInterval);
   }
 }
@@ -281,8 +247,7 @@
     StoreClient& client, const store::KeyedRecord& record) {
   const uint64_t at = *this->end;
   while (true) {
-    const StoreReply reply =
-        co_await client.Call(this->EncodeRead(at), kReadTimeout);
+    const StoreReply reply = co_await this->Read(client, at);
     if (reply.status == platform::kStoreOffsetExpired) {
       this->event_log.Write("grant-outcome-unknown",
                             {{"offset", static_cast<int64_t>(at)}});
@@ -307,12 +272,25 @@
   }
 }
 
+asio::awaitable<StoreReply> AccountShard::Read(StoreClient& client,
+                                               uint64_t from) {
+  const TimePoint begin = Now();
+  std::string text = this->EncodeRead(from);
+  StoreReply reply =
+      co_await client.Call(std::move(text), this->timeout.Value());
+  if (reply.status == 0) {
+    this->timeout.OnTimeout();
+  } else {
+    this->timeout.OnAnswer(Now() - begin);
+  }
+  co_return reply;
+}
+
 asio::awaitable<bool> AccountShard::ReadBook(StoreClient& client) {
   uint64_t from = this->end.value_or(0);
   bool is_known = this->end.has_value();
   for (int i = 0; i < kMaxReads; ++i) {
-    const StoreReply reply =
-        co_await client.Call(this->EncodeRead(from), kReadTimeout);
+    const StoreReply reply = co_await this->Read(client, from);
     if (reply.status == platform::kStoreOffsetExpired) {
       const auto first = platform::DecodeFirstRetained(reply.body);
       if (!first || *first <= from) co_return false;
@@ -351,7 +329,7 @@
   const auto page = co_await ReadAllNewest(client, this->options.partition,
                                            this->options.max_timeout);
   if (!page) co_return false;
-  const auto found = std::ranges::find(page->records, std::string(kBookKey),
+  const auto found = std::ranges::find(page->records, std::string(BookKey()),
                                        &store::KeyedRecord::key);
   if (found == page->records.end()) co_return false;
   const std::optional<budget::AccountBook> newest =
@@ -365,8 +343,7 @@
   // Other records follow the book. Only if they are read up to the partition's
   // end is it known that no later book is among them.
   const uint64_t from = found->offset + 1;
-  const StoreReply reply =
-      co_await client.Call(this->EncodeRead(from), kReadTimeout);
+  const StoreReply reply = co_await this->Read(client, from);
   if (reply.status != platform::kStoreOk) co_return false;
   const auto tail = platform::DecodeTail(reply.body, from);
   if (!tail || tail->next_offset != tail->end_offset) co_return false;
@@ -385,16 +362,14 @@
 
 std::optional<budget::AccountBook> AccountShard::ReadBookRecord(
     const store::KeyedRecord& record) {
-  if (record.key.starts_with(kGrantKeyPrefix)) return std::nullopt;
-  pb::FleetRecord content;
-  if (record.key != kBookKey || !record.value ||
-      !content.ParseFromString(*record.value) || !content.has_book()) {
+  if (IsGrantKey(record.key)) return std::nullopt;
+  std::optional<budget::AccountBook> found = DecodeBook(record);
+  if (!found) {
     this->event_log.Write(
         "bad-account-record",
         {{"key", record.key}, {"offset", static_cast<int64_t>(record.offset)}});
-    return std::nullopt;
   }
-  return DecodeBook(content.book());
+  return found;
 }
 
 void AccountShard::SetBook(const budget::AccountBook& current,
@@ -439,15 +414,13 @@
     const auto found = std::ranges::find(
         page->records, GrantKey(held.organisation, dead_holder),
         &store::KeyedRecord::key);
-    pb::FleetRecord content;
-    if (found == page->records.end() || !found->value ||
-        !content.ParseFromString(*found->value) || !content.has_grant()) {
-      continue;
-    }
+    if (found == page->records.end()) continue;
+    const auto grant = DecodeGrant(*found);
+    if (!grant) continue;
     ReclaimedGrant reclaimed;
     reclaimed.organisation = held.organisation;
     reclaimed.holder = dead_holder;
-    reclaimed.before = DecodeGrant(content.grant());
+    reclaimed.before = *grant;
     reclaimed.after = reclaimed.before;
     const Tokens ceiling = std::max(reclaimed.before.ceiling, held.ceiling);
     // Rounded up, so that tokens that may have been used stay counted.
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -5,6 +5,8 @@
 #include <vector>
 
 #include "fuchsiadrum/budget/grant_holder.h"
+#include "fuchsiadrum/core/rng.h"
+#include "fuchsiadrum/store/call_timeout.h"
 #include "gateway/async_condition.h"
 #include "gateway/event_log.h"
 #include "gateway/store_client.h"
@@ -18,9 +20,11 @@
   platform::StreamPartition partition;
   /// Name and incarnation of this gateway, under which it holds its grants.
   std::string holder;
+  /// Availability zone of this gateway and its predecessors.
+  std::string zone;
   std::string store_address;
-  /// Timeout of the first attempt at a write. A write that times out is retried
-  /// with twice the timeout, up to `max_timeout`.
+  /// Minimum timeout of the first attempt at a write. A write that times out is
+  /// retried with twice the timeout, up to `max_timeout`.
   Duration initial_timeout = std::chrono::milliseconds(250);
   Duration max_timeout = std::chrono::milliseconds(1000);
 };
@@ -59,7 +63,7 @@
   /// True if the book should be read or written now.
   bool IsDue(TimePoint now);
   /// True if a request is waiting for tokens of one of the organisations.
-  bool IsUrgent() const;
+  bool IsUrgent(TimePoint now) const;
   /// True if the last sync ended because the store rejected a call for its
   /// rate.
   bool WasRateLimited() const { return this->rate_limited; }
@@ -70,8 +74,13 @@
   const AccountCalls& Calls() const { return this->calls; }
 
   /// Reads the book if necessary and writes the grants that are due. Only one
-  /// sync may run at a time.
-  asio::awaitable<void> Sync(StoreClient& client);
+  /// sync may run at a time. Unless it is `urgent`, it yields to the other
+  /// gateways when it loses a race: it ends, and the next one that is not
+  /// urgent waits for a random time.
+  asio::awaitable<void> Sync(StoreClient& client, bool urgent);
+  const std::vector<std::string>& Organisations() const {
+    return this->organisations;
+  }
   /// Schedules the return of the tokens that a process that has ended cannot
   /// have used. `ceilings` are those of its last heartbeat, `silence` is the
   /// longest time for which it can have been without an answer of the store.
@@ -94,8 +103,11 @@
   };
 
   Change PlanChange(TimePoint now);
-  /// Delays the next sync; the delay doubles with each failure in a row.
-  void BackOff();
+  /// Delays the next sync that is not urgent by a random time.
+  void Yield();
+  /// Delays the next sync; unless this one is urgent, the delay doubles with
+  /// each failure in a row.
+  void BackOff(bool urgent);
   void OnOutcome(const Change& change, Outcome outcome);
   /// Appends the records where the book ends. Call it only while `end` is
   /// known.
@@ -108,6 +120,8 @@
   /// applied, after the store has reported that the partition's end has moved.
   asio::awaitable<Outcome> ResolveOutcome(StoreClient& client,
                                           const store::KeyedRecord& record);
+  /// Reads the tail of the partition.
+  asio::awaitable<StoreReply> Read(StoreClient& client, uint64_t from);
   asio::awaitable<bool> ReadBook(StoreClient& client);
   asio::awaitable<bool> ReadBookFromNewest(StoreClient& client);
   /// Makes the store reject writes of that process which are still in transit,
@@ -135,6 +149,9 @@
   TimePoint book_at;
   TimePoint write_begun;
   TimePoint backoff_until;
+  TimePoint yield_until;
+  store::CallTimeout timeout;
+  Rng rng;
   AccountCalls calls;
   int failures = 0;
   bool rate_limited = false;
--- a/gateway/budget_client.cc
+++ b/gateway/budget_client.cc
@@ -7,15 +7,12 @@
 #include "gateway/account_shard.h"
 #include "gateway/clock.h"
 #include "gateway/fleet_heartbeats.h"
+#include "gateway/token_call_client.h"
 #include "gateway/token_report.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
 
-/// Age of an unanswered write above which requests no longer wait for it. It
-/// leaves room for writes of other gateways to the same partition, which may
-/// delay a write by some tens of milliseconds.
-constexpr Duration kSlowWriteAge = std::chrono::milliseconds(200);
 /// Interval at which a waiting request checks whether the store still answers.
 constexpr Duration kStoreCheckInterval = std::chrono::milliseconds(50);
 /// Time after the start by which all gateways of a fleet that starts together
@@ -26,11 +23,18 @@
 
 FleetHeartbeatsOptions HeartbeatOptions(const BudgetClientOptions& options) {
   return {.vm = options.vm,
+          .availability_zone = options.availability_zone,
           .incarnation = options.incarnation,
           .store_address = options.store_address,
           .store_timeout = options.store_timeout};
 }
 
+TokenCallClientOptions CallOptions(const BudgetClientOptions& options) {
+  return {.holder = VmRef{options.vm, options.incarnation}.ToString(),
+          .store_address = options.store_address,
+          .store_timeout = options.store_timeout};
+}
+
 }  // namespace
 
 BudgetClient::BudgetClient(const BudgetClientOptions& opts,
@@ -47,6 +51,9 @@
       pacer({.fleet_calls_per_s = opts.writes_per_s}),
       heartbeats(std::make_unique<FleetHeartbeats>(HeartbeatOptions(opts),
                                                    io_context, timeouts, log)),
+      token_calls(std::make_unique<TokenCallClient>(
+          CallOptions(opts), io_context, timeouts, log, *this->holder,
+          [this] { this->sync_needed.Notify(); })),
       grants_changed(io_context),
       sync_needed(io_context) {}
 
@@ -55,6 +62,7 @@
 void BudgetClient::Start() {
   asio::co_spawn(this->context, this->HeartbeatLoop(), asio::detached);
   asio::co_spawn(this->context, this->SyncLoop(), asio::detached);
+  this->token_calls->Start();
 }
 
 void BudgetClient::OnConfig(const serving::ServingConfig& config) {
@@ -81,6 +89,7 @@
     const AccountShardOptions shard_options = {
         .partition = partition,
         .holder = this->name,
+        .zone = this->options.availability_zone,
         .store_address = this->options.store_address};
     shard = std::make_unique<AccountShard>(shard_options, this->context,
                                            *this->holder, this->event_log);
@@ -93,22 +102,36 @@
   const TimePoint begin = Now();
   const TimePoint end = begin + max_wait;
   this->holder->OnRequest(begin, organisation, amount);
+  bool waits = false;
+  budget::ReserveOutcome result = budget::ReserveOutcome::kPending;
   while (true) {
     const TimePoint now = Now();
-    const budget::ReserveOutcome result =
-        this->holder->Reserve(now, organisation, amount);
-    // Only free tokens can be granted soon. Tokens granted to other gateways
-    // come back when those no longer need them.
-    const bool is_grant_expected = result == budget::ReserveOutcome::kPending &&
-                                   this->IsStoreAnswering(now, organisation);
-    if (result != budget::ReserveOutcome::kReserved) this->sync_needed.Notify();
-    if (!is_grant_expected || now >= end) {
+    result = this->holder->Reserve(now, organisation, amount);
+    if (result == budget::ReserveOutcome::kReserved) break;
+    this->sync_needed.Notify();
+    if (now >= end ||
+        !this->IsGrantExpected(now, organisation, amount, result)) {
       this->CountRefusal(now, organisation, amount, result);
-      co_return result;
+      break;
     }
+    if (!waits) this->holder->AddWaiting(organisation, amount);
+    waits = true;
     co_await this->grants_changed.Wait(
         std::min(end - now, kStoreCheckInterval));
   }
+  if (waits) this->holder->RemoveWaiting(organisation, amount);
+  co_return result;
+}
+
+bool BudgetClient::IsGrantExpected(TimePoint now,
+                                   const std::string& organisation,
+                                   Tokens amount,
+                                   budget::ReserveOutcome outcome) {
+  if (!this->IsStoreAnswering(now, organisation)) return false;
+  if (outcome == budget::ReserveOutcome::kPending) return true;
+  // Tokens granted to other gateways come back when those do not need them.
+  return outcome == budget::ReserveOutcome::kHeldElsewhere &&
+         this->holder->MayComeBack(organisation, amount);
 }
 
 void BudgetClient::CountRefusal(TimePoint now, const std::string& organisation,
@@ -119,7 +142,8 @@
   refusal.needs_only_ceiling =
       this->holder->NeedsOnlyCeiling(organisation, amount);
   refusal.is_account_silent =
-      this->ShardOf(organisation).PendingWriteAge(now) >= kSlowWriteAge;
+      this->ShardOf(organisation).PendingWriteAge(now) >=
+      this->options.store_timeout;
   refusal.is_heartbeat_silent =
       this->heartbeats->PendingWriteAge(now) >= this->options.store_timeout;
   this->report->CountRefusal(refusal);
@@ -127,7 +151,8 @@
 
 bool BudgetClient::IsStoreAnswering(TimePoint now,
                                     const std::string& organisation) {
-  return this->ShardOf(organisation).PendingWriteAge(now) < kSlowWriteAge &&
+  return this->ShardOf(organisation).PendingWriteAge(now) <
+             this->options.store_timeout &&
          this->heartbeats->PendingWriteAge(now) < this->options.store_timeout;
 }
 
@@ -143,7 +168,8 @@
 }
 
 uint64_t BudgetClient::Calls() const {
-  uint64_t sum = this->calls + this->heartbeats->Calls();
+  uint64_t sum =
+      this->calls + this->heartbeats->Calls() + this->token_calls->Calls();
   for (const auto& client : this->clients) sum += client->Calls();
   return sum;
 }
@@ -160,6 +186,8 @@
   sum.urgent_heartbeats = this->urgent_heartbeats;
   sum.heartbeats = this->heartbeats->WriteCalls() - this->urgent_heartbeats;
   sum.fleet_reads = this->heartbeats->ReadCalls();
+  sum.token_calls = this->token_calls->Announced();
+  sum.token_call_reads = this->token_calls->Calls() - sum.token_calls;
   return sum;
 }
 
@@ -196,23 +224,26 @@
   bool any = false;
   for (const auto& [number, shard] : this->shards) {
     if (shard->IsBusy()) any = true;
-    if (shard->IsBusy() || shard->IsUrgent() != urgent) continue;
+    if (shard->IsBusy() || shard->IsUrgent(now) != urgent) continue;
     if (!shard->IsDue(now)) continue;
     any = true;
     if (this->active_syncs >= this->options.store_connections) break;
     // Returning tokens at shutdown is urgent, too.
     if (!this->pacer.Take(now, urgent || this->closed)) break;
     ++this->active_syncs;
-    asio::co_spawn(this->context,
-                   this->Sync(shard.get(), this->AcquireClient()),
-                   asio::detached);
+    asio::co_spawn(
+        this->context,
+        this->Sync(shard.get(), this->AcquireClient(), urgent || this->closed),
+        asio::detached);
   }
   return any;
 }
 
 asio::awaitable<void> BudgetClient::Sync(AccountShard* shard,
-                                         std::unique_ptr<StoreClient> client) {
-  co_await shard->Sync(*client);
+                                         std::unique_ptr<StoreClient> client,
+                                         bool urgent) {
+  co_await shard->Sync(*client, urgent);
+  this->CallForTokens(*shard);
   if (shard->WasRateLimited()) this->pacer.OnRateLimited(Now());
   this->clients.push_back(std::move(client));
   --this->active_syncs;
@@ -220,6 +251,14 @@
   this->sync_needed.Notify();
 }
 
+void BudgetClient::CallForTokens(const AccountShard& shard) {
+  const TimePoint now = Now();
+  for (const std::string& organisation : shard.Organisations()) {
+    const Tokens amount = this->holder->PlanCall(now, organisation);
+    if (amount.count > 0) this->token_calls->Announce(organisation, amount);
+  }
+}
+
 asio::awaitable<void> BudgetClient::HeartbeatLoop() {
   while (!co_await this->heartbeats->ReadFleet()) {
     co_await this->grants_changed.Wait(kReadRetryInterval);
@@ -263,7 +302,10 @@
     const bool succeeded = co_await this->heartbeats->ReadFleet();
     if (succeeded) {
       this->holder->SetFleetSize(this->heartbeats->FleetSize());
+      this->holder->SetZone(this->options.availability_zone,
+                            this->heartbeats->ZoneSize());
       this->pacer.SetFleetSize(this->heartbeats->FleetSize());
+      this->token_calls->SetFleetSize(this->heartbeats->FleetSize());
     }
     interval =
         succeeded ? this->options.fleet_size_interval : kReadRetryInterval;
--- a/gateway/budget_client.h
+++ b/gateway/budget_client.h
@@ -21,12 +21,14 @@
 
 class AccountShard;
 class FleetHeartbeats;
+class TokenCallClient;
 class TokenReport;
 struct BudgetCalls;
 
 /// Options of BudgetClient.
 struct BudgetClientOptions {
   std::string vm;
+  std::string availability_zone;
   uint64_t incarnation = 0;
   std::string store_address;
   Duration store_timeout = std::chrono::milliseconds(600);
@@ -64,8 +66,9 @@
   /// Applies the budgets of a configuration.
   void OnConfig(const serving::ServingConfig& config);
 
-  /// Reserves tokens. If the gateway's grant does not cover them but the
-  /// account has enough free tokens, waits up to `max_wait` for a larger grant.
+  /// Reserves tokens. If the gateway's grant does not cover them, waits up to
+  /// `max_wait` for a larger grant, as long as the store answers and the
+  /// account has enough free tokens or other gateways may return some.
   asio::awaitable<budget::ReserveOutcome> Reserve(std::string organisation,
                                                   Tokens amount,
                                                   Duration max_wait);
@@ -86,6 +89,12 @@
   std::string MetricsText() const;
 
  private:
+  /// True if a request whose reservation had this outcome may still get its
+  /// tokens soon.
+  bool IsGrantExpected(TimePoint now, const std::string& organisation,
+                       Tokens amount, budget::ReserveOutcome outcome);
+  /// Calls for tokens of the accounts that were found short.
+  void CallForTokens(const AccountShard& shard);
   /// False while a write has been unanswered for so long that no grant can be
   /// expected soon.
   bool IsStoreAnswering(TimePoint now, const std::string& organisation);
@@ -97,7 +106,7 @@
   /// if none of these is due and no sync is running.
   bool StartSyncs(TimePoint now, bool urgent);
   asio::awaitable<void> Sync(AccountShard* shard,
-                             std::unique_ptr<StoreClient> client);
+                             std::unique_ptr<StoreClient> client, bool urgent);
   asio::awaitable<void> HeartbeatLoop();
   asio::awaitable<void> FleetSizeLoop();
   /// Calls made to the store by purpose.
@@ -117,6 +126,7 @@
   std::unique_ptr<TokenReport> report;
   store::CallPacer pacer;
   std::unique_ptr<FleetHeartbeats> heartbeats;
+  std::unique_ptr<TokenCallClient> token_calls;
   AsyncCondition grants_changed;
   AsyncCondition sync_needed;
   /// By topic * partitions per topic + partition.
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -61,6 +61,13 @@
   return this->write_begun.us == 0 ? Duration::zero() : now - this->write_begun;
 }
 
+size_t FleetHeartbeats::ZoneSize() const {
+  return static_cast<size_t>(
+      std::ranges::count_if(this->vms, [this](const auto& entry) {
+        return entry.second == this->options.availability_zone;
+      }));
+}
+
 asio::awaitable<bool> FleetHeartbeats::ReadFleet() {
   platform::StreamPartition partition;
   partition.stream = platform::Stream::kFleet;
@@ -70,7 +77,7 @@
   for (const store::KeyedRecord& record : page->records) {
     this->AddMember(record);
   }
-  this->vms.insert(this->options.vm);
+  this->vms[this->options.vm] = this->options.availability_zone;
   this->fleet_size = this->vms.size();
   co_return true;
 }
@@ -81,7 +88,7 @@
     this->event_log.Write("bad-fleet-record", {{"key", record.key}});
     return;
   }
-  this->vms.insert(member->vm());
+  this->vms[member->vm()] = member->availability_zone();
   if (member->vm() == this->options.vm && !this->first_heartbeat &&
       member->incarnation() != this->options.incarnation) {
     this->predecessor = *member;
@@ -152,6 +159,7 @@
   pb::FleetMember& member = *record.mutable_member();
   member.set_vm(this->options.vm);
   member.set_incarnation(this->options.incarnation);
+  member.set_availability_zone(this->options.availability_zone);
   const budget::VmClocks clocks = ReadVmClocks();
   member.set_boot_us(clocks.since_boot.count());
   member.set_unix_us(clocks.time_of_day.count());
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +18,7 @@
 /// Options of FleetHeartbeats.
 struct FleetHeartbeatsOptions {
   std::string vm;
+  std::string availability_zone;
   uint64_t incarnation = 0;
   std::string store_address;
   Duration store_timeout = std::chrono::milliseconds(600);
@@ -63,6 +64,8 @@
   /// Number of VMs that have ever written a heartbeat, including this one; 0 if
   /// not yet known.
   size_t FleetSize() const { return this->fleet_size; }
+  /// Number of these VMs that are in this VM's availability zone.
+  size_t ZoneSize() const;
   Duration Interval() const {
     return HeartbeatInterval(this->options, this->fleet_size);
   }
@@ -91,7 +94,8 @@
   StoreClient read_client;
   AsyncCondition timer;
   platform::Writer writer;
-  std::set<std::string> vms;
+  /// Availability zones of the VMs by name.
+  std::map<std::string, std::string> vms;
   size_t fleet_size = 0;
   std::optional<pb::FleetMember> predecessor;
   uint64_t predecessor_offset = 0;
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -64,6 +64,7 @@
 
 BudgetClientOptions BudgetOptions(const pb::GatewaySettings& settings) {
   return {.vm = settings.vm().name(),
+          .availability_zone = settings.vm().availability_zone(),
           .incarnation = daemon::StartIncarnation(),
           .store_address = settings.store().address(),
           .store_timeout = StoreTimeout(settings),
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -100,7 +100,8 @@
     co_return std::nullopt;
   }
   const budget::ReserveOutcome result = co_await this->tokens.Reserve(
-      this->active.organisation->name, this->active.request);
+      this->active.organisation->name, this->active.request,
+      this->active.route->target_latency);
   // The wait for tokens may have taken the time that was left.
   if (result == budget::ReserveOutcome::kReserved &&
       !MaySendInStop(this->core, this->active)) {
--- a/gateway/token_report.cc
+++ b/gateway/token_report.cc
@@ -76,6 +76,10 @@
       calls.urgent_heartbeats);
   add("store_calls_by_purpose_total{purpose=\"fleet-read\"}",
       calls.fleet_reads);
+  add("store_calls_by_purpose_total{purpose=\"token-call\"}",
+      calls.token_calls);
+  add("store_calls_by_purpose_total{purpose=\"token-call-read\"}",
+      calls.token_call_reads);
   add("account_races_lost_total", calls.accounts.lost_races);
   for (const auto& [labels, count] : this->refusals) {
     add("token_refusals_total" + labels, count);
--- a/gateway/token_report.h
+++ b/gateway/token_report.h
@@ -17,6 +17,8 @@
   uint64_t heartbeats = 0;
   uint64_t urgent_heartbeats = 0;
   uint64_t fleet_reads = 0;
+  uint64_t token_calls = 0;
+  uint64_t token_call_reads = 0;
 };
 
 /// Why a request got no tokens.
--- a/gateway/token_reservation.h
+++ b/gateway/token_reservation.h
@@ -24,10 +24,11 @@
       : budgets(budget_client) {}
 
   /// Reserves the tokens of the prompt and the maximum number of output tokens.
-  /// Requests without a prompt cost nothing.
+  /// Requests without a prompt cost nothing. Waits for them for a part of the
+  /// latency target of the route.
   asio::awaitable<budget::ReserveOutcome> Reserve(
       const std::string& organisation_name,
-      const serving::CallerRequest& request);
+      const serving::CallerRequest& request, Duration target_latency);
   /// Settles the reservation, if there is one that is not settled yet.
   void Settle(const TokenUse& use);
   /// Number of tokens that were reserved; stays the same after Settle.
--- a/tests/budget/grant_fleet.h
+++ b/tests/budget/grant_fleet.h
@@ -43,13 +43,14 @@
     std::optional<UnansweredWrite> unanswered_write;
   };
 
-  explicit GrantFleet(int size) {
+  explicit GrantFleet(int size, const GrantHolderOptions& holder_options = {})
+      : options(holder_options) {
     for (int i = 0; i < size; ++i) this->Start(std::nullopt);
   }
 
   Gateway& Start(std::optional<Tokens> limit) {
     auto gateway = std::make_unique<Gateway>();
-    gateway->holder = std::make_unique<GrantHolder>(GrantHolderOptions());
+    gateway->holder = std::make_unique<GrantHolder>(this->options);
     if (limit) gateway->holder->SetLimit(kOrganisation, limit, this->version);
     this->gateways.push_back(std::move(gateway));
     return *this->gateways.back();
@@ -136,6 +137,7 @@
     return used;
   }
 
+  GrantHolderOptions options;
   std::vector<std::unique_ptr<Gateway>> gateways;
   FleetAccount account;
   uint64_t end = 0;
