Budgets: no delay after a read without a write, idle pools return early

Cause: a check of an account that found nothing to write delayed the next urgent write by 100 ms; pools without expected requests were returned after 14 s in a fleet of 113 VMs; timeouts grew to 1.2 s in an outage.

Change: only an account that is short delays the next read; idle pools are returned after a quarter of the paced interval; timeouts without an answer grow to 0.8 s. The simulation draws its load apart from the gateways' delays, so that a change of the gateways does not change the load.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -200,10 +200,11 @@
   pool.answers_call = false;
   // Too few tokens are ungranted. A request that still waits sets the unmet
   // amount again when it retries.
-  if (!total || pool.InUse() + pool.Need() > *total) {
-    pool.unmet_amount = Tokens(0);
-    pool.short_until = now + this->options.short_retry_interval;
-  }
+  const Tokens after = total.value_or(pool.recorded.granted);
+  const bool is_short = pool.InUse() + pool.Need() > after ||
+                        (!total && this->IsRunningLow(pool));
+  if (!total || is_short) pool.unmet_amount = Tokens(0);
+  if (is_short) pool.short_until = now + this->options.short_retry_interval;
   if (!total) return std::nullopt;
 
   pool.in_flight = true;
@@ -389,6 +390,14 @@
   return this->pace.Interval(this->fleet_size, fraction);
 }
 
+Duration GrantHolder::ReturnInterval(const Pool& pool, Tokens target) const {
+  const Duration interval = this->PacedInterval(pool);
+  // A gateway that expects no requests returns its tokens once, and early.
+  if (target.count > 0) return interval;
+  return std::chrono::duration_cast<Duration>(
+      interval * this->options.idle_return_factor);
+}
+
 bool GrantHolder::IsRefillDue(TimePoint now, const Pool& pool,
                               Tokens target) const {
   const Tokens unused = pool.recorded.granted - pool.InUse();
@@ -457,7 +466,7 @@
           ? this->options.ample_high_water
           : this->options.high_water;
   if (unused > Scale(high_water, target) && unused > need &&
-      now - pool.recorded_at >= this->PacedInterval(pool)) {
+      now - pool.recorded_at >= this->ReturnInterval(pool, target)) {
     const Tokens total = in_use + std::max(target, need);
     if (total < recorded) return total;
   }
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -274,6 +274,8 @@
   /// Minimum interval between two calls to the account that no request waits
   /// for.
   Duration PacedInterval(const Pool& pool) const;
+  /// The same for a return of tokens down to `target`.
+  Duration ReturnInterval(const Pool& pool, Tokens target) const;
   /// Returns true if the pool should be refilled to its target.
   bool IsRefillDue(TimePoint now, const Pool& pool, Tokens target) const;
   /// Time in which the fleet's demand uses up the ungranted tokens.
--- a/fuchsiadrum/budget/grant_holder_options.h
+++ b/fuchsiadrum/budget/grant_holder_options.h
@@ -93,8 +93,9 @@
   /// Fraction of a budget spread over the fleet that all pools together hold
   /// before any demand is known, so that the first requests need not wait and
   /// are served even if the store fails immediately. It shrinks to 0 within
-  /// `demand_time_constant` after demand is first seen.
+  /// `initial_duration` after demand is first seen.
   double initial_fraction = 0.4;
+  Duration initial_duration = std::chrono::seconds(15);
   /// Weight of one request in the moving average that gives the size of a
   /// typical request.
   double typical_request_weight = 0.05;
@@ -133,6 +134,9 @@
   double paced_calls_per_s = 8;
   /// Minimum size of a refill that no request waits for, in typical requests.
   double min_refill_requests = 0.5;
+  /// A pool without a target is returned after this fraction of the paced
+  /// interval.
+  double idle_return_factor = 0.25;
   /// A pool below this fraction of its target is refilled at any pace.
   double urgent_low_water = 0.35;
   /// A gateway calls for tokens if it cannot get those that its waiting
--- a/fuchsiadrum/budget/pool_sizer.cc
+++ b/fuchsiadrum/budget/pool_sizer.cc
@@ -20,7 +20,7 @@
   double unknown_fraction = 1;
   if (pool.demand_known_for >= Duration::zero()) {
     unknown_fraction -= ToSeconds(pool.demand_known_for) /
-                        ToSeconds(this->options.demand_time_constant);
+                        ToSeconds(this->options.initial_duration);
   }
   return std::max(0.0, unknown_fraction) * this->options.initial_fraction *
          static_cast<double>(pool.limit.count) /
--- a/fuchsiadrum/store/call_timeout.h
+++ b/fuchsiadrum/store/call_timeout.h
@@ -10,9 +10,10 @@
 struct CallTimeoutOptions {
   /// On an idle link an answer takes some milliseconds.
   Duration min = std::chrono::milliseconds(400);
-  /// After an outage, calls that were made in it delay the next ones by this
-  /// time at most.
   Duration max = std::chrono::milliseconds(1200);
+  /// Limit after calls without an answer: after an outage, a call that was made
+  /// in it delays the next one by this time at most.
+  Duration max_after_timeout = std::chrono::milliseconds(800);
   /// The timeout as a multiple of the last round trip. Round trips on a link
   /// that fills up grow fast.
   int round_trips = 3;
@@ -33,7 +34,8 @@
                                this->options.min, this->options.max);
   }
   void OnTimeout() {
-    this->current = std::min(this->current * 2, this->options.max);
+    this->current =
+        std::min(this->current * 2, this->options.max_after_timeout);
   }
 
  private:
--- a/tests/budget/token_fleet.h
+++ b/tests/budget/token_fleet.h
@@ -59,10 +59,10 @@
       organisation.budget = Tokens(static_cast<int64_t>(
           rate * kMeanTokens * this->options.budget_factor *
           ToSeconds(this->options.duration)));
-      organisation.partition = this->rng.Below(24);
+      organisation.partition = this->load_rng.Below(24);
       for (uint64_t caller = 0; caller < kCallers; ++caller) {
-        uint64_t vm = this->rng.Below(vms);
-        if (this->rng.Chance(this->options.home_zone_fraction)) {
+        uint64_t vm = this->load_rng.Below(vms);
+        if (this->load_rng.Chance(this->options.home_zone_fraction)) {
           vm = vm / zones * zones + static_cast<uint64_t>(i) % zones;
         }
         organisation.caller_vms.push_back(std::min(vm, vms - 1));
@@ -71,7 +71,7 @@
     }
     this->partitions.resize(24);
     for (size_t i = 0; i < this->organisations.size(); ++i) {
-      this->After(Duration(this->rng.Between(0, 100000)),
+      this->After(Duration(this->load_rng.Between(0, 100000)),
                   [this, i] { this->Arrive(i); });
     }
     if (this->options.crowd_per_s > 0) {
@@ -85,15 +85,15 @@
   void MoveCrowd() {
     this->crowd_vm =
         static_cast<size_t>(this->options.zones) *
-        this->rng.Below(static_cast<uint64_t>(this->options.crowd_vms));
-    this->crowd_there = this->rng.Chance(this->options.crowd_fraction);
+        this->load_rng.Below(static_cast<uint64_t>(this->options.crowd_vms));
+    this->crowd_there = this->load_rng.Chance(this->options.crowd_fraction);
     this->After(this->options.crowd_stay, [this] { this->MoveCrowd(); });
   }
 
   void ArriveCrowd() {
-    this->After(
-        FromSeconds(this->rng.Exponential(1.0 / this->options.crowd_per_s)),
-        [this] { this->ArriveCrowd(); });
+    this->After(FromSeconds(this->load_rng.Exponential(
+                    1.0 / this->options.crowd_per_s)),
+                [this] { this->ArriveCrowd(); });
     if (!this->crowd_there) return;
     this->fleet[this->crowd_vm]->crowded = true;
     this->Admit(this->crowd_vm, this->NewRequest(0));
@@ -106,11 +106,9 @@
     vm->holder->SetFleetSize(static_cast<size_t>(this->options.vms));
     store::CallPacerOptions pacing;
     pacing.fleet_calls_per_s = this->options.writes_per_s;
-    if (!this->options.old_client) {
-      vm->holder->SetZone(
-          "zone" + std::to_string(vm->zone),
-          static_cast<size_t>(this->options.vms / this->options.zones));
-    }
+    vm->holder->SetZone(
+        "zone" + std::to_string(vm->zone),
+        static_cast<size_t>(this->options.vms / this->options.zones));
     vm->pacer = std::make_unique<store::CallPacer>(pacing);
     vm->pacer->SetFleetSize(static_cast<size_t>(this->options.vms));
     std::map<size_t, Shard> shards;
@@ -131,17 +129,18 @@
 
   void Arrive(size_t index) {
     const Organisation& organisation = this->organisations[index];
-    this->After(FromSeconds(this->rng.Exponential(1.0 / organisation.rate)),
-                [this, index] { this->Arrive(index); });
+    this->After(
+        FromSeconds(this->load_rng.Exponential(1.0 / organisation.rate)),
+        [this, index] { this->Arrive(index); });
     const auto& callers = organisation.caller_vms;
-    this->Admit(callers[this->rng.Below(callers.size())],
+    this->Admit(callers[this->load_rng.Below(callers.size())],
                 this->NewRequest(index));
   }
 
   std::shared_ptr<Request> NewRequest(size_t organisation) {
     auto request = std::make_shared<Request>();
     request->organisation = organisation;
-    const bool is_long = this->rng.Chance(0.5);
+    const bool is_long = this->load_rng.Chance(0.5);
     request->amount = Tokens(is_long ? 9250 : 1100);
     request->used = request->amount - Tokens(100);
     return request;
@@ -158,8 +157,7 @@
     request->arrived = this->now;
     const bool is_long = request->amount.count > 5000;
     request->wait_end =
-        this->now + std::chrono::milliseconds(
-                        is_long && !this->options.old_client ? 360 : 300);
+        this->now + std::chrono::milliseconds(is_long ? 360 : 300);
     vm.holder->OnRequest(this->now, this->NameOf(*request), request->amount);
     this->Try(vm_index, request);
   }
@@ -179,8 +177,7 @@
       return begun.us == 0 ? Duration::zero() : this->now - begun;
     };
     return age(this->ShardOf(vm, request).write_begun) <
-               std::chrono::milliseconds(this->options.old_client ? 200
-                                                                  : 600) &&
+               std::chrono::milliseconds(600) &&
            age(vm.heartbeat_pending) < std::chrono::milliseconds(600);
   }
 
@@ -199,7 +196,6 @@
     bool expected = outcome == ReserveOutcome::kPending;
     if (outcome == ReserveOutcome::kHeldElsewhere) {
       expected =
-          !this->options.old_client &&
           vm.holder->MayComeBack(this->NameOf(*request), request->amount);
     }
     expected = expected && this->IsStoreAnswering(vm, *request);
@@ -210,7 +206,7 @@
       return;
     }
     vm.waiting.push_back(request);
-    if (!request->registered && !this->options.old_client) {
+    if (!request->registered) {
       request->registered = true;
       vm.holder->AddWaiting(this->NameOf(*request), request->amount);
     }
--- a/tests/budget/token_fleet_options.h
+++ b/tests/budget/token_fleet_options.h
@@ -43,7 +43,7 @@
                                 std::chrono::seconds(24)};
   Duration cut_duration = std::chrono::milliseconds(8500);
   uint64_t seed = 1;
-  bool old_client = false;
+  /// Whether gateways call for tokens of accounts that are short.
   bool calls = true;
   GrantHolderOptions holder;
 };
--- a/tests/budget/token_fleet_state.h
+++ b/tests/budget/token_fleet_state.h
@@ -22,7 +22,9 @@
 class TokenFleetState {
  protected:
   explicit TokenFleetState(const TokenFleetOptions& fleet_options)
-      : options(fleet_options), rng(fleet_options.seed) {}
+      : options(fleet_options),
+        rng(fleet_options.seed),
+        load_rng(this->rng.Fork("load")) {}
 
   struct Event {
     TimePoint at;
@@ -117,6 +119,9 @@
 
   TokenFleetOptions options;
   Rng rng;
+  /// Generates the callers and their requests, so that a change of the gateways
+  /// does not change the load.
+  Rng load_rng;
   const TimePoint start{1'000'000'000};
   TimePoint now{1'000'000'000};
   std::priority_queue<Event> events;
--- a/tests/budget/token_fleet_store.h
+++ b/tests/budget/token_fleet_store.h
@@ -96,7 +96,7 @@
   }
 
   void PlanCalls(Vm& vm, const Shard& shard) {
-    if (!this->options.calls || this->options.old_client) return;
+    if (!this->options.calls) return;
     for (size_t i = 0; i < this->organisations.size(); ++i) {
       if (this->organisations[i].partition != shard.partition) continue;
       const Tokens amount =
@@ -131,8 +131,7 @@
     }
     const Duration there = this->Delay(vm);
     const Duration back = this->Delay(vm);
-    const Duration timeout =
-        std::chrono::milliseconds(this->options.old_client ? 400 : 1500);
+    const Duration timeout = std::chrono::milliseconds(1200);
     if (there + back > timeout) {
       this->After(timeout, [this, &vm, &shard] {
         this->BackOff(shard);
@@ -225,7 +224,7 @@
       return;
     }
     ++this->result.lost_races;
-    if (!shard.urgent && !this->options.old_client) {
+    if (!shard.urgent) {
       shard.yield_until =
           this->now + std::chrono::milliseconds(this->rng.Between(200, 1000));
       shard.end.reset();
--- a/tests/budget/token_fleet_test.cc
+++ b/tests/budget/token_fleet_test.cc
@@ -67,11 +67,9 @@
     TokenFleetOptions options;
     options.seed = seed;
     const TokenFleetResult result = Run(options);
-    // With the third seed, the account of the crowd's organisation shares its
-    // partition with those of others, whose writes compete.
     EXPECT_LT(Part(result.lost_calm, result.requests - result.requests_cut),
-              0.03);
-    EXPECT_LT(Part(result.lost_cut, result.requests_cut), 0.16);
+              0.02);
+    EXPECT_LT(Part(result.lost_cut, result.requests_cut), 0.13);
     EXPECT_LT(result.CallsPerSecond(options), 12);
     EXPECT_LE(result.max_spent, 1.0);
   }
@@ -89,7 +87,7 @@
 }
 
 // Guards against tokens that are never spent while requests are refused: the
-// budgets are smaller than the demand.
+// budgets are smaller than the demand, yet a third of them was not spent.
 TEST_F(TokenFleetTest, ScarceBudgets_At113Vms_AreUsed) {
   for (const bool calls : {false, true}) {
     TokenFleetOptions options;
--- a/tests/store/call_timeout_test.cc
+++ b/tests/store/call_timeout_test.cc
@@ -24,7 +24,7 @@
 // Guards against calls that wait for long after an outage.
 TEST_F(CallTimeoutTest, Value_AfterAnOutage_IsBoundedAndFallsAgain) {
   for (int i = 0; i < 20; ++i) this->timeout.OnTimeout();
-  EXPECT_EQ(this->timeout.Value(), milliseconds(1200));
+  EXPECT_EQ(this->timeout.Value(), milliseconds(800));
   this->timeout.OnAnswer(milliseconds(5));
   EXPECT_EQ(this->timeout.Value(), milliseconds(400));
 }
