--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -381,23 +381,6 @@
          static_cast<double>(this->zone_size);
 }
 
-Duration GrantHolder::PacedInterval(const Pool& pool) const {
-  // Only gateways with requests of the organisation hold pools of a budget that
-  // is not spread, and it is too small to wait for what they return.
-  if (!this->IsSpreadOverFleet(pool)) return Duration::zero();
-  const double fraction =
-      pool.fleet_rate > 0 ? pool.demand.Rate() / pool.fleet_rate : 0;
-  return this->pace.Interval(this->fleet_size, fraction);
-}
-
-Duration GrantHolder::ReturnInterval(const Pool& pool, Tokens target) const {
-  const Duration interval = this->PacedInterval(pool);
-  // A gateway that expects no requests returns its tokens once, and early.
-  if (target.count > 0) return interval;
-  return std::chrono::duration_cast<Duration>(
-      interval * this->options.idle_return_factor);
-}
-
 bool GrantHolder::IsRefillDue(TimePoint now, const Pool& pool,
                               Tokens target) const {
   const Tokens unused = pool.recorded.granted - pool.InUse();
