--- a/fuchsiadrum/routing/concurrency_limiter.cc
+++ b/fuchsiadrum/routing/concurrency_limiter.cc
@@ -1,35 +1,24 @@
 #include "fuchsiadrum/routing/concurrency_limiter.h"
 
-#include <algorithm>
-
 namespace fuchsiadrum::routing {
 
 void ConcurrencyLimiter::OnRefused(TimePoint now, UpstreamIndex index) {
-  Record& record = this->RecordOf(index);
-  const bool limited = record.limit > 0;
-  if (limited && now - record.decreased_at < this->options.decrease_interval) {
+  AdaptiveLimit& limit = this->RecordOf(index).limit;
+  const auto present = static_cast<double>(this->table.At(index).in_flight);
+  if (!limit.Decrease(now, present, this->options.decrease, this->options)) {
     return;
   }
-  record.decreased_at = now;
-
-  const double present =
-      limited ? record.limit
-              : static_cast<double>(this->table.At(index).in_flight);
-  record.limit = std::clamp(present * this->options.decrease,
-                            static_cast<double>(this->options.least),
-                            static_cast<double>(this->options.most));
-  this->table.SetLearnedLimit(index, static_cast<int>(record.limit));
+  this->table.SetLearnedLimit(index, static_cast<int>(limit.Value()));
 }
 
 void ConcurrencyLimiter::OnCompleted(UpstreamIndex index, int in_flight) {
-  Record& record = this->RecordOf(index);
-  if (record.limit <= 0) return;
+  AdaptiveLimit& limit = this->RecordOf(index).limit;
+  if (!limit.IsSet()) return;
 
   // An unused limit teaches nothing about the upstream.
-  if (2 * in_flight < static_cast<int>(record.limit)) return;
-  record.limit = std::min(record.limit + 1.0 / record.limit,
-                          static_cast<double>(this->options.most));
-  this->table.SetLearnedLimit(index, static_cast<int>(record.limit));
+  if (2 * in_flight < static_cast<int>(limit.Value())) return;
+  limit.Increase(1.0 / limit.Value(), this->options);
+  this->table.SetLearnedLimit(index, static_cast<int>(limit.Value()));
 }
 
 ConcurrencyLimiter::Record& ConcurrencyLimiter::RecordOf(UpstreamIndex index) {
--- a/fuchsiadrum/routing/concurrency_limiter.h
+++ b/fuchsiadrum/routing/concurrency_limiter.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "fuchsiadrum/core/types.h"
+#include "fuchsiadrum/routing/adaptive_limit.h"
 #include "fuchsiadrum/upstream/upstream_table.h"
 
 namespace fuchsiadrum::routing {
@@ -11,14 +12,7 @@
 using upstream::UpstreamIndex;
 
 /// Options of the adaptive limits.
-struct ConcurrencyLimiterOptions {
-  int least = 2;
-  int most = 4096;
-  /// Factor after a refusal for load.
-  double decrease = 0.7;
-  /// At most one decrease in this time: refusals come in bursts.
-  Duration decrease_interval = std::chrono::seconds(1);
-};
+using ConcurrencyLimiterOptions = AdaptiveLimitOptions;
 
 /// Learns how many requests this daemon may keep in flight at each upstream:
 /// multiplicative decrease when the upstream refuses for load, additive
@@ -38,8 +32,7 @@
  private:
   struct Record {
     uint32_t epoch = 0;
-    double limit = 0;
-    TimePoint decreased_at;
+    AdaptiveLimit limit;
   };
 
   Record& RecordOf(UpstreamIndex index);
