Placement by learned times, slots, memory and demand; ramp-up of upstreams

Cause: on a fleet of 58 VMs and 140 upstreams a VM sees an upstream about once in ten seconds. Placement took such an upstream for idle, preferred two upstreams for each part whatever the demand, and compared all candidates, so that queues grew at a few. Slots, memory and the pace of decode did not count.

The time to the first token is learned for each service, slowness of prefill and decode for each upstream towards the mean; one time counts as at most three times the expected one. Load reports fade in favour of the mean load. Requests beyond the slots cost the time until one is free. Preferred upstreams grow with the demand for the shared part and count as having it cached. Above 24 candidates only samples are compared. Upstreams above their memory are excluded. UpstreamRamp limits what an upstream gets that has started or recovered.

Not run yet: serving_test and routing_test as a whole, platform_test.

--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -10,6 +10,9 @@
 #include <vector>
 
 #include "fuchsiadrum/core/types.h"
+#include "fuchsiadrum/routing/pace_record.h"
+#include "fuchsiadrum/serving/service_model.h"
+#include "fuchsiadrum/serving/upstream_ramp.h"
 
 namespace fuchsiadrum::serving {
 
@@ -42,13 +45,21 @@
 
   /// Returns the number of tokens in the leading parts that are cached.
   int64_t CachedTokens(std::span<const PromptPart> parts) const;
+  /// The same, if the upstream, which serves other VMs as well, keeps a part
+  /// for about `retention` after it was last used. Parts that were used longer
+  /// ago count in proportion to the chance that they are still there.
+  double ExpectedTokens(TimePoint now, std::span<const PromptPart> parts,
+                        Duration retention) const;
   /// Records that the upstream processes these parts now.
-  void Use(std::span<const PromptPart> parts);
+  void Use(std::span<const PromptPart> parts, TimePoint now = TimePoint());
+  /// Sets the capacity once the service's engines are known.
+  void SetCapacity(int64_t tokens) { this->capacity = tokens; }
 
  private:
   struct Entry {
     uint64_t id = 0;
     int64_t tokens = 0;
+    TimePoint used_at;
   };
 
   int64_t capacity;
@@ -69,9 +80,13 @@
 
 /// Options for the health and load tracking of one upstream.
 struct UpstreamOptions {
-  /// Weight of one outcome in the moving averages of failure ratio and
-  /// slowness.
+  /// Weight of one outcome in the moving average of the failure ratio.
   double outcome_weight = 0.15;
+  /// Slowness of prefill: an upstream seldom gets more than a few requests of
+  /// one VM in a minute.
+  routing::PaceRecordOptions prefill = {.memory = 0.9, .prior_weight = 3.0};
+  /// Slowness of decode. One answer shows the pace of many steps.
+  routing::PaceRecordOptions decode = {.memory = 0.8, .prior_weight = 1.0};
   /// Number of consecutive failures after which an upstream is ejected: it gets
   /// no requests for a while.
   int failures_to_eject = 3;
@@ -79,8 +94,8 @@
   /// maximum.
   Duration first_ejection = std::chrono::seconds(1);
   Duration max_ejection = std::chrono::seconds(8);
-  /// A load report is ignored when it is older than this. Each upstream in use
-  /// answers several times a second.
+  /// The requests of other VMs are known for this long after a load report;
+  /// after that they are only estimated.
   Duration report_lifetime = std::chrono::milliseconds(1500);
   /// The reported time that work takes loses its influence over this time: it
   /// changes many times a second.
@@ -92,6 +107,18 @@
   /// Capacity of the prompt cache, in tokens, that is assumed when the service
   /// names none.
   int64_t default_memory_tokens = 400000;
+  UpstreamRampOptions ramp;
+};
+
+/// Load of an upstream as estimated for a moment.
+struct LoadEstimate {
+  /// Requests that run or wait there, from all VMs.
+  double requests = 0;
+  /// Those of them that wait for a slot.
+  double waiting = 0;
+  int slots = 1;
+  /// 0: just reported; 1: only the load of the average upstream is known.
+  double staleness = 1;
 };
 
 /// One upstream as this gateway sees it: its entry, this gateway's requests in
@@ -104,14 +131,30 @@
   /// When the entry was deleted from the store; us is 0 while it exists.
   TimePoint missing_since;
 
+  /// Number that Placement gives the upstream at first sight; 0: none yet.
+  uint32_t number = 0;
+  /// When Placement first saw the upstream.
+  TimePoint seen_at;
+  /// Hash of the id, equal at all VMs.
+  uint64_t id_hash = 0;
+
   PromptCache cache;
   /// Prompt tokens of this gateway's requests that wait for their first token.
   int64_t pending_tokens = 0;
-
-  /// Requests that run or wait at the upstream, from all gateways as far as
-  /// known from its last load report.
-  int Running(TimePoint now) const;
-  int Waiting(TimePoint now) const;
+  /// Prompt and output tokens of this gateway's requests in flight.
+  int64_t held_tokens = 0;
+  UpstreamRamp ramp;
+
+  /// Load from all VMs. The weight of the last load report falls with its age
+  /// in favour of the load of the average upstream.
+  LoadEstimate Load(TimePoint now, const TypicalLoad& typical) const;
+  /// Requests of all VMs by the last load report and what this VM has sent
+  /// since; nullopt without a recent report.
+  std::optional<int> ReportedRequests(TimePoint now) const;
+  /// Requests of other VMs for each slot by the last load report.
+  double ReportedOthersPerSlot() const;
+  /// Requests of this VM that the upstream has not finished.
+  int InFlight() const { return this->in_flight; }
   void OnReport(TimePoint now, const LoadReport& load);
   /// A load report could not be used, or not all of it. Returns true the first
   /// time.
@@ -119,8 +162,14 @@
   /// Factor by which work takes longer than usual now, as far as the last
   /// report says; 1 without a recent report.
   double WorkFactor(TimePoint now) const;
-  /// `slowness_ratio` is the observed divided by the expected time.
+  /// `slowness_ratio` is the time to the first token divided by the one that
+  /// is expected of an upstream of slowness 1; 0: unknown.
   void OnSuccess(TimePoint now, double slowness_ratio);
+  /// A first token is overdue: this much of the expected time has passed.
+  void OnLate(double slowness_ratio);
+  /// An answer had this interval between events; `typical` is that of the
+  /// average upstream.
+  void OnEventInterval(Duration interval, Duration typical);
   void OnFailure(TimePoint now);
   /// Ejects the upstream at once because no connection could be opened.
   void OnUnreachable(TimePoint now);
@@ -134,13 +183,19 @@
   Duration Silence(TimePoint now) const;
 
   bool IsEjected(TimePoint now) const { return now < this->ejected_until; }
+  /// True if an ejection has ended since the last call.
+  bool TakeRecovery(TimePoint now);
   /// Moving average of the fraction of requests that failed.
   double FailureRatio() const { return this->failure_ratio; }
-  /// Moving average of the observed divided by the expected time; 1 means that
-  /// the upstream is as fast as the placement options assume.
-  double Slowness() const { return this->slowness; }
+  /// Slowness of prefill; 1 is the average upstream. With few observations it
+  /// tends to the slowness of decode.
+  double Slowness() const;
+  double DecodeSlowness() const { return this->decode.Slowness(); }
 
  private:
+  int Slots() const;
+  void Eject(TimePoint now);
+
   UpstreamOptions options;
   /// Requests of this gateway that the upstream has not finished.
   int in_flight = 0;
@@ -148,13 +203,14 @@
   TimePoint report_at;
   int in_flight_at_report = 0;
   bool has_unusable_report = false;
-  void Eject(TimePoint now);
 
   TimePoint last_bytes_at;
   double failure_ratio = 0;
-  double slowness = 1;
+  routing::PaceRecord prefill;
+  routing::PaceRecord decode;
   int failures = 0;
   int ejections = 0;
+  bool has_recovery = false;
   TimePoint ejected_until;
 };
 
--- a/gateway/gateway_answer.cc
+++ b/gateway/gateway_answer.cc
@@ -46,6 +46,9 @@
             std::max(*limit_end - now, kRetryAfterOtherVm)};
   }
   if (pause_end) return {503, "upstreams paused", *pause_end - now};
+  if (core.Placer().LastReason().step == serving::kMemoryStep) {
+    return {503, "upstream memory in use", kRetryAfterNoUpstream};
+  }
   return {503, "no upstream", kRetryAfterNoUpstream};
 }
 
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -152,6 +152,7 @@
       this->retries.SetFleetSize(this->budgets.FleetSize());
       this->shared_limits.SetFleetSize(this->budgets.FleetSize());
       this->quarantine_client.SetFleetSize(this->budgets.FleetSize());
+      this->placement.SetFleetSize(this->budgets.FleetSize());
     }
   }
   this->quarantine_client.LogChanges();
@@ -298,6 +299,9 @@
   add("suspected_parts", static_cast<double>(this->quarantines.Suspected()));
   add("quarantined_parts",
       static_cast<double>(this->quarantines.Quarantined()));
+  add("ramping_upstreams", static_cast<double>(this->placement.Ramping()));
+  add("memory_refusals_total",
+      static_cast<double>(this->placement.MemoryRefusals()));
   add("link_use", this->link.Utilization());
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
   add("body_bytes", static_cast<double>(this->body_bytes.Held()));
--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -32,6 +32,16 @@
 
 }  // namespace
 
+void RequestFigures::OnChoice(const serving::PlacementChoice& choice) {
+  this->expected_ms = choice.expected_ms;
+  this->uncached_tokens = choice.uncached_tokens;
+  this->expected_requests = choice.factors.requests;
+  this->queue_ms = choice.factors.queued;
+  this->candidate_count = choice.candidates;
+  this->preferred_count = choice.preferred;
+  this->is_preferred = choice.is_preferred;
+}
+
 void RequestLog::OnInterimAnswer(const serving::UpstreamAnswer& answer,
                                  bool has_body) {
   this->core.Log().Write("upstream-interim-answer",
@@ -135,6 +145,10 @@
        {"candidates", static_cast<int64_t>(figures.candidate_count)},
        {"prompt", ended.request.prompt_tokens.value_or(Tokens(0)).count},
        {"uncached", figures.uncached_tokens},
+       {"preferred", static_cast<int64_t>(figures.preferred_count)},
+       {"at_preferred", figures.is_preferred},
+       {"load", figures.expected_requests},
+       {"queue_ms", figures.queue_ms},
        {"expected_ms", figures.expected_ms},
        {"attempt_ms", figures.attempt_first_byte_ms},
        {"tokens", figures.reserved_tokens.count},
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -14,10 +14,21 @@
 
 /// The figures of a request that are logged at its end.
 struct RequestFigures {
-  /// The three inputs of the latest choice of an upstream.
+  /// Takes the figures of the latest choice of an upstream.
+  void OnChoice(const serving::PlacementChoice& choice);
+
+  /// What the latest choice expected: the time to the first byte, the tokens
+  /// that are not cached, requests at the upstream and the time until one of
+  /// its slots is free.
   double expected_ms = 0;
   int64_t uncached_tokens = 0;
+  double expected_requests = 0;
+  double queue_ms = 0;
   size_t candidate_count = 0;
+  /// Number of preferred upstreams of the prompt, and whether the upstream is
+  /// one of them.
+  size_t preferred_count = 0;
+  bool is_preferred = false;
   /// Time from the last send of the request to the first event of a stream, or
   /// the whole of another answer.
   double attempt_first_byte_ms = 0;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -186,12 +186,8 @@
           ? this->core.Upstreams().Candidates(now, this->active.service, {},
                                               this->active.Priority())
           : this->UntriedUpstreams();
-  const serving::CallerRequest& request = this->active.request;
-  return this->core.Placer().Choose(
-      now, candidates,
-      {.parts = request.parts,
-       .prompt_tokens = request.prompt_tokens.value_or(Tokens(0)).count,
-       .has_prompt = request.prompt_tokens.has_value()});
+  return this->core.Placer().Choose(now, candidates,
+                                    PlacementRequestOf(this->active));
 }
 
 NextStep RequestTask::DecideNextStep(AttemptOutcome outcome) {
@@ -286,15 +282,13 @@
                                      : AttemptOutcome::kNotSent;
   }
 
-  const serving::PlacementChoice& choice = attempt.Choice();
-  this->figures.expected_ms = choice.expected_ms;
-  this->figures.uncached_tokens = choice.uncached_tokens;
-  this->figures.candidate_count = choice.candidates;
+  this->figures.OnChoice(attempt.Choice());
   this->current_connection = connection;
   connection->SetAckTimeout(this->active.route->IsIdempotent()
                                 ? kAckTimeout
                                 : kUnrepeatableAckTimeout);
-  attempt.Upstream().cache.Use(this->active.request.parts);
+  this->core.Placer().OnSend(Now(), attempt.Choice(),
+                             this->active.request.parts);
   const int relayed_before = this->stream.EventsRelayed();
   this->prompt.OnSend();
   const AttemptOutcome outcome = co_await this->Exchange(attempt, *connection);
--- a/gateway/upstream_attempt.cc
+++ b/gateway/upstream_attempt.cc
@@ -8,6 +8,17 @@
 
 using serving::AttemptOutcome;
 
+serving::PlacementRequest PlacementRequestOf(const ActiveRequest& active) {
+  const serving::CallerRequest& request = active.request;
+  return {
+      .service = active.service,
+      .parts = request.parts,
+      .prompt_tokens = request.prompt_tokens.value_or(Tokens(0)).count,
+      .max_output_tokens = request.max_output_tokens.value_or(Tokens(0)).count,
+      .memory_tokens = active.engine ? active.engine->memory.count : 0,
+      .has_prompt = request.prompt_tokens.has_value()};
+}
+
 UpstreamAttempt::UpstreamAttempt(
     GatewayCore& gateway_core, const ActiveRequest& active_request,
     const serving::PlacementChoice& placement_choice)
@@ -22,6 +33,7 @@
   serving::FleetUpstream& upstream = this->Upstream();
   upstream.OnDispatch(Now());
   upstream.pending_tokens += this->choice.uncached_tokens;
+  upstream.held_tokens += this->choice.held_tokens;
   this->was_begun = true;
   this->prompt_pending = true;
 }
@@ -83,13 +95,9 @@
 
 void UpstreamAttempt::OnFirstByte() {
   this->EndPending();
+  this->has_first_byte = true;
   const TimePoint now = Now();
-  serving::FleetUpstream& upstream = this->Upstream();
-  const double expected_ms = this->choice.expected_ms;
-  const double ratio = expected_ms > 0 ? ToMilliseconds(now - this->sent_at) *
-                                             upstream.Slowness() / expected_ms
-                                       : 0;
-  upstream.OnSuccess(now, ratio);
+  this->core.Placer().OnFirstToken(now, this->choice, now - this->sent_at);
 }
 
 void UpstreamAttempt::End() {
@@ -100,6 +108,7 @@
   if (!this->was_begun) return;
   this->was_begun = false;
   this->Upstream().OnEnd();
+  this->Upstream().held_tokens -= this->choice.held_tokens;
   this->EndPending();
 }
 
@@ -116,13 +125,31 @@
     case AttemptOutcome::kBrokenMidway:
       upstream.OnFailure(Now());
       break;
-    case AttemptOutcome::kWithheld:
     case AttemptOutcome::kComplete:
     case AttemptOutcome::kUnprovenEnd:
-    case AttemptOutcome::kFailed:
+      this->LearnFromAnswer();
+      break;
     case AttemptOutcome::kCallerGone:
     case AttemptOutcome::kTimedOut:
+      if (this->was_sent && !this->has_first_byte) {
+        const TimePoint now = Now();
+        this->core.Placer().OnOverdue(now, this->choice, now - this->sent_at);
+      }
       break;
+    case AttemptOutcome::kWithheld:
+    case AttemptOutcome::kFailed:
+      break;
+  }
+}
+
+void UpstreamAttempt::LearnFromAnswer() {
+  // The mean over fewer events is mostly the delay of single packets.
+  constexpr int kMinEvents = 8;
+  const serving::AnswerTime time = this->Time(Now());
+  const Duration first = time.first_event.value_or(time.total);
+  this->core.Placer().OnComplete(this->choice, time.total - first);
+  if (this->later_events >= kMinEvents && time.event_interval) {
+    this->core.Placer().OnEventInterval(this->choice, *time.event_interval);
   }
 }
 
--- a/gateway/upstream_attempt.h
+++ b/gateway/upstream_attempt.h
@@ -8,6 +8,10 @@
 
 namespace fuchsiadrum::gateway {
 
+/// Returns the properties of the request that the choice of an upstream depends
+/// on. It refers to the request's parts.
+serving::PlacementRequest PlacementRequestOf(const ActiveRequest& active);
+
 /// One attempt to run a request at a chosen upstream: what it holds of the
 /// upstream (a permit, load that is on its way), whether and when the request
 /// was sent, and when the upstream last made progress.
@@ -33,8 +37,7 @@
   /// To be called when events of a stream have arrived.
   void OnEvents(int count);
   /// To be called when the first event of a stream has arrived, or the whole of
-  /// another answer. `ratio` of observed and expected time is counted for the
-  /// upstream.
+  /// another answer.
   void OnFirstByte();
   /// Ends the attempt; puts back the permit unless the request was sent.
   void End();
@@ -56,6 +59,8 @@
 
  private:
   void EndPending();
+  /// Passes the times of an answer that has ended to the placement.
+  void LearnFromAnswer();
 
   GatewayCore& core;
   const ActiveRequest& active;
@@ -63,6 +68,7 @@
   bool has_permit = false;
   bool was_begun = false;
   bool was_sent = false;
+  bool has_first_byte = false;
   /// True while the prompt's tokens count as pending at the upstream.
   bool prompt_pending = false;
   TimePoint sent_at;
--- a/tests/serving/fleet_upstream_test.cc
+++ b/tests/serving/fleet_upstream_test.cc
@@ -33,7 +33,7 @@
   this->Report(300);
   this->Report(std::nullopt);
   EXPECT_EQ(this->upstream.WorkFactor(this->now), 1);
-  EXPECT_EQ(this->upstream.Running(this->now), 1);
+  EXPECT_EQ(this->upstream.ReportedRequests(this->now), 1);
 }
 
 // Guards against an upstream that attracts all requests by its report.
