--- a/fuchsiadrum/serving/upstream_ramp.h
+++ b/fuchsiadrum/serving/upstream_ramp.h
@@ -18,9 +18,9 @@
   /// At most one decrease in this time: bad answers come in bursts.
   Duration decrease_interval = std::chrono::milliseconds(300);
   /// Without news the limit doubles in this time. In a fleet of a hundred most
-  /// VMs get no answer of a given upstream for seconds. With 2 s a fast upstream
-  /// is used too late; with 0.5 s one that crashes under load crashes more often
-  /// (UpstreamRampFleetTest).
+  /// VMs get no answer of a given upstream for seconds. With 2 s a fast
+  /// upstream is used too late; with 0.5 s one that crashes under load crashes
+  /// more often (UpstreamRampFleetTest).
   Duration silent_doubling = std::chrono::seconds(1);
   /// The limit does not grow without news for this long after a bad answer.
   Duration hold_after_bad = std::chrono::seconds(3);
