--- a/fuchsiadrum/serving/link_load.h
+++ b/fuchsiadrum/serving/link_load.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 
 #include "fuchsiadrum/core/types.h"
 
@@ -10,26 +9,15 @@
 /// Options for measuring the load of a VM's network link.
 struct LinkLoadOptions {
   /// Capacity of the link in each direction, in bytes per second. 0 means
-  /// unknown: the link then never counts as busy.
+  /// unknown: the link then never counts as loaded.
   double bytes_per_s = 0;
-  /// Packet headers and acknowledgements that are added for each read or write:
-  /// about one packet in each direction.
-  size_t overhead_bytes = 80;
+  /// Bytes of data in a full packet, and bytes of the headers of each packet:
+  /// Ethernet, IPv4, TCP with timestamps.
+  size_t packet_bytes = 1448;
+  size_t overhead_bytes = 66;
   /// Time constant of the moving average of utilization. It covers several
   /// answers and is shorter than the reaction time of the balancer.
   Duration time_constant = std::chrono::milliseconds(700);
-  /// Utilization above which the VM asks the balancer for no new callers. The
-  /// balancer takes two seconds to act on it, while the load may double.
-  double busy_above = 0.55;
-  /// Utilization below which the VM accepts new callers again, and the minimum
-  /// time before that: the balancer sends all callers of an organisation back
-  /// at once.
-  double idle_below = 0.3;
-  Duration min_busy_time = std::chrono::seconds(8);
-  /// Utilization, and time needed to send the queued bytes, above which the
-  /// link is full.
-  double full_above = 0.85;
-  Duration max_queue_time = std::chrono::milliseconds(120);
 };
 
 /// Estimates the utilization of a VM's network link from the bytes of requests
@@ -41,37 +29,43 @@
  public:
   explicit LinkLoad(const LinkLoadOptions& opts) : options(opts) {}
 
-  void OnReceived(size_t bytes) {
-    this->received += bytes + this->options.overhead_bytes;
-  }
-  void OnSent(size_t bytes) {
-    this->sent += bytes + this->options.overhead_bytes;
-  }
-  /// Updates the estimate; to be called every few milliseconds. Returns true if
-  /// IsBusy has changed.
-  bool OnTick(TimePoint now);
+  /// Bytes were read from a connection. Every second packet is acknowledged in
+  /// the other direction.
+  void OnReceived(size_t bytes);
+  /// Bytes were handed to the kernel to be sent.
+  void OnSent(TimePoint now, size_t bytes);
+  /// Updates the utilization; to be called every few milliseconds.
+  void OnTick(TimePoint now);
 
-  /// True if new callers should go to other VMs.
-  bool IsBusy() const { return this->busy; }
-  /// True if requests should be refused because they would wait longer here
-  /// than at another VM.
-  bool IsFull() const;
-  /// Fraction of the link's capacity in use, in the busier direction.
+  /// Capacity in bytes per second; 0: not known.
+  double BytesPerSecond() const { return this->options.bytes_per_s; }
+  /// Fraction of the link's capacity in use, in each direction and in the
+  /// busier one.
+  double ReceivedUtilization() const { return this->received_utilization; }
+  double SentUtilization() const { return this->sent_utilization; }
   double Utilization() const;
-  /// Time that the link needs to send the queued bytes.
-  Duration QueueTime() const;
+  /// Time that the link needs to send the bytes that wait for it, and
+  /// `more_bytes` of data; zero if the capacity is not known.
+  Duration QueueTime(TimePoint now, size_t more_bytes = 0) const;
 
  private:
+  size_t Packets(size_t bytes) const;
+  /// Bytes on the link of `bytes` of data.
+  double WireBytes(size_t bytes) const;
+  /// Bytes that the link can have sent since the last update.
+  double Sendable(TimePoint now) const;
+  void Drain(TimePoint now);
+
   LinkLoadOptions options;
-  /// Bytes since the last tick.
-  uint64_t received = 0;
-  uint64_t sent = 0;
-  double received_utilization = 0;
-  double sent_utilization = 0;
+  /// Bytes that were received and sent since the last tick.
+  double received_bytes = 0;
+  double sent_bytes = 0;
+  /// Bytes that wait to be sent at `drained_at`.
   double queued_bytes = 0;
+  TimePoint drained_at;
   TimePoint ticked_at;
-  TimePoint busy_since;
-  bool busy = false;
+  double received_utilization = 0;
+  double sent_utilization = 0;
 };
 
 }  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/loop_delay.cc
+++ b/fuchsiadrum/serving/loop_delay.cc
@@ -33,4 +33,12 @@
   return this->busy != was_busy;
 }
 
+double LoopDelay::BusyLoad() const {
+  return ToSeconds(this->mean) / ToSeconds(this->options.busy_above);
+}
+
+double LoopDelay::FullLoad() const {
+  return ToSeconds(this->mean) / ToSeconds(this->options.full_above);
+}
+
 }  // namespace fuchsiadrum::serving
--- a/fuchsiadrum/serving/loop_delay.h
+++ b/fuchsiadrum/serving/loop_delay.h
@@ -10,12 +10,12 @@
   Duration tick = std::chrono::milliseconds(25);
   /// Time constant of the moving average of the delay.
   Duration time_constant = std::chrono::milliseconds(500);
-  /// Mean delay above which the VM accepts no new callers, and above which it
-  /// refuses all requests. A process with a CPU quota is suspended for up to
+  /// Mean delay above which callers should go to other VMs, and above which the
+  /// VM refuses all requests. A process with a CPU quota is suspended for up to
   /// 90 ms of each 100 ms without being overloaded.
   Duration busy_above = std::chrono::milliseconds(150);
   Duration full_above = std::chrono::milliseconds(300);
-  /// Fraction of `busy_above` below which the VM accepts new callers again.
+  /// Fraction of `busy_above` below which the VM is not busy any more.
   double calm_fraction = 0.4;
   /// Maximum delay that a single tick contributes: after a freeze of the
   /// process only one tick is late.
@@ -34,6 +34,9 @@
   bool OnTick(TimePoint now);
   bool IsBusy() const { return this->busy; }
   bool IsFull() const { return this->mean > this->options.full_above; }
+  /// The mean delay as a multiple of `busy_above` and of `full_above`.
+  double BusyLoad() const;
+  double FullLoad() const;
   Duration Mean() const { return this->mean; }
 
  private:
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -9,6 +9,7 @@
 
 #include "gateway/clock.h"
 #include "gateway/gateway_core.h"
+#include "gateway/request_admission.h"
 #include "gateway/request_task.h"
 #include "platform/request_codec.h"
 
@@ -22,6 +23,10 @@
 constexpr size_t kMaxBufferedBytes = 262144;
 /// Bytes of a refused request that are read at a time.
 constexpr size_t kLingerReadBytes = 4096;
+/// Bytes that are read of a body which was refused on the request's head: about
+/// one receive window, which the caller may have sent before the answer reaches
+/// it.
+constexpr size_t kMaxUnreadBytes = 65536;
 /// Time that the caller has to read its last answer before the connection
 /// closes, and the same while the gateway stops.
 constexpr Duration kLingerTime = std::chrono::milliseconds(500);
@@ -48,6 +53,16 @@
   return head.count(http::field::host) != 1;
 }
 
+RequestSize SizeOf(size_t head_bytes,
+                   const http::request_parser<http::string_body>& parser) {
+  RequestSize size = {.head_bytes = head_bytes, .body_bytes = std::nullopt};
+  if (!parser.chunked()) {
+    const auto length = parser.content_length();
+    size.body_bytes = length ? *length : 0;
+  }
+  return size;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(Tcp::socket accepted,
@@ -82,10 +97,11 @@
     RequestTask task(this->core, *this, std::move(*request));
     const bool complete = co_await task.Run();
     this->Disarm();
+    this->OnForwarded();
     this->request_bytes.Resize(0);
     if (complete) this->SetResetOnClose(false);
     if (complete && this->close_announced) {
-      co_await this->Linger();
+      co_await this->Linger(this->core.Limits().body_bytes);
     }
     if (!complete || this->close_announced) break;
   }
@@ -151,6 +167,10 @@
   std::string reason;
   std::optional<serving::CallerRequest> request =
       platform::DecodeRequest(parser.get(), reason);
+  if (request &&
+      !co_await this->AdmitHead(*request, SizeOf(head_bytes, parser))) {
+    co_return std::nullopt;
+  }
 
   if (boost::beast::iequals(parser.get()[http::field::expect],
                             "100-continue") &&
@@ -188,6 +208,28 @@
   co_return request;
 }
 
+asio::awaitable<bool> CallerConnection::AdmitHead(
+    const serving::CallerRequest& request, RequestSize size) {
+  HeadAdmission admission = AdmitOnHead(this->core, request, size);
+  this->organisation = std::move(admission.organisation);
+  this->pending = admission.pending;
+  if (!admission.refusal) co_return true;
+
+  this->reading = false;
+  this->ExpireAt(Now() + kLingerTime);
+  const GatewayAnswer& refusal = *admission.refusal;
+  const std::string text = platform::EncodeGatewayAnswer(
+      refusal.status, request.id, refusal.retry_after, true);
+  co_await this->Write(text);
+  co_await this->Linger(kMaxUnreadBytes);
+  co_return false;
+}
+
+void CallerConnection::OnForwarded() {
+  this->core.Pending().Remove(this->pending);
+  this->pending = 0;
+}
+
 asio::awaitable<void> CallerConnection::RefuseUnread(
     const platform::HttpRequestHead& head, std::string reason) {
   std::string ignored;
@@ -205,20 +247,21 @@
   const std::string text =
       platform::EncodeGatewayAnswer(status, request_id, retry_after, true);
   co_await this->Write(text);
-  co_await this->Linger();
+  co_await this->Linger(this->core.Limits().body_bytes);
 }
 
-asio::awaitable<void> CallerConnection::Linger() {
+asio::awaitable<void> CallerConnection::Linger(size_t max_bytes) {
   const bool is_stopping = this->core.IsStopping();
   this->ExpireAt(Now() + (is_stopping ? kStopLingerTime : kLingerTime));
   ErrorCode error;
   this->socket.shutdown(Tcp::socket::shutdown_send, error);
   std::vector<char> rest(kLingerReadBytes);
-  const size_t max_bytes = this->core.Limits().body_bytes;
   size_t bytes = 0;
   while (!error && bytes <= max_bytes) {
-    bytes += co_await this->socket.async_read_some(
+    const size_t count = co_await this->socket.async_read_some(
         asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
+    this->core.Link().OnReceived(count);
+    bytes += count;
   }
 }
 
@@ -229,7 +272,7 @@
 
 asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
   ErrorCode error;
-  this->core.Link().OnSent(bytes.size());
+  this->core.Link().OnSent(Now(), bytes.size());
   co_await asio::async_write(this->socket,
                              asio::buffer(bytes.data(), bytes.size()),
                              asio::redirect_error(asio::use_awaitable, error));
@@ -262,10 +305,10 @@
 }
 
 bool CallerConnection::AnnounceClose() {
-  // Callers of a busy VM return on a new connection, which the load balancer
-  // sends to another VM.
-  this->close_announced =
-      this->close_after || this->core.IsStopping() || this->core.IsBusy();
+  // Some callers of a loaded VM return on a new connection, which the load
+  // balancer sends to another VM.
+  this->close_announced = this->close_after || this->core.IsStopping() ||
+                          this->core.AnnouncesClose(this->organisation);
   return this->close_announced;
 }
 
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -16,6 +16,7 @@
 namespace fuchsiadrum::gateway {
 
 class GatewayCore;
+struct RequestSize;
 
 /// One connection of a caller. It reads one request at a time, runs a
 /// RequestTask for it, and detects when the caller disconnects meanwhile.
@@ -47,6 +48,9 @@
   void CloseIdle(TimePoint now);
   /// Refuses a request that is still being read, because the gateway stops.
   void EndReading();
+  /// To be called when the request has been handed to an upstream's connection,
+  /// or has ended: its body is no longer pending.
+  void OnForwarded();
   /// Sets a handler that is called at most once before Disarm: when the caller
   /// disconnects or the deadline passes.
   void Arm(TimePoint deadline, std::function<void(bool caller_gone)> interrupt);
@@ -67,11 +71,15 @@
   /// does not run.
   asio::awaitable<void> RefuseUnread(const platform::HttpRequestHead& head,
                                      std::string reason);
+  /// Decides on the head whether the body is read. Returns false after the
+  /// request has been refused.
+  asio::awaitable<bool> AdmitHead(const serving::CallerRequest& request,
+                                  RequestSize size);
   /// Waits until the caller has closed the connection after its last answer, or
-  /// for a short time, and for as many bytes as a body may have. Closing with
-  /// unread bytes, of a further request for example, would reset the
-  /// connection, and the caller might lose the answer.
-  asio::awaitable<void> Linger();
+  /// for a short time, and for `max_bytes`. Closing with unread bytes, of a
+  /// further request for example, would reset the connection, and the caller
+  /// might lose the answer.
+  asio::awaitable<void> Linger(size_t max_bytes);
   void LogBadInput(int status, const std::string& reason);
   void WatchForClose();
   void Interrupt(bool caller_gone);
@@ -83,6 +91,10 @@
   boost::beast::flat_buffer buffer;
   /// Memory accounted for the body of the request that is being read or served.
   ByteHold request_bytes;
+  /// Number of the request among the pending bodies; 0: it has none.
+  uint64_t pending = 0;
+  /// Organisation of the last request; empty if it is not known.
+  std::string organisation;
   std::function<void(bool caller_gone)> interrupt;
   /// True while no request is being read or served.
   bool idle = true;
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -22,6 +22,9 @@
 /// unknown: the wait of a held read, its timeout and some slack.
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
 constexpr double kBytesPerMegabit = 1e6 / 8;
+/// Use of the link above which callers should go to other VMs. The balancer
+/// takes some time to act on it, while the load may grow by half.
+constexpr double kLinkBusyAbove = 0.7;
 constexpr size_t kBytesPerMegabyte = 1000000;
 /// Bodies may take the process's memory divided by this: each body is copied
 /// once while it is forwarded, and connections and cached state need the rest.
@@ -87,6 +90,9 @@
       link({.bytes_per_s =
                 gateway_settings.vm().link_mbps() * kBytesPerMegabit}),
       loop_delay(serving::LoopDelayOptions()),
+      admission(serving::AdmissionOptions()),
+      pending_bodies(serving::PendingBodiesOptions()),
+      rotation(serving::RotationOptions(), daemon::StartIncarnation()),
       body_bytes(gateway_settings.vm().memory_mb() * kBytesPerMegabyte /
                  kBodyMemoryDivisor),
       pool(UpstreamPoolOptions(), io_context, this->watchdog, this->link),
@@ -165,11 +171,37 @@
         {{"busy", this->loop_delay.IsBusy()},
          {"mean_delay_ms", ToMilliseconds(this->loop_delay.Mean())}});
   }
-  if (!this->link.OnTick(now)) return;
-  this->log.Write("link-load",
-                  {{"busy", this->link.IsBusy()},
-                   {"use", this->link.Utilization()},
-                   {"queue_ms", ToMilliseconds(this->link.QueueTime())}});
+  this->link.OnTick(now);
+  const serving::RotationLoad load = {
+      .link = this->link.Utilization() / kLinkBusyAbove,
+      .processor = this->loop_delay.BusyLoad()};
+  if (!this->rotation.OnTick(now, load)) return;
+  this->log.Write("vm-load",
+                  {{"moves_callers", this->rotation.IsShedding()},
+                   {"ready", !this->rotation.IsAway()},
+                   {"excess", this->rotation.Excess()},
+                   {"received_use", this->link.ReceivedUtilization()},
+                   {"sent_use", this->link.SentUtilization()},
+                   {"queue_ms", ToMilliseconds(this->link.QueueTime(now))},
+                   {"mean_delay_ms", ToMilliseconds(this->loop_delay.Mean())}});
+}
+
+serving::VmLoad GatewayCore::LoadOfVm(TimePoint now) {
+  return {
+      .link_bytes_per_s = this->link.BytesPerSecond(),
+      .link_wait = this->link.QueueTime(now, this->pending_bodies.Bytes(now)),
+      .is_processor_busy = this->loop_delay.BusyLoad() > 1,
+      .processor_load = this->loop_delay.FullLoad()};
+}
+
+bool GatewayCore::AnnouncesClose(const std::string& organisation) {
+  if (!this->rotation.IsShedding()) return false;
+  const TimePoint now = Now();
+  serving::OrganisationShares& shares = this->admission.Shares();
+  const bool announces = this->rotation.AnnouncesClose(
+      shares.Share(now, organisation), shares.Concentration(now));
+  if (announces) this->metrics.CountLoadClose();
+  return announces;
 }
 
 void GatewayCore::BeginStop() {
@@ -191,7 +223,7 @@
 }
 
 bool GatewayCore::IsReady() const {
-  return !this->IsStopping() && !this->IsBusy() &&
+  return !this->IsStopping() && !this->rotation.IsAway() &&
          this->config.Get() != nullptr &&
          this->upstream_follower.LastRead().us != 0 &&
          this->shared_limits.LastRead().us != 0 &&
@@ -299,6 +331,8 @@
   add("quarantined_parts",
       static_cast<double>(this->quarantines.Quarantined()));
   add("link_use", this->link.Utilization());
+  add("link_queue_ms", ToMilliseconds(this->link.QueueTime(Now())));
+  add("excess_load", this->rotation.Excess());
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
   add("body_bytes", static_cast<double>(this->body_bytes.Held()));
   add("log_lines_dropped_total", static_cast<double>(this->log.Dropped()));
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -5,12 +5,15 @@
 #include <string>
 
 #include "fuchsiadrum/core/byte_budget.h"
+#include "fuchsiadrum/serving/admission_control.h"
 #include "fuchsiadrum/serving/answer_times.h"
 #include "fuchsiadrum/serving/link_load.h"
 #include "fuchsiadrum/serving/loop_delay.h"
+#include "fuchsiadrum/serving/pending_bodies.h"
 #include "fuchsiadrum/serving/placement.h"
 #include "fuchsiadrum/serving/prompt_quarantine.h"
 #include "fuchsiadrum/serving/retry_allowance.h"
+#include "fuchsiadrum/serving/rotation_control.h"
 #include "fuchsiadrum/serving/serving_config.h"
 #include "fuchsiadrum/serving/stop_schedule.h"
 #include "fuchsiadrum/serving/upstream_directory.h"
@@ -53,14 +56,14 @@
   /// was not sent to an upstream, else 502. A stream that has begun is cut.
   void EndOpenRequests();
   /// The answer of the readiness check: true unless the gateway is stopping or
-  /// busy, or has not yet read the configuration, the upstreams' entries,
-  /// their limits and the quarantines.
+  /// overloaded (serving::RotationControl), or has not yet read the
+  /// configuration, the upstreams' entries, their limits and the quarantines.
   bool IsReady() const;
-  /// True if the network link or the processor is so loaded that other VMs
-  /// serve new callers better.
-  bool IsBusy() const {
-    return this->link.IsBusy() || this->loop_delay.IsBusy();
-  }
+  /// Decides whether an answer to the organisation announces the end of its
+  /// connection, so that the caller goes to another VM, and counts it.
+  bool AnnouncesClose(const std::string& organisation);
+  /// Load of the link and the processor, as requests meet it.
+  serving::VmLoad LoadOfVm(TimePoint now);
   /// True if the configuration was last read so long ago that it may have
   /// changed since. A key or route that it does not name may then be new.
   bool IsConfigStale(TimePoint now) const;
@@ -77,7 +80,8 @@
   CrashWatch& Crashes() { return this->crash_watch; }
   BudgetClient& Budgets() { return this->budgets; }
   serving::LinkLoad& Link() { return this->link; }
-  const serving::LoopDelay& EventLoopDelay() const { return this->loop_delay; }
+  serving::AdmissionControl& Admission() { return this->admission; }
+  serving::PendingBodies& Pending() { return this->pending_bodies; }
   /// Limits the memory of the bodies of all requests and answers.
   ByteBudget& BodyBytes() { return this->body_bytes; }
   UpstreamPool& Pool() { return this->pool; }
@@ -111,6 +115,9 @@
   serving::RetryAllowance retries;
   serving::LinkLoad link;
   serving::LoopDelay loop_delay;
+  serving::AdmissionControl admission;
+  serving::PendingBodies pending_bodies;
+  serving::RotationControl rotation;
   ByteBudget body_bytes;
   UpstreamPool pool;
   StreamFollower config_follower;
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -46,6 +46,10 @@
   ++this->oversized_answers[std::string(limit)];
 }
 
+void GatewayMetrics::CountAdmission(std::string_view result, bool is_small) {
+  ++this->admissions[{std::string(result), is_small}];
+}
+
 std::string GatewayMetrics::Line(std::string_view name, double value) {
   return std::string(kPrefix) + std::string(name) + " " + Number(value) + "\n";
 }
@@ -80,6 +84,12 @@
     text += Line("oversized_answers_total{limit=\"" + limit + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [key, count] : this->admissions) {
+    text += Line("admission_total{result=\"" + key.first + "\",size=\"" +
+                     (key.second ? "small" : "large") + "\"}",
+                 static_cast<double>(count));
+  }
+  text += Line("load_closes_total", static_cast<double>(this->load_closes));
   constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
   for (const auto& [route, histogram] : this->first_bytes) {
     for (const double quantile : kQuantiles) {
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -31,6 +31,14 @@
   /// Counts a request that is not sent because of a part of its prompt.
   void CountHeldBack(const std::string& route);
 
+  /// Counts a decision on the head of a request. `result`: "taken", or what was
+  /// short.
+  void CountAdmission(std::string_view result, bool is_small);
+
+  /// Counts an answer that announces the end of its connection because of the
+  /// VM's load.
+  void CountLoadClose() { ++this->load_closes; }
+
   /// Counts an answer of an upstream that has exceeded a bound (AnswerLimit).
   void CountOversizedAnswer(std::string_view limit);
 
@@ -52,6 +60,9 @@
   std::map<std::string, uint64_t> held_back;
   /// Answers that have exceeded a bound, by its name.
   std::map<std::string, uint64_t, std::less<>> oversized_answers;
+  /// Decisions on heads, by result and size.
+  std::map<std::pair<std::string, bool>, uint64_t> admissions;
+  uint64_t load_closes = 0;
   /// Times to first byte by route.
   std::map<std::string, report::LatencyHistogram> first_bytes;
 };
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -9,6 +9,7 @@
 #include <limits>
 
 #include "fuchsiadrum/core/hash.h"
+#include "gateway/clock.h"
 #include "settings/endpoint.h"
 
 namespace fuchsiadrum::gateway {
@@ -78,7 +79,9 @@
   std::array<asio::const_buffer, 2> parts = {asio::buffer(this->send_head),
                                              asio::const_buffer()};
   if (this->send_body) parts[1] = asio::buffer(*this->send_body);
-  if (this->link != nullptr) this->link->OnSent(asio::buffer_size(parts));
+  if (this->link != nullptr) {
+    this->link->OnSent(Now(), asio::buffer_size(parts));
+  }
   asio::async_write(this->socket, parts,
                     [self = this->shared_from_this()](ErrorCode error, size_t) {
                       // After a failed write, the read of the answer fails.
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 
 #include "fuchsiadrum/core/duration.h"
+#include "fuchsiadrum/serving/attempt_history.h"
 #include "gateway/clock.h"
+#include "gateway/request_log.h"
 #include "gateway/request_task.h"
 
 namespace fuchsiadrum::gateway {
@@ -95,6 +97,36 @@
   return request;
 }
 
+serving::OfferedRequest Describe(GatewayCore& core, const serving::Route& route,
+                                 const serving::CallerRequest& request,
+                                 const RequestSize& size) {
+  size_t bytes = size.head_bytes;
+  if (size.body_bytes) {
+    bytes += *size.body_bytes;
+    core.Admission().OnLength(route.name, bytes);
+  } else {
+    bytes = core.Admission().MeanBytes(route.name);
+  }
+  return {.bytes = bytes,
+          .priority = route.priority,
+          .target_latency = route.target_latency,
+          .continues_stream = request.last_event.has_value()};
+}
+
+/// Logs and counts a request that is refused on its head, as RequestTask does
+/// for others.
+void LogRefusal(GatewayCore& core, const serving::CallerRequest& request,
+                const serving::Route& route,
+                const serving::Organisation* organisation,
+                const GatewayAnswer& refusal) {
+  ActiveRequest active(request, core.Config());
+  active.route = &route;
+  active.organisation = organisation;
+  const serving::AttemptHistory history;
+  RequestLog log(core, active, history);
+  log.OnEnd(refusal.status, "own-answer", refusal.reason, RequestFigures());
+}
+
 /// Milliseconds for a log line; -1: not known.
 double LoggedTime(const std::optional<Duration>& time) {
   return time ? ToMilliseconds(*time) : -1;
@@ -120,16 +152,45 @@
 
 }  // namespace
 
-std::optional<GatewayAnswer> Admit(GatewayCore& core, ActiveRequest& active) {
-  std::optional<GatewayAnswer> refusal = FindRoute(core, active);
-  if (refusal) return refusal;
-  if (core.Link().IsFull()) {
-    return GatewayAnswer{503, "network link saturated", kRetryAfterOtherVm};
+HeadAdmission AdmitOnHead(GatewayCore& core,
+                          const serving::CallerRequest& request,
+                          const RequestSize& size) {
+  HeadAdmission admission;
+  const serving::ServingConfigPtr& config = core.Config();
+  const serving::Route* route =
+      config ? config->Match(request.host, request.path) : nullptr;
+  if (route == nullptr) return admission;
+  const serving::Organisation* organisation =
+      config->FindOrganisationByKey(request.key);
+  if (organisation != nullptr) admission.organisation = organisation->name;
+
+  const TimePoint now = Now();
+  serving::OfferedRequest offered = Describe(core, *route, request, size);
+  offered.organisation = admission.organisation;
+  if (organisation != nullptr && organisation->priority) {
+    offered.priority = *organisation->priority;
   }
-  if (core.EventLoopDelay().IsFull()) {
-    return GatewayAnswer{503, "processor saturated", kRetryAfterOtherVm};
+  const serving::AdmissionDecision decision =
+      core.Admission().Decide(now, offered, core.LoadOfVm(now), core.Random());
+  core.Metrics().CountAdmission(serving::AdmissionResultName(decision.result),
+                                core.Admission().IsSmall(offered.bytes));
+  if (decision.result == serving::AdmissionResult::kTaken) {
+    admission.pending = core.Pending().Add(now, offered.bytes);
+    return admission;
   }
+  admission.refusal =
+      GatewayAnswer{503,
+                    decision.result == serving::AdmissionResult::kLinkFull
+                        ? "network link saturated"
+                        : "processor saturated",
+                    decision.retry_after};
+  LogRefusal(core, request, *route, organisation, *admission.refusal);
+  return admission;
+}
 
+std::optional<GatewayAnswer> Admit(GatewayCore& core, ActiveRequest& active) {
+  std::optional<GatewayAnswer> refusal = FindRoute(core, active);
+  if (refusal) return refusal;
   active.service = serving::ChooseService(*active.route, core.Random());
   const serving::Service* known = active.config->FindService(active.service);
   if (known != nullptr) active.engine = known->engine;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -117,8 +117,7 @@
        .tokens_per_event = engine ? engine->tokens_per_event : 1});
 }
 
-// The coroutines below pass no braced temporaries to calls, because GCC 12
-// destroys such temporaries twice.
+// No braced temporaries in calls below: GCC 12 destroys them twice.
 
 asio::awaitable<bool> RequestTask::Serve() {
   while (true) {
@@ -363,6 +362,7 @@
     UpstreamAttempt& attempt, HttpConnection& connection) {
   this->reader.Reset();
   attempt.Send(connection, this->stream.LastEvent());
+  this->caller.OnForwarded();
   if (!co_await this->reader.ReadMatchingHead(attempt, connection)) {
     co_return this->BrokenOutcome();
   }
--- /dev/null
+++ b/tests/serving/admission_zone.h
@@ -0,0 +1,309 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fuchsiadrum/core/duration.h"
+#include "fuchsiadrum/core/hash.h"
+#include "fuchsiadrum/core/rng.h"
+#include "fuchsiadrum/serving/admission_control.h"
+#include "fuchsiadrum/serving/link_load.h"
+#include "fuchsiadrum/serving/pending_bodies.h"
+#include "fuchsiadrum/serving/rotation_control.h"
+
+namespace fuchsiadrum::serving {
+
+/// Kinds of requests of AdmissionZone.
+struct ZoneKind {
+  std::string name;
+  size_t bytes = 0;
+  double per_s = 0;
+  Duration target = Duration::zero();
+  int priority = 3;
+};
+
+/// What became of the requests of one kind.
+struct ZoneCounts {
+  int offered = 0;
+  int on_time = 0;
+  int served = 0;
+  /// Answers 503, and requests whose retry was refused as well.
+  int refusals = 0;
+  int failed = 0;
+};
+
+/// Options of AdmissionZone.
+struct ZoneOptions {
+  /// Rates of the VMs' links in Mbit/s.
+  std::vector<double> link_mbps;
+  std::vector<ZoneKind> kinds;
+  int organisations = 6;
+  int callers_per_organisation = 100;
+  /// Part of the requests that the first organisation makes.
+  double hot_part = 0.6;
+  /// Number of VMs, the first ones, to which the balancer sends all callers of
+  /// the first organisation at the start.
+  size_t hot_vms = 4;
+  /// Time of an upstream to the first byte.
+  Duration upstream_time = std::chrono::milliseconds(40);
+  uint64_t seed = 1;
+};
+
+/// A zone of VMs behind a balancer, in steps of a millisecond. Both directions
+/// of each link carry bytes in the order of their arrival. A caller keeps its
+/// VM until its connection is closed or the VM is out of rotation, and then
+/// goes to one that a hash of the caller and its connection chooses. A refused
+/// body has been sent already, so that it still uses the receiving direction.
+class AdmissionZone {
+ public:
+  explicit AdmissionZone(const ZoneOptions& opts)
+      : options(opts), rng(opts.seed) {
+    for (const double mbps : opts.link_mbps) {
+      this->vms.emplace_back(mbps * 125'000, this->rng.Next());
+    }
+    for (int i = 0; i < opts.organisations * opts.callers_per_organisation;
+         ++i) {
+      const bool is_hot = i < opts.callers_per_organisation;
+      const size_t count = is_hot ? opts.hot_vms : this->vms.size();
+      this->callers.push_back(
+          {.vm = Hash64(std::to_string(i), opts.seed) % count,
+           .connections = 0,
+           .organisation =
+               "o" + std::to_string(i / opts.callers_per_organisation)});
+    }
+  }
+
+  void Run(Duration time) {
+    for (Duration passed{}; passed < time; passed += kStep) this->Step();
+  }
+
+  const ZoneCounts& Counts(const std::string& kind) {
+    return this->counts[kind];
+  }
+  /// Counts of the organisation, over all kinds.
+  const ZoneCounts& OfOrganisation(const std::string& name) {
+    return this->by_organisation[name];
+  }
+  /// The largest part of the time for which a VM was not ready.
+  double MostAway() const {
+    double most = 0;
+    for (const Vm& vm : this->vms) {
+      most = std::max(most, static_cast<double>(vm.away_steps) /
+                                static_cast<double>(this->steps));
+    }
+    return most;
+  }
+  int Moves() const { return this->moves; }
+  void SetRate(size_t kind, double per_s) {
+    this->options.kinds[kind].per_s = per_s;
+  }
+
+ private:
+  static constexpr Duration kStep = std::chrono::milliseconds(1);
+  static constexpr int kStepsPerTick = 25;
+  static constexpr int kStepsPerCheck = 1000;
+  static constexpr double kHeadBytes = 500;
+
+  struct Caller {
+    size_t vm = 0;
+    int connections = 0;
+    std::string organisation;
+  };
+  struct Message {
+    size_t kind = 0;
+    size_t caller = 0;
+    TimePoint sent_at;
+    bool is_retry = false;
+    double bytes_left = 0;
+    bool was_decided = false;
+    bool is_refused = false;
+    uint64_t pending = 0;
+  };
+  struct Vm {
+    Vm(double rate, uint64_t seed)
+        : bytes_per_s(rate),
+          link({.bytes_per_s = rate, .overhead_bytes = 0}),
+          rotation(RotationOptions(), seed) {}
+    double bytes_per_s;
+    LinkLoad link;
+    AdmissionControl admission{AdmissionOptions()};
+    PendingBodies pending{PendingBodiesOptions()};
+    RotationControl rotation;
+    std::deque<Message> incoming;
+    std::deque<Message> outgoing;
+    int missed_checks = 0;
+    int64_t away_steps = 0;
+  };
+
+  bool InRotation(const Vm& vm) const { return vm.missed_checks < 2; }
+
+  void Step() {
+    this->now = this->now + kStep;
+    ++this->steps;
+    for (size_t kind = 0; kind < this->options.kinds.size(); ++kind) {
+      double expected = this->options.kinds[kind].per_s * ToSeconds(kStep);
+      for (; expected > 0; expected -= 1) {
+        if (this->rng.Chance(expected)) this->Send(kind);
+      }
+    }
+    while (!this->retries.empty() &&
+           this->retries.begin()->first <= this->now) {
+      const Message retry = this->retries.begin()->second;
+      this->retries.erase(this->retries.begin());
+      this->Deliver(retry);
+    }
+    for (Vm& vm : this->vms) this->Advance(vm);
+    if (this->steps % kStepsPerCheck == 0) this->Check();
+  }
+
+  void Send(size_t kind) {
+    const auto per_organisation =
+        static_cast<uint64_t>(this->options.callers_per_organisation);
+    size_t caller = this->rng.Below(per_organisation);
+    if (!this->rng.Chance(this->options.hot_part)) {
+      caller = per_organisation +
+               this->rng.Below(this->callers.size() - per_organisation);
+    }
+    ++this->counts[this->options.kinds[kind].name].offered;
+    ++this->by_organisation[this->callers[caller].organisation].offered;
+    this->Deliver({.kind = kind, .caller = caller, .sent_at = this->now});
+  }
+
+  void Deliver(Message message) {
+    message.bytes_left =
+        static_cast<double>(this->options.kinds[message.kind].bytes);
+    message.was_decided = false;
+    this->vms[this->callers[message.caller].vm].incoming.push_back(message);
+  }
+
+  void Advance(Vm& vm) {
+    double budget = vm.bytes_per_s * ToSeconds(kStep);
+    while (!vm.incoming.empty() && budget > 0) {
+      Message& message = vm.incoming.front();
+      if (!message.was_decided) this->Decide(vm, message);
+      const double sent = std::min(budget, message.bytes_left);
+      budget -= sent;
+      message.bytes_left -= sent;
+      vm.link.OnReceived(static_cast<size_t>(sent));
+      if (message.bytes_left > 0) break;
+      if (!message.is_refused) this->Forward(vm, message);
+      vm.incoming.pop_front();
+    }
+    budget = vm.bytes_per_s * ToSeconds(kStep);
+    while (!vm.outgoing.empty() && budget > 0) {
+      Message& message = vm.outgoing.front();
+      const double sent = std::min(budget, message.bytes_left);
+      budget -= sent;
+      message.bytes_left -= sent;
+      if (message.bytes_left > 0) break;
+      this->Answer(vm, message);
+      vm.outgoing.pop_front();
+    }
+    if (this->steps % kStepsPerTick == 0) {
+      vm.link.OnTick(this->now);
+      vm.rotation.OnTick(this->now, {.link = vm.link.Utilization() / 0.7});
+    }
+    if (vm.rotation.IsAway()) ++vm.away_steps;
+  }
+
+  void Decide(Vm& vm, Message& message) {
+    message.was_decided = true;
+    const ZoneKind& kind = this->options.kinds[message.kind];
+    const OfferedRequest offered = {
+        .bytes = kind.bytes,
+        .priority = kind.priority,
+        .target_latency = kind.target,
+        .organisation = this->callers[message.caller].organisation};
+    const VmLoad load = {
+        .link_bytes_per_s = vm.bytes_per_s,
+        .link_wait = vm.link.QueueTime(this->now, vm.pending.Bytes(this->now))};
+    const AdmissionDecision decision =
+        vm.admission.Decide(this->now, offered, load, this->rng);
+    message.is_refused = decision.result != AdmissionResult::kTaken;
+    if (!message.is_refused) {
+      message.pending = vm.pending.Add(this->now, kind.bytes);
+      return;
+    }
+    ++this->counts[kind.name].refusals;
+    this->Move(message.caller);
+    if (message.is_retry) {
+      ++this->counts[kind.name].failed;
+      ++this->by_organisation[offered.organisation.data()].failed;
+      return;
+    }
+    Message retry = message;
+    retry.is_retry = true;
+    this->retries.emplace(this->now + decision.retry_after, retry);
+  }
+
+  void Forward(Vm& vm, Message message) {
+    vm.pending.Remove(message.pending);
+    message.bytes_left =
+        static_cast<double>(this->options.kinds[message.kind].bytes);
+    vm.link.OnSent(this->now, this->options.kinds[message.kind].bytes);
+    vm.outgoing.push_back(message);
+  }
+
+  void Answer(Vm& vm, const Message& message) {
+    const ZoneKind& kind = this->options.kinds[message.kind];
+    const std::string& organisation =
+        this->callers[message.caller].organisation;
+    const bool on_time =
+        this->now + this->options.upstream_time - message.sent_at <=
+        kind.target;
+    for (ZoneCounts* sums :
+         {&this->counts[kind.name], &this->by_organisation[organisation]}) {
+      ++sums->served;
+      if (on_time) ++sums->on_time;
+    }
+    if (vm.rotation.IsShedding() &&
+        vm.rotation.AnnouncesClose(
+            vm.admission.Shares().Share(this->now, organisation),
+            vm.admission.Shares().Concentration(this->now))) {
+      this->Move(message.caller);
+    }
+  }
+
+  /// The caller's next connection goes where the hash says.
+  void Move(size_t index) {
+    ++this->moves;
+    Caller& caller = this->callers[index];
+    const size_t before = caller.vm;
+    for (int i = 0; i < 20; ++i) {
+      ++caller.connections;
+      caller.vm = Hash64(std::to_string(index) + "/" +
+                             std::to_string(caller.connections),
+                         this->options.seed) %
+                  this->vms.size();
+      if (caller.vm != before && this->InRotation(this->vms[caller.vm])) return;
+    }
+  }
+
+  void Check() {
+    for (Vm& vm : this->vms) {
+      vm.missed_checks = vm.rotation.IsAway() ? vm.missed_checks + 1 : 0;
+    }
+    const auto ready = std::ranges::count_if(
+        this->vms, [this](const Vm& vm) { return this->InRotation(vm); });
+    if (static_cast<size_t>(ready) * 2 < this->vms.size()) return;
+    for (size_t i = 0; i < this->callers.size(); ++i) {
+      if (!this->InRotation(this->vms[this->callers[i].vm])) this->Move(i);
+    }
+  }
+
+  ZoneOptions options;
+  Rng rng;
+  std::vector<Vm> vms;
+  std::vector<Caller> callers;
+  std::multimap<TimePoint, Message> retries;
+  std::map<std::string, ZoneCounts> counts;
+  std::map<std::string, ZoneCounts> by_organisation;
+  TimePoint now{1'000'000'000};
+  int64_t steps = 0;
+  int moves = 0;
+};
+
+}  // namespace fuchsiadrum::serving
