Tests of admission and rotation; Retry-After from the state with a random part

Cause: refusals say 50, 250, 300 or 500 ms whatever the state is, so that callers who were refused together return together.

Change: a refusal names the earliest time (next read of the upstreams, time in which a slot becomes free) and a random part that is added.

Not built yet.

--- a/gateway/gateway_answer.cc
+++ b/gateway/gateway_answer.cc
@@ -2,14 +2,30 @@
 
 #include <algorithm>
 
+#include "fuchsiadrum/core/duration.h"
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
 namespace {
 
-/// Values of Retry-After by cause: about the time until the cause is gone.
-constexpr Duration kRetryAfterNoUpstream = std::chrono::milliseconds(500);
-constexpr Duration kRetryAfterFull = std::chrono::milliseconds(250);
+/// Time after which an upstream that was full is asked again, if it is not
+/// known how long answers take.
+constexpr Duration kRetryAfterFull = std::chrono::milliseconds(150);
+/// Slots of an upstream whose service does not state them.
+constexpr int kUnknownSlots = 8;
+constexpr Duration kMaxRetryAfterFull = std::chrono::milliseconds(500);
+
+/// Retry-After of a request that upstreams have refused because they are full.
+/// Every VM uses the same upstreams, so that the caller has to wait until slots
+/// are free: twice the time in which one of a full upstream becomes free.
+Duration RetryAfterFull(GatewayCore& core, const ActiveRequest& active) {
+  const std::optional<Duration> longest =
+      core.Times().Longest(active.route->name);
+  if (!longest) return kRetryAfterFull;
+  const int slots = active.engine ? active.engine->slots : kUnknownSlots;
+  return std::clamp(2 * *longest / std::max(slots, 1), kRetryAfterOtherVm,
+                    kMaxRetryAfterFull);
+}
 
 }  // namespace
 
@@ -30,6 +46,12 @@
   return std::nullopt;
 }
 
+std::optional<Duration> GatewayAnswer::ChooseRetryAfter(Rng& rng) const {
+  if (!this->retry_after) return std::nullopt;
+  return *this->retry_after +
+         FromSeconds(rng.Unit() * ToSeconds(this->retry_spread));
+}
+
 GatewayAnswer MakeStopAnswer() { return {503, "stopping", kRetryAfterOtherVm}; }
 
 GatewayAnswer MakeNoUpstreamAnswer(GatewayCore& core,
@@ -45,14 +67,21 @@
     return {503, "upstreams limited",
             std::max(*limit_end - now, kRetryAfterOtherVm)};
   }
-  if (pause_end) return {503, "upstreams paused", *pause_end - now};
-  return {503, "no upstream", kRetryAfterNoUpstream};
+  if (pause_end) {
+    return {503, "upstreams paused", *pause_end - now, Duration::zero()};
+  }
+  // The next read of the upstreams' entries may return one.
+  return {503, "no upstream",
+          std::max(core.NextUpstreamRead(now), kRetryAfterOtherVm),
+          kUpstreamReadInterval};
 }
 
-GatewayAnswer MakeFailureAnswer(serving::NextStep step,
+GatewayAnswer MakeFailureAnswer(GatewayCore& core, const ActiveRequest& active,
+                                serving::NextStep step,
                                 std::string_view reason) {
   if (step == serving::NextStep::kRefuse) {
-    return {503, std::string(reason), kRetryAfterFull};
+    const Duration earliest = RetryAfterFull(core, active);
+    return {503, std::string(reason), earliest, earliest};
   }
   if (step == serving::NextStep::kTimeOut) {
     return {504, std::string(reason), std::nullopt};
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -14,10 +14,6 @@
 /// How long a read of the configuration may wait in the store for a new record.
 /// A dead connection is detected after this time plus the store's timeout.
 constexpr Duration kConfigReadWait = std::chrono::milliseconds(1000);
-/// Interval between reads of the upstreams' entries. Each read returns all
-/// heartbeats since the last one. Leaving upstreams must be known within the
-/// drain time.
-constexpr Duration kUpstreamReadInterval = std::chrono::milliseconds(350);
 /// Age of the last read of the configuration above which a change may be
 /// unknown: the wait of a held read, its timeout and some slack.
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
@@ -194,6 +190,12 @@
       .processor_load = this->loop_delay.FullLoad()};
 }
 
+Duration GatewayCore::NextUpstreamRead(TimePoint now) const {
+  const TimePoint next =
+      this->upstream_follower.LastRead() + kUpstreamReadInterval;
+  return next > now ? next - now : Duration::zero();
+}
+
 bool GatewayCore::AnnouncesClose(const std::string& organisation) {
   if (!this->rotation.IsShedding()) return false;
   const TimePoint now = Now();
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -32,6 +32,11 @@
 class CallerConnection;
 class RequestTask;
 
+/// Interval between reads of the upstreams' entries. Each read returns all
+/// heartbeats since the last one. Leaving upstreams must be known within the
+/// drain time.
+constexpr Duration kUpstreamReadInterval = std::chrono::milliseconds(350);
+
 /// The state that all requests of a gateway share: configuration, upstreams and
 /// connections to them, budgets, load of the VM, log and metrics. Not
 /// thread-safe; all calls come from the gateway's thread.
@@ -64,6 +69,8 @@
   bool AnnouncesClose(const std::string& organisation);
   /// Load of the link and the processor, as requests meet it.
   serving::VmLoad LoadOfVm(TimePoint now);
+  /// Time until the upstreams' entries are read again; zero if that is due.
+  Duration NextUpstreamRead(TimePoint now) const;
   /// True if the configuration was last read so long ago that it may have
   /// changed since. A key or route that it does not name may then be new.
   bool IsConfigStale(TimePoint now) const;
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -11,7 +11,9 @@
 namespace fuchsiadrum::gateway {
 namespace {
 
-constexpr Duration kRetryAfterNoConfig = std::chrono::milliseconds(300);
+/// A VM reads a new configuration within about this time if it is connected to
+/// the store, and the retry goes to another VM, which may be.
+constexpr Duration kRetryAfterNoConfig = std::chrono::milliseconds(150);
 /// Without a time limit of the caller, a request ends at the timeout of its
 /// route. A limit of the caller is extended by this much, so that an answer
 /// that the upstream sends right at the limit still arrives.
@@ -183,7 +185,7 @@
                     decision.result == serving::AdmissionResult::kLinkFull
                         ? "network link saturated"
                         : "processor saturated",
-                    decision.retry_after};
+                    decision.retry_after, Duration::zero()};
   LogRefusal(core, request, *route, organisation, *admission.refusal);
   return admission;
 }
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -74,7 +74,6 @@
   if (refusal) {
     co_return co_await this->SendGatewayAnswer(*refusal);
   }
-
   refusal = this->prompt.HoldBack(0);
   if (refusal) {
     co_return co_await this->SendGatewayAnswer(*refusal);
@@ -159,7 +158,8 @@
     if (step == NextStep::kDone || step == NextStep::kRelay) {
       co_return co_await this->RelayWholeAnswer();
     }
-    const GatewayAnswer gateway_answer = MakeFailureAnswer(step, reason);
+    const GatewayAnswer gateway_answer =
+        MakeFailureAnswer(this->core, this->active, step, reason);
     co_return co_await this->SendGatewayAnswer(gateway_answer);
   }
 }
@@ -455,7 +455,7 @@
   }
   const bool written = co_await this->relay.SendGatewayAnswer(
       gateway_answer.status, this->active.request.id,
-      gateway_answer.retry_after);
+      gateway_answer.ChooseRetryAfter(this->core.Random()));
   this->LogEnd(gateway_answer.status, "own-answer", gateway_answer.reason);
   co_return written;
 }
--- a/tests/platform/gateway_process.h
+++ b/tests/platform/gateway_process.h
@@ -25,6 +25,8 @@
   double grace_s = 8;
   /// Memory of the VM in megabytes; 0: unknown.
   int memory_mb = 0;
+  /// Rate of the VM's link; 0: unknown.
+  double link_mbps = 0;
 };
 
 /// fuchsiadrum-gateway as a child process with settings of its own. It is
@@ -41,7 +43,7 @@
     const std::string settings = this->folder + "/gateway.ini";
     std::ofstream(settings)
         << "[vm]\nname = vm-1\navailability_zone = a\nmemory_mb = "
-        << options.memory_mb << "\n"
+        << options.memory_mb << "\nlink_mbps = " << options.link_mbps << "\n"
         << "[listen]\ncallers = " << Local(this->callers_port)
         << "\nreadiness = " << Local(this->readiness_port)
         << "\nmetrics = " << Local(this->metrics_port)
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -126,10 +126,15 @@
   EXPECT_EQ(last.result_int(), 503U);
   EXPECT_LT(std::stod(std::string(last["Retry-After"])), 0.2);
   EXPECT_FALSE(last.keep_alive());
-  EXPECT_EQ(this->Call(this->gateway->ReadinessPort(),
-                       HttpRequest(http::verb::get, "/ready", 11))
-                .result_int(),
-            503U);
+  // While callers keep coming, the VM leaves the rotation within 2 s and some
+  // time in which the average follows.
+  bool was_ready = true;
+  for (int i = 0; i < 40 && was_ready; ++i) {
+    this->Call(Request("/book/robes"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    was_ready = this->IsReady(this->gateway->ReadinessPort());
+  }
+  EXPECT_FALSE(was_ready);
 }
 
 // Guards against a useless wait: while all gateways were cut off from the
--- a/tests/serving/admission_zone.h
+++ b/tests/serving/admission_zone.h
@@ -47,6 +47,9 @@
   /// Number of VMs, the first ones, to which the balancer sends all callers of
   /// the first organisation at the start.
   size_t hot_vms = 4;
+  /// True if a new connection goes to the VM of the caller's hash again, unless
+  /// that is out of rotation; else the connection is part of the hash.
+  bool returns_home = false;
   /// Time of an upstream to the first byte.
   Duration upstream_time = std::chrono::milliseconds(40);
   uint64_t seed = 1;
@@ -54,9 +57,9 @@
 
 /// A zone of VMs behind a balancer, in steps of a millisecond. Both directions
 /// of each link carry bytes in the order of their arrival. A caller keeps its
-/// VM until its connection is closed or the VM is out of rotation, and then
-/// goes to one that a hash of the caller and its connection chooses. A refused
-/// body has been sent already, so that it still uses the receiving direction.
+/// VM until its connection is closed or the VM is out of rotation. A retry goes
+/// to another VM. A refused body has been sent already, so that it still uses
+/// the receiving direction.
 class AdmissionZone {
  public:
   explicit AdmissionZone(const ZoneOptions& opts)
@@ -68,8 +71,10 @@
          ++i) {
       const bool is_hot = i < opts.callers_per_organisation;
       const size_t count = is_hot ? opts.hot_vms : this->vms.size();
+      const size_t home = Hash64(std::to_string(i), opts.seed) % count;
       this->callers.push_back(
-          {.vm = Hash64(std::to_string(i), opts.seed) % count,
+          {.home = home,
+           .vm = home,
            .connections = 0,
            .organisation =
                "o" + std::to_string(i / opts.callers_per_organisation)});
@@ -108,6 +113,8 @@
   static constexpr double kHeadBytes = 500;
 
   struct Caller {
+    /// VM of the caller's hash, and of its current connection.
+    size_t home = 0;
     size_t vm = 0;
     int connections = 0;
     std::string organisation;
@@ -115,6 +122,7 @@
   struct Message {
     size_t kind = 0;
     size_t caller = 0;
+    size_t vm = 0;
     TimePoint sent_at;
     bool is_retry = false;
     double bytes_left = 0;
@@ -169,14 +177,17 @@
     }
     ++this->counts[this->options.kinds[kind].name].offered;
     ++this->by_organisation[this->callers[caller].organisation].offered;
-    this->Deliver({.kind = kind, .caller = caller, .sent_at = this->now});
+    this->Deliver({.kind = kind,
+                   .caller = caller,
+                   .vm = this->callers[caller].vm,
+                   .sent_at = this->now});
   }
 
   void Deliver(Message message) {
     message.bytes_left =
         static_cast<double>(this->options.kinds[message.kind].bytes);
     message.was_decided = false;
-    this->vms[this->callers[message.caller].vm].incoming.push_back(message);
+    this->vms[message.vm].incoming.push_back(message);
   }
 
   void Advance(Vm& vm) {
@@ -228,7 +239,7 @@
       return;
     }
     ++this->counts[kind.name].refusals;
-    this->Move(message.caller);
+    this->OnClosed(message.caller);
     if (message.is_retry) {
       ++this->counts[kind.name].failed;
       ++this->by_organisation[offered.organisation.data()].failed;
@@ -236,6 +247,7 @@
     }
     Message retry = message;
     retry.is_retry = true;
+    retry.vm = this->OtherVm(message.caller, message.vm);
     this->retries.emplace(this->now + decision.retry_after, retry);
   }
 
@@ -263,23 +275,34 @@
         vm.rotation.AnnouncesClose(
             vm.admission.Shares().Share(this->now, organisation),
             vm.admission.Shares().Concentration(this->now))) {
-      this->Move(message.caller);
+      this->OnClosed(message.caller);
     }
   }
 
-  /// The caller's next connection goes where the hash says.
-  void Move(size_t index) {
-    ++this->moves;
+  /// A VM in rotation other than `vm`, by a hash of the caller and the number
+  /// of its connections.
+  size_t OtherVm(size_t index, size_t vm) {
     Caller& caller = this->callers[index];
-    const size_t before = caller.vm;
+    size_t other = vm;
     for (int i = 0; i < 20; ++i) {
       ++caller.connections;
-      caller.vm = Hash64(std::to_string(index) + "/" +
-                             std::to_string(caller.connections),
-                         this->options.seed) %
-                  this->vms.size();
-      if (caller.vm != before && this->InRotation(this->vms[caller.vm])) return;
+      other = Hash64(std::to_string(index) + "/" +
+                         std::to_string(caller.connections),
+                     this->options.seed) %
+              this->vms.size();
+      if (other != vm && this->InRotation(this->vms[other])) break;
     }
+    return other;
+  }
+
+  /// The caller's connection has ended; it opens another one.
+  void OnClosed(size_t index) {
+    ++this->moves;
+    Caller& caller = this->callers[index];
+    const bool is_home_in = this->InRotation(this->vms[caller.home]);
+    caller.vm = this->options.returns_home && is_home_in
+                    ? caller.home
+                    : this->OtherVm(index, caller.vm);
   }
 
   void Check() {
@@ -290,7 +313,7 @@
         this->vms, [this](const Vm& vm) { return this->InRotation(vm); });
     if (static_cast<size_t>(ready) * 2 < this->vms.size()) return;
     for (size_t i = 0; i < this->callers.size(); ++i) {
-      if (!this->InRotation(this->vms[this->callers[i].vm])) this->Move(i);
+      if (!this->InRotation(this->vms[this->callers[i].vm])) this->OnClosed(i);
     }
   }
 
