Rotation: short absences within an allowance, closes announced only then

Cause: announcing the end of connections in proportion to the load sends callers back to the loaded VM if the balancer hashes the caller, and refusing for the use of the receiving direction adds a retry for each refusal.

Change: at a use of 0.65 for 0.2 s to 0.6 s the VM is not ready for 2.5 s, with an allowance of an eighth of any minute; meanwhile the excess is asked to leave, the largest organisations first.

--- a/fuchsiadrum/serving/rotation_control.cc
+++ b/fuchsiadrum/serving/rotation_control.cc
@@ -7,17 +7,9 @@
 namespace fuchsiadrum::serving {
 
 bool RotationControl::OnTick(TimePoint now, const RotationLoad& load) {
-  const bool was_shedding = this->is_shedding;
   const bool was_away = this->is_away;
-  const double highest = std::max(load.link, load.processor);
-
-  if (highest > 1) this->is_shedding = true;
-  if (highest < this->options.calm_below) this->is_shedding = false;
-  this->excess = this->is_shedding
-                     ? std::max(0.0, 1 - this->options.calm_below / highest)
-                     : 0;
-
-  if (highest <= this->options.leave_above) {
+  const double current = std::max(load.link, load.processor);
+  if (current <= 1) {
     this->overloaded_since = {};
   } else if (this->overloaded_since.us == 0) {
     this->overloaded_since = now;
@@ -25,16 +17,33 @@
         this->options.leave_after +
         FromSeconds(this->rng.Unit() * ToSeconds(this->options.leave_spread));
   }
-  const bool may_leave = this->away_since.us == 0 ||
-                         now - this->away_since >= this->options.away_interval;
+
+  if (this->accrued_at.us != 0) {
+    this->allowance = std::min(
+        this->options.max_allowance,
+        this->allowance + FromSeconds(this->options.away_fraction *
+                                      ToSeconds(now - this->accrued_at)));
+  }
+  this->accrued_at = now;
+
   if (this->is_away) {
     this->is_away = now - this->away_since < this->options.away_time;
-  } else if (may_leave && this->overloaded_since.us != 0 &&
-             now - this->overloaded_since >= this->max_overload) {
+  } else if (this->overloaded_since.us != 0 &&
+             now - this->overloaded_since >= this->max_overload &&
+             this->allowance >= this->options.away_time) {
+    this->allowance -= this->options.away_time;
     this->is_away = true;
     this->away_since = now;
+    this->highest_load = 0;
+  }
+
+  this->highest_load = std::max(this->highest_load, current);
+  this->excess = 0;
+  if (this->is_away && now - this->away_since >= this->options.announce_after) {
+    this->excess =
+        std::max(0.0, 1 - this->options.target_load / this->highest_load);
   }
-  return this->is_shedding != was_shedding || this->is_away != was_away;
+  return this->is_away != was_away;
 }
 
 bool RotationControl::AnnouncesClose(double share, double concentration) {
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -19,8 +19,8 @@
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
 constexpr double kBytesPerMegabit = 1e6 / 8;
 /// Use of the link above which callers should go to other VMs. The balancer
-/// takes some time to act on it, while the load may grow by half.
-constexpr double kLinkBusyAbove = 0.7;
+/// takes two seconds to act on it, while the queue grows.
+constexpr double kLinkBusyAbove = 0.65;
 constexpr size_t kBytesPerMegabyte = 1000000;
 /// Bodies may take the process's memory divided by this: each body is copied
 /// once while it is forwarded, and connections and cached state need the rest.
@@ -173,9 +173,7 @@
       .processor = this->loop_delay.BusyLoad()};
   if (!this->rotation.OnTick(now, load)) return;
   this->log.Write("vm-load",
-                  {{"moves_callers", this->rotation.IsShedding()},
-                   {"ready", !this->rotation.IsAway()},
-                   {"excess", this->rotation.Excess()},
+                  {{"ready", !this->rotation.IsAway()},
                    {"received_use", this->link.ReceivedUtilization()},
                    {"sent_use", this->link.SentUtilization()},
                    {"queue_ms", ToMilliseconds(this->link.QueueTime(now))},
@@ -197,7 +195,7 @@
 }
 
 bool GatewayCore::AnnouncesClose(const std::string& organisation) {
-  if (!this->rotation.IsShedding()) return false;
+  if (this->rotation.Excess() <= 0) return false;
   const TimePoint now = Now();
   serving::OrganisationShares& shares = this->admission.Shares();
   const bool announces = this->rotation.AnnouncesClose(
