--- a/gateway/budget_client.h
+++ b/gateway/budget_client.h
@@ -87,6 +87,7 @@
   /// Metrics in Prometheus text format: where the tokens are, calls to the
   /// store by purpose, and refusals for want of tokens by cause.
   std::string MetricsText() const;
+  const FleetHeartbeats& Heartbeats() const { return *this->heartbeats; }
 
  private:
   /// True if a request whose reservation had this outcome may still get its
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -68,6 +68,12 @@
       }));
 }
 
+std::set<std::string> FleetHeartbeats::Vms() const {
+  std::set<std::string> names;
+  for (const auto& [vm, zone] : this->vms) names.insert(vm);
+  return names;
+}
+
 asio::awaitable<bool> FleetHeartbeats::ReadFleet() {
   platform::StreamPartition partition;
   partition.stream = platform::Stream::kFleet;
@@ -79,6 +85,7 @@
   }
   this->vms[this->options.vm] = this->options.availability_zone;
   this->fleet_size = this->vms.size();
+  ++this->reads;
   co_return true;
 }
 
@@ -125,6 +132,7 @@
     }
     if (reply.status == platform::kStoreOk) {
       this->last_offset = offset;
+      if (!this->first_written_at) this->first_written_at = Now();
       if (!this->first_heartbeat) {
         this->first_heartbeat = budget::FleetHeartbeat();
         this->first_heartbeat->vm = this->options.vm;
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,14 @@
   size_t FleetSize() const { return this->fleet_size; }
   /// Number of these VMs that are in this VM's availability zone.
   size_t ZoneSize() const;
+  /// Names of these VMs.
+  std::set<std::string> Vms() const;
+  /// How often the heartbeats of all VMs were read.
+  uint64_t Reads() const { return this->reads; }
+  /// When this process has written its first heartbeat; empty: not yet.
+  std::optional<TimePoint> FirstWrittenAt() const {
+    return this->first_written_at;
+  }
   Duration Interval() const {
     return HeartbeatInterval(this->options, this->fleet_size);
   }
@@ -97,6 +106,8 @@
   /// Availability zones of the VMs by name.
   std::map<std::string, std::string> vms;
   size_t fleet_size = 0;
+  uint64_t reads = 0;
+  std::optional<TimePoint> first_written_at;
   std::optional<pb::FleetMember> predecessor;
   uint64_t predecessor_offset = 0;
   /// The first heartbeat that this process wrote.
