--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -5,6 +5,7 @@
 #include "fuchsiadrum/core/duration.h"
 #include "gateway/caller_connection.h"
 #include "gateway/clock.h"
+#include "gateway/fleet_heartbeats.h"
 #include "gateway/request_task.h"
 #include "platform/config_codec.h"
 
