--- a/daemon/request_parser.cc
+++ b/daemon/request_parser.cc
@@ -109,6 +109,12 @@
   return missing ? *missing : 0;
 }
 
+std::optional<uint64_t> RequestParser::BodyBytes() const {
+  if (this->parser.chunked()) return std::nullopt;
+  const auto length = this->parser.content_length();
+  return length ? *length : 0;
+}
+
 size_t RequestParser::ReadBytes() const {
   if (!this->parser.is_header_done()) return kHeadReadBytes;
   const size_t missing = this->MissingBytes();
--- a/daemon/request_parser.h
+++ b/daemon/request_parser.h
@@ -4,6 +4,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -61,6 +63,10 @@
   size_t ReadBytes() const;
   /// Bytes of the body that have not arrived; 0 if they are not known.
   size_t MissingBytes() const;
+  /// Bytes of the head.
+  size_t HeadBytes() const { return this->head_bytes; }
+  /// Length of the body as the head states it; nullopt: it comes in chunks.
+  std::optional<uint64_t> BodyBytes() const;
   /// Memory held for the request and the buffer.
   size_t HeldBytes() const;
   /// Frees the parsed fields; they have been decoded.
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -9,6 +9,7 @@
 
 #include "gateway/clock.h"
 #include "gateway/gateway_core.h"
+#include "gateway/request_admission.h"
 #include "gateway/request_task.h"
 #include "platform/request_codec.h"
 
@@ -23,6 +24,10 @@
 constexpr size_t kTaskBytes = 16384;
 /// Bytes of a refused request that are read at a time.
 constexpr size_t kLingerReadBytes = 4096;
+/// Bytes that are read of a body which was refused on the request's head: about
+/// one receive window, which the caller may have sent before the answer reaches
+/// it.
+constexpr size_t kMaxUnreadBytes = 65536;
 /// Time that the caller has to read its last answer before the connection
 /// closes, and the same while the gateway stops.
 constexpr Duration kLingerTime = std::chrono::milliseconds(500);
@@ -72,6 +77,10 @@
   return head.count(http::field::host) != 1;
 }
 
+RequestSize SizeOf(const daemon::RequestParser& reader) {
+  return {.head_bytes = reader.HeadBytes(), .body_bytes = reader.BodyBytes()};
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(Tcp::socket accepted,
@@ -138,10 +147,11 @@
     RequestTask task(this->core, *this, std::move(*request));
     const bool complete = co_await task.Run();
     this->Disarm();
+    this->OnForwarded();
     this->request_bytes.Set(kConnectionBytes);
     if (complete) this->SetResetOnClose(false);
     if (complete && this->close_announced) {
-      co_await this->Linger();
+      co_await this->Linger(this->core.Limits().body_bytes);
     }
     if (!complete || this->close_announced) break;
   }
@@ -183,7 +193,11 @@
   if (request) this->request_id = request->id;
   const bool awaits_continue = boost::beast::iequals(
       reader.Message()[http::field::expect], "100-continue");
+  const RequestSize size = SizeOf(reader);
   reader.DropFields();
+  if (request && !co_await this->AdmitHead(*request, size)) {
+    co_return std::nullopt;
+  }
 
   if (!this->MayHold(reader.HeldBytes(), reader.MissingBytes())) {
     this->core.LimitLog().Count(ClientLimit::kMemory);
@@ -290,6 +304,28 @@
                         kRetryAfterUnread);
 }
 
+asio::awaitable<bool> CallerConnection::AdmitHead(
+    const serving::CallerRequest& request, RequestSize size) {
+  HeadAdmission admission = AdmitOnHead(this->core, request, size);
+  this->organisation = std::move(admission.organisation);
+  this->pending = admission.pending;
+  if (!admission.refusal) co_return true;
+
+  this->reading = false;
+  this->ExpireAt(Now() + kLingerTime);
+  const GatewayAnswer& refusal = *admission.refusal;
+  const std::string text = platform::EncodeGatewayAnswer(
+      refusal.status, request.id, refusal.retry_after, true);
+  co_await this->Write(text);
+  co_await this->Linger(kMaxUnreadBytes);
+  co_return false;
+}
+
+void CallerConnection::OnForwarded() {
+  this->core.Pending().Remove(this->pending);
+  this->pending = 0;
+}
+
 asio::awaitable<void> CallerConnection::Refuse(
     int status, std::string reason, const std::string& request_id,
     std::optional<Duration> retry_after) {
@@ -299,20 +335,21 @@
   const std::string text =
       platform::EncodeGatewayAnswer(status, request_id, retry_after, true);
   co_await this->Write(text);
-  co_await this->Linger();
+  co_await this->Linger(this->core.Limits().body_bytes);
 }
 
-asio::awaitable<void> CallerConnection::Linger() {
+asio::awaitable<void> CallerConnection::Linger(size_t max_bytes) {
   const bool is_stopping = this->core.IsStopping();
   this->ExpireAt(Now() + (is_stopping ? kStopLingerTime : kLingerTime));
   ErrorCode error;
   this->socket.shutdown(Tcp::socket::shutdown_send, error);
   std::vector<char> rest(kLingerReadBytes);
-  const size_t max_bytes = this->core.Limits().body_bytes;
   size_t bytes = 0;
   while (!error && bytes <= max_bytes) {
-    bytes += co_await this->socket.async_read_some(
+    const size_t count = co_await this->socket.async_read_some(
         asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
+    this->core.Link().OnReceived(count);
+    bytes += count;
   }
 }
 
@@ -328,7 +365,7 @@
 
 asio::awaitable<bool> CallerConnection::Write(std::string_view first,
                                               std::string_view second) {
-  this->core.Link().OnSent(first.size() + second.size());
+  this->core.Link().OnSent(Now(), first.size() + second.size());
   ErrorCode error;
   while (!error && first.size() + second.size() > 0) {
     const ssize_t sent = SendNow(this->socket.native_handle(), first, second);
@@ -388,10 +425,10 @@
 }
 
 bool CallerConnection::AnnounceClose() {
-  // Callers of a busy VM return on a new connection, which the load balancer
-  // sends to another VM.
-  this->close_announced =
-      this->close_after || this->core.IsStopping() || this->core.IsBusy();
+  // Some callers of a loaded VM return on a new connection, which the load
+  // balancer sends to another VM.
+  this->close_announced = this->close_after || this->core.IsStopping() ||
+                          this->core.AnnouncesClose(this->organisation);
   return this->close_announced;
 }
 
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -15,10 +15,6 @@
 /// How long a read of the configuration may wait in the store for a new record.
 /// A dead connection is detected after this time plus the store's timeout.
 constexpr Duration kConfigReadWait = std::chrono::milliseconds(1000);
-/// Interval between reads of the upstreams' entries. Each read returns all
-/// heartbeats since the last one. Leaving upstreams must be known within the
-/// drain time.
-constexpr Duration kUpstreamReadInterval = std::chrono::milliseconds(350);
 /// Age of the last read of the configuration above which a change may be
 /// unknown: the wait of a held read, its timeout and some slack.
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
@@ -27,6 +23,9 @@
 /// ones remain in force.
 constexpr Duration kMaxEvacuationRead = std::chrono::milliseconds(1000);
 constexpr double kBytesPerMegabit = 1e6 / 8;
+/// Use of the link above which callers should go to other VMs. The balancer
+/// takes two seconds to act on it, while the queue grows.
+constexpr double kLinkBusyAbove = 0.65;
 constexpr size_t kBytesPerMegabyte = 1000000;
 /// Interval at which idle connections and upstreams are checked and the fleet's
 /// size is taken over.
@@ -121,6 +120,9 @@
       link({.bytes_per_s =
                 gateway_settings.vm().link_mbps() * kBytesPerMegabit}),
       loop_delay(serving::LoopDelayOptions()),
+      admission(serving::AdmissionOptions()),
+      pending_bodies(serving::PendingBodiesOptions()),
+      rotation(serving::RotationOptions(), daemon::StartIncarnation()),
       client_limits(LimitsOf(gateway_settings)),
       client_bytes(this->client_limits.total_bytes),
       limit_log(this->log),
@@ -212,11 +214,41 @@
         {{"busy", this->loop_delay.IsBusy()},
          {"mean_delay_ms", ToMilliseconds(this->loop_delay.Mean())}});
   }
-  if (!this->link.OnTick(now)) return;
-  this->log.Write("link-load",
-                  {{"busy", this->link.IsBusy()},
-                   {"use", this->link.Utilization()},
-                   {"queue_ms", ToMilliseconds(this->link.QueueTime())}});
+  this->link.OnTick(now);
+  const serving::RotationLoad load = {
+      .link = this->link.Utilization() / kLinkBusyAbove,
+      .processor = this->loop_delay.BusyLoad()};
+  if (!this->rotation.OnTick(now, load)) return;
+  this->log.Write("vm-load",
+                  {{"ready", !this->rotation.IsAway()},
+                   {"received_use", this->link.ReceivedUtilization()},
+                   {"sent_use", this->link.SentUtilization()},
+                   {"queue_ms", ToMilliseconds(this->link.QueueTime(now))},
+                   {"mean_delay_ms", ToMilliseconds(this->loop_delay.Mean())}});
+}
+
+serving::VmLoad GatewayCore::LoadOfVm(TimePoint now) {
+  return {
+      .link_bytes_per_s = this->link.BytesPerSecond(),
+      .link_wait = this->link.QueueTime(now, this->pending_bodies.Bytes(now)),
+      .is_processor_busy = this->loop_delay.BusyLoad() > 1,
+      .processor_load = this->loop_delay.FullLoad()};
+}
+
+Duration GatewayCore::NextUpstreamRead(TimePoint now) const {
+  const TimePoint next =
+      this->upstream_follower.LastRead() + kUpstreamReadInterval;
+  return next > now ? next - now : Duration::zero();
+}
+
+bool GatewayCore::AnnouncesClose(const std::string& organisation) {
+  if (this->rotation.Excess() <= 0) return false;
+  const TimePoint now = Now();
+  serving::OrganisationShares& shares = this->admission.Shares();
+  const bool announces = this->rotation.AnnouncesClose(
+      shares.Share(now, organisation), shares.Concentration(now));
+  if (announces) this->metrics.CountLoadClose();
+  return announces;
 }
 
 void GatewayCore::BeginStop() {
@@ -238,7 +270,7 @@
 }
 
 bool GatewayCore::IsReady() const {
-  return !this->IsStopping() && !this->IsBusy() &&
+  return !this->IsStopping() && !this->rotation.IsAway() &&
          this->config.Get() != nullptr &&
          this->upstream_follower.LastRead().us != 0 &&
          this->shared_limits.LastRead().us != 0 &&
@@ -441,6 +473,8 @@
   add("memory_refusals_total",
       static_cast<double>(this->placement.MemoryRefusals()));
   add("link_use", this->link.Utilization());
+  add("link_queue_ms", ToMilliseconds(this->link.QueueTime(Now())));
+  add("excess_load", this->rotation.Excess());
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
   add("client_bytes", static_cast<double>(this->client_bytes.Held()));
   this->limit_log.AddMetrics(text);
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -54,6 +54,10 @@
   ++this->unusable_loads[service];
 }
 
+void GatewayMetrics::CountAdmission(std::string_view result, bool is_small) {
+  ++this->admissions[{std::string(result), is_small}];
+}
+
 std::string GatewayMetrics::Line(std::string_view name, double value) {
   return std::string(kPrefix) + std::string(name) + " " + Number(value) + "\n";
 }
@@ -96,6 +100,12 @@
     text += Line("unusable_load_reports_total{service=\"" + service + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [key, count] : this->admissions) {
+    text += Line("admission_total{result=\"" + key.first + "\",size=\"" +
+                     (key.second ? "small" : "large") + "\"}",
+                 static_cast<double>(count));
+  }
+  text += Line("load_closes_total", static_cast<double>(this->load_closes));
   constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
   for (const auto& [route, histogram] : this->first_bytes) {
     for (const double quantile : kQuantiles) {
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -74,7 +74,6 @@
   if (refusal) {
     co_return co_await this->SendGatewayAnswer(*refusal);
   }
-
   refusal = this->prompt.HoldBack(0);
   if (refusal) {
     co_return co_await this->SendGatewayAnswer(*refusal);
@@ -118,8 +117,7 @@
        .tokens_per_event = engine ? engine->tokens_per_event : 1});
 }
 
-// The coroutines below pass no braced temporaries to calls, because GCC 12
-// destroys such temporaries twice.
+// No braced temporaries in calls below: GCC 12 destroys them twice.
 
 asio::awaitable<bool> RequestTask::Serve() {
   while (true) {
@@ -161,7 +159,8 @@
     if (step == NextStep::kDone || step == NextStep::kRelay) {
       co_return co_await this->RelayWholeAnswer();
     }
-    const GatewayAnswer gateway_answer = MakeFailureAnswer(step, reason);
+    const GatewayAnswer gateway_answer =
+        MakeFailureAnswer(this->core, this->active, step, reason);
     co_return co_await this->SendGatewayAnswer(gateway_answer);
   }
 }
@@ -358,6 +357,7 @@
     UpstreamAttempt& attempt, HttpConnection& connection) {
   this->reader.Reset();
   attempt.Send(connection, this->stream.LastEvent());
+  this->caller.OnForwarded();
   if (!co_await this->reader.ReadMatchingHead(attempt, connection)) {
     co_return this->BrokenOutcome();
   }
@@ -450,7 +450,7 @@
   }
   const bool written = co_await this->relay.SendGatewayAnswer(
       gateway_answer.status, this->active.request.id,
-      gateway_answer.retry_after);
+      gateway_answer.ChooseRetryAfter(this->core.Random()));
   this->LogEnd(gateway_answer.status, "own-answer", gateway_answer.reason);
   co_return written;
 }
