--- a/tests/flood/client_crowd.h
+++ b/tests/flood/client_crowd.h
@@ -32,7 +32,9 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  // The socket does not block: the connection is completed by the kernel.
+  static_cast<void>(
+      ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address));
   return fd;
 }
 
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -37,8 +37,10 @@
       const std::vector<std::pair<std::string, std::string>>& records) {
     const std::lock_guard lock(this->mutex);
     for (const auto& [key, value] : records) {
-      this->streams[topic].emplace_back(static_cast<char>(key.size()) + key +
-                                        value);
+      std::string record(1, static_cast<char>(key.size()));
+      record += key;
+      record += value;
+      this->streams[topic].push_back(std::move(record));
     }
     this->appended.notify_all();
   }
