Budget client: one copy of the rule when an account is silent

Cause: counting a refusal compared the age of the account's pending write with the same bound as IsStoreAnswering, in a second place. Change: both ask IsAccountSilent. Behaviour is the same; the program builds.

--- a/gateway/budget_client.cc
+++ b/gateway/budget_client.cc
@@ -24,6 +24,12 @@
 /// Delay before a failed read of the fleet's heartbeats is retried.
 constexpr Duration kReadRetryInterval = std::chrono::milliseconds(200);
 
+/// True if a write to the account has been unanswered for so long that no grant
+/// can be expected soon.
+bool IsAccountSilent(const AccountShard& shard, TimePoint now) {
+  return shard.PendingWriteAge(now) >= kSlowWriteAge;
+}
+
 FleetHeartbeatsOptions HeartbeatOptions(const BudgetClientOptions& options) {
   return {.vm = options.vm,
           .incarnation = options.incarnation,
@@ -118,8 +124,7 @@
   refusal.outcome = outcome;
   refusal.needs_only_ceiling =
       this->holder->NeedsOnlyCeiling(organisation, amount);
-  refusal.is_account_silent =
-      this->ShardOf(organisation).PendingWriteAge(now) >= kSlowWriteAge;
+  refusal.is_account_silent = IsAccountSilent(this->ShardOf(organisation), now);
   refusal.is_heartbeat_silent =
       this->heartbeats->PendingWriteAge(now) >= this->options.store_timeout;
   this->report->CountRefusal(refusal);
@@ -127,7 +132,7 @@
 
 bool BudgetClient::IsStoreAnswering(TimePoint now,
                                     const std::string& organisation) {
-  return this->ShardOf(organisation).PendingWriteAge(now) < kSlowWriteAge &&
+  return !IsAccountSilent(this->ShardOf(organisation), now) &&
          this->heartbeats->PendingWriteAge(now) < this->options.store_timeout;
 }
 
