Flood tests: heads of messages from one header of the platform's tests

Cause: tests/flood spelled the platform's field names, which only platform/, its tests and deploy/ may know, and wrote the signed head of an answer again. Change: tests/platform/raw_messages.h has both texts.

--- a/tests/flood/caller_flood_test.cc
+++ b/tests/flood/caller_flood_test.cc
@@ -7,6 +7,7 @@
 #include "tests/flood/client_crowd.h"
 #include "tests/platform/gateway_process.h"
 #include "tests/platform/platform_fixture.h"
+#include "tests/platform/raw_messages.h"
 #include "tests/platform/scripted_upstream.h"
 
 namespace fuchsiadrum::gateway {
@@ -39,8 +40,7 @@
 constexpr char kNoRoute[] = "/nowhere/x";
 
 std::string Post(const std::string& path, const std::string& fields) {
-  return "POST " + path +
-         " HTTP/1.1\r\nHost: choir.example\r\nAttempt-Id: f\r\n" + fields;
+  return RawPost(path, "f", fields);
 }
 
 /// As many short fields as make `bytes` bytes.
@@ -106,8 +106,7 @@
     constexpr size_t kBigAnswerBytes = 900000;
     exchange.ReadBody();
     const std::string target(exchange.Request().target());
-    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + exchange.Id() +
-                             "\r\nRunner-Signature: s1\r\n";
+    const std::string head = RawSignedHead(exchange.Id());
     if (target.starts_with("/big")) {
       exchange.Write(head +
                      "Content-Length: " + std::to_string(kBigAnswerBytes) +
@@ -135,11 +134,11 @@
     const auto end = Clock::now() + kRetryTime;
     int status = 0;
     for (int i = 0; status != 200 && Clock::now() < end; ++i) {
+      const std::string length =
+          "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
       const std::string request =
-          "POST /safe/x HTTP/1.1\r\nHost: choir.example\r\nAttempt-Id: o" +
-          std::to_string(i) + "\r\nDeadline-Ms: 3000\r\nContent-Length: " +
-          std::to_string(body_bytes) + "\r\n\r\n" +
-          std::string(body_bytes, 'b');
+          RawPost("/safe/x", "o" + std::to_string(i),
+                  RawDeadline(3000) + length + std::string(body_bytes, 'b'));
       status = flood::StatusOf(this->Callers(), request, milliseconds(3000));
       if (status != 200) std::this_thread::sleep_for(milliseconds(50));
     }
