Gateway: clocks are read for pauses only where evacuations or cold upstreams are configured

Cause: CheckPause runs at each tick and before each send and read several clocks, also on deployments without evacuations and cold upstreams, which then logged process-paused as well. Change: it returns at once without [bounds] evacuate_ms, cold_overage and cold_slack, so that those deployments are served as before.

--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -300,10 +300,15 @@
 }
 
 void GatewayCore::CheckPause() {
+  // Asked before each send, and it reads several clocks.
+  const pb::GatewayBoundSettings& bounds = this->settings.bounds();
+  const bool may_be_cold = bounds.cold_overage() > 0 || bounds.cold_slack() > 0;
+  if (bounds.evacuate_ms() == 0 && !may_be_cold) return;
+
   const TimePoint now = Now();
   if (!this->directory.Cold().OnClock(now, BootNow())) return;
   this->log.Write("process-paused", {});
-  if (this->settings.bounds().evacuate_ms() == 0) return;
+  if (bounds.evacuate_ms() == 0) return;
   this->paused_until = now;
   this->config_follower.ReadAgain();
 }
