--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -167,8 +167,9 @@
         self.append_s = append_ms / 1000
         self.answer_s = answer_ms / 1000
         self.parts = {}
-        # Called with (name, query); may be a coroutine that delays or drops a
-        # call: "drop" closes the connection without an answer.
+        # Coroutines called with (name, query) before and after a call, which may
+        # delay it. "drop" closes the connection without an answer; "busy", from
+        # the first one, answers 503.
         self.before = None
         self.after = None
 
@@ -197,6 +198,9 @@
             if verdict == "drop":
                 writer.transport.abort()
                 return False
+            if verdict == "busy":  # Nothing was done.
+                writer.write(answer(503, []))
+                return True
         if name == "log-read":
             out = await self._read(query)
         elif name == "log-newest":
