Gateway: the end of a connection is no end of an answer before the request was delivered

Callers of long uploads got a part of an answer as a whole one: the upstream had answered early, without length, and reset the connection while the upload was still being written.

Cause: a socket reports a reset once. If a write is pending, Asio hands the error to it first, and the read that follows returns 0, the end of a connection in order, which ends an answer without length. StartSend relied on the read failing after a failed write; it does not. After an end in order followed by a reset no read gets an error at all.

Ruled out: bytes that were read late (the same with all bytes read), the kind of route (all four), the framing (answers with a length or chunks are judged by it and were not concerned).

Change: an answer that only the end of its connection ends is whole once the request was written, the socket has no error, and the server has acknowledged all of it. Until then HttpConnection waits: a server may answer early, end its side and read the rest. What a reset proves about the run is unchanged. The body of a refusal without length is no longer read, since its connection carries no other request; it would wait likewise.

--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -1,6 +1,8 @@
 #include "gateway/http_connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -24,6 +26,9 @@
 /// Maximum number of bytes buffered for the parser: one read, and a head or a
 /// chunk-size line, whose length the parser itself does not limit.
 constexpr size_t kMaxBufferedBytes = size_t{2} * kMaxHeadBytes;
+/// Interval at which the acknowledgement of a request is looked up, because the
+/// kernel does not tell when it arrives.
+constexpr Duration kDeliveryInterval = std::chrono::milliseconds(5);
 /// TCP keep-alive: a peer that has vanished without closing the connection, by
 /// a network partition or a loss of power, is detected after this many idle
 /// seconds plus the time of the probes.
@@ -40,6 +45,17 @@
       setsockopt(socket.native_handle(), level, name, &value, sizeof(value)));
 }
 
+/// Returns the error that the socket has not reported yet, and clears it.
+ErrorCode TakeSocketError(Tcp::socket& socket) {
+  int number = 0;
+  socklen_t size = sizeof(number);
+  if (getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &number,
+                 &size) != 0) {
+    number = errno;
+  }
+  return {number, boost::system::system_category()};
+}
+
 }  // namespace
 
 HttpConnection::HttpConnection(asio::io_context& context,
@@ -47,7 +63,8 @@
     : socket(context),
       link(link_load),
       buffer(kMaxBufferedBytes),
-      read_buffer(kReadBufferBytes) {}
+      read_buffer(kReadBufferBytes),
+      send_ended(context) {}
 
 asio::awaitable<bool> HttpConnection::Connect(const std::string& address) {
   const auto endpoint = settings::Endpoint::Parse(address);
@@ -74,6 +91,7 @@
   this->send_head = std::move(head);
   this->send_body = std::move(body);
   this->sending = true;
+  this->send_error = {};
   ++this->exchanges;
   std::array<asio::const_buffer, 2> parts = {asio::buffer(this->send_head),
                                              asio::const_buffer()};
@@ -81,8 +99,9 @@
   if (this->link != nullptr) this->link->OnSent(asio::buffer_size(parts));
   asio::async_write(this->socket, parts,
                     [self = this->shared_from_this()](ErrorCode error, size_t) {
-                      // After a failed write, the read of the answer fails.
-                      if (!error) self->sending = false;
+                      self->sending = static_cast<bool>(error);
+                      self->send_error = error;
+                      self->send_ended.Notify();
                     });
 }
 
@@ -121,8 +140,32 @@
     this->OnReadError(error);
     co_return BodyReadStatus::kBroken;
   }
-  co_return this->parser->is_done() ? BodyReadStatus::kEnd
-                                    : BodyReadStatus::kMore;
+  if (!this->parser->is_done()) co_return BodyReadStatus::kMore;
+  if (!this->EndsWithConnection()) co_return BodyReadStatus::kEnd;
+  if (co_await this->IsRequestDelivered()) co_return BodyReadStatus::kEnd;
+  this->OnReadError(this->send_error ? this->send_error
+                                     : asio::error::operation_aborted);
+  co_return BodyReadStatus::kBroken;
+}
+
+asio::awaitable<bool> HttpConnection::IsRequestDelivered() {
+  // A socket reports a reset once. If a write is pending, the write gets it,
+  // and the read finds the end of the connection. After an end in order, no
+  // read gets it.
+  while (this->socket.is_open() && !this->send_error) {
+    if (!this->sending) this->send_error = TakeSocketError(this->socket);
+    const bool is_delivered = !this->sending && !this->send_error &&
+                              this->UnacknowledgedBytes() == 0;
+    if (is_delivered) co_return true;
+    if (!this->send_error) co_await this->send_ended.Wait(kDeliveryInterval);
+  }
+  co_return false;
+}
+
+size_t HttpConnection::UnacknowledgedBytes() {
+  int bytes = 0;
+  if (ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) != 0) return 0;
+  return static_cast<size_t>(std::max(0, bytes));
 }
 
 void HttpConnection::OnReadError(ErrorCode error) {
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -14,6 +14,7 @@
 #include "fuchsiadrum/serving/link_load.h"
 #include "gateway/answer_limit.h"
 #include "gateway/asio.h"
+#include "gateway/async_condition.h"
 #include "gateway/watchdog.h"
 #include "platform/http_fields.h"
 
@@ -91,6 +92,12 @@
 
  private:
   void OnReadError(ErrorCode error);
+  /// True if the server has acknowledged the whole request. Waits as long as it
+  /// may still do so: a server may answer early, end its side of the connection
+  /// and read the rest of the request.
+  asio::awaitable<bool> IsRequestDelivered();
+  /// Bytes of the request that the server has not acknowledged.
+  size_t UnacknowledgedBytes();
 
   static constexpr size_t kRememberedRequests = 16;
   using Parser =
@@ -104,6 +111,10 @@
   std::string send_head;
   std::shared_ptr<const std::string> send_body;
   bool sending = false;
+  /// Why the request could not be sent whole.
+  ErrorCode send_error;
+  /// Notified when the request was sent, or could not be.
+  AsyncCondition send_ended;
   std::string last_error;
   bool ended_by_peer = false;
   AnswerLimit exceeded = AnswerLimit::kNone;
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -412,9 +412,11 @@
                                                  HttpConnection& connection) {
   const serving::UpstreamAnswer& answer = this->reader.Answer();
   this->log.OnRefusal(answer, connection, attempt.SentAt());
-  connection.ExpireAt(Now() + kRejectionBodyTimeout);
-  static_cast<void>(co_await this->reader.ReadWholeBody(connection));
-  connection.NeverExpire();
+  if (!connection.EndsWithConnection()) {
+    connection.ExpireAt(Now() + kRejectionBodyTimeout);
+    static_cast<void>(co_await this->reader.ReadWholeBody(connection));
+    connection.NeverExpire();
+  }
   if (serving::IsFromOtherUpstream(answer)) {
     attempt.OnMisdirected();
   }
