One reader for the answers of both programs; a status that HTTP doesn't know is broken

Callers got answers whose status was 600 or 999 as the upstream's answers. 000 and other forms than three digits were refused already, each program by its own check.

Cause: the gateway and fuchsiadrumd each set up a parser of their own around Beast, which takes any three digits for a status. What follows it compares with 200 from below and knows no upper end.

Change: daemon::AnswerParser reads all answers: those of upstreams, of the store, of the platform, load reports. serving::HeadScanner checks each head byte by byte; the status is one from 100 to 599 (RFC 9110, section 15). The bound on a head is now that of all its bytes. What is wrong is a serving::AnswerFault: the gateway writes upstream-answer-malformed and counts malformed_answers_total by upstream and fault, fuchsiadrumd logs and counts the same by address, and store-read-failed names the fault. The attempt counts as broken, as after a cut: the next request goes to another upstream, this one too if its route allows it, else the caller gets 502.

Fewer turns of the event loop: bytes that were read already are parsed without going back to it, and what one read has brought of a body is handed on together.

Unusual sound answers are served by both.

--- a/daemon/connection_pool.cc
+++ b/daemon/connection_pool.cc
@@ -17,7 +17,7 @@
 }
 
 std::shared_ptr<HttpClientConnection> ConnectionPool::New() {
-  return std::make_shared<HttpClientConnection>(this->context);
+  return std::make_shared<HttpClientConnection>(this->context, this->faults);
 }
 
 void ConnectionPool::Give(const std::string& address,
--- a/daemon/connection_pool.h
+++ b/daemon/connection_pool.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/answer_fault_log.h"
 #include "daemon/http_client_connection.h"
 
 namespace fuchsiadrum::daemon {
@@ -12,8 +13,11 @@
 /// Idle connections to the upstreams, by address.
 class ConnectionPool {
  public:
-  ConnectionPool(asio::io_context& io_context, size_t max_idle)
-      : context(io_context), max_idle_connections(max_idle) {}
+  ConnectionPool(asio::io_context& io_context, size_t max_idle,
+                 DaemonMetrics& daemon_metrics)
+      : context(io_context),
+        max_idle_connections(max_idle),
+        faults(daemon_metrics) {}
 
   /// Executor of the connections.
   asio::io_context::executor_type Executor() {
@@ -32,6 +36,7 @@
  private:
   asio::io_context& context;
   size_t max_idle_connections;
+  AnswerFaultLog faults;
   std::map<std::string, std::vector<std::shared_ptr<HttpClientConnection>>>
       idle;
 };
--- a/daemon/daemon_metrics.cc
+++ b/daemon/daemon_metrics.cc
@@ -56,6 +56,16 @@
   this->counters[{name, label + "=\"" + value + "\""}] += n;
 }
 
+void DaemonMetrics::Count(const std::string& name, const Labels& labels) {
+  std::string text;
+  for (const auto& [label, value] : labels) {
+    if (!text.empty()) text += ',';
+    text.append(label).append("=\"").append(value).append("\"");
+  }
+  const std::lock_guard lock(this->mutex);
+  ++this->counters[{name, text}];
+}
+
 uint64_t DaemonMetrics::Counter(const std::string& name,
                                 const std::string& value) const {
   const std::lock_guard lock(this->mutex);
--- a/daemon/daemon_metrics.h
+++ b/daemon/daemon_metrics.h
@@ -25,6 +25,9 @@
   /// Adds to the counter `name{label="value"}`.
   void Count(const std::string& name, const std::string& label,
              const std::string& value, uint64_t n = 1);
+  /// Adds one to the counter with these labels and their values.
+  using Labels = std::vector<std::pair<std::string, std::string>>;
+  void Count(const std::string& name, const Labels& labels);
   /// Value of a counter; 0 if it was never counted.
   uint64_t Counter(const std::string& name, const std::string& value) const;
   /// Counters of a new ring.
--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -1,11 +1,12 @@
 #include "daemon/http_client_connection.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <limits>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 #include <optional>
 #include <utility>
 
+#include "daemon/answer_parser.h"
 #include "settings/endpoint.h"
 
 namespace fuchsiadrum::daemon {
@@ -15,10 +16,11 @@
 namespace http = boost::beast::http;
 
 constexpr size_t kPieceBytes = 16384;
-constexpr uint32_t kMaxHeaderBytes = 65536;
-/// Maximum number of bytes buffered for the parser: one read, and a head or a
-/// chunk-size line, whose length the parser itself does not limit.
-constexpr size_t kMaxBufferedBytes = size_t{2} * kMaxHeaderBytes;
+/// Maximum number of bytes of one read from the network, and of those buffered
+/// for the parser: one read, and a head, a chunk-size line or a trailer.
+constexpr size_t kMaxReadBytes = 65536;
+constexpr size_t kMaxBufferedBytes =
+    kMaxReadBytes + AnswerParser::kMaxHeadBytes;
 
 /// Value of a field that must come once; sets `ambiguous` if it came with two
 /// values.
@@ -33,15 +35,32 @@
   return value;
 }
 
+HttpHead DecodeHead(const AnswerParser& parser) {
+  const AnswerParser::Message& message = parser.Head();
+  HttpHead head;
+  head.status = static_cast<int>(message.result_int());
+  head.content_type = message[http::field::content_type].to_string();
+  head.not_run = OnlyValue(message, "X-Not-Run", head.ambiguous) == "true";
+  head.request_id = OnlyValue(message, "X-Request-Id", head.ambiguous);
+  head.attempt = OnlyValue(message, "X-Attempt", head.ambiguous);
+  head.leaving = message["X-Leaving"] == "true";
+  head.framed = !parser.NeedsEof();
+  head.keep_alive = parser.KeepsAlive();
+  return head;
+}
+
 }  // namespace
 
 struct HttpClientConnection::Io {
-  explicit Io(asio::io_context& context) : socket(context), timer(context) {}
+  Io(asio::io_context& context, const AnswerFaultLog& fault_log)
+      : socket(context), timer(context), faults(fault_log) {}
 
   Tcp::socket socket;
   asio::steady_timer timer;
   beast::flat_buffer buffer{kMaxBufferedBytes};
-  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::optional<AnswerParser> parser;
+  std::string address;
+  AnswerFaultLog faults;
   std::string outgoing;
   char piece[kPieceBytes];
   uint64_t timer_round = 0;
@@ -59,8 +78,9 @@
           .not_run = this->not_run};
 }
 
-HttpClientConnection::HttpClientConnection(asio::io_context& context)
-    : io(std::make_unique<Io>(context)) {}
+HttpClientConnection::HttpClientConnection(asio::io_context& context,
+                                           const AnswerFaultLog& fault_log)
+    : io(std::make_unique<Io>(context, fault_log)) {}
 
 HttpClientConnection::~HttpClientConnection() = default;
 
@@ -89,6 +109,7 @@
 void HttpClientConnection::Connect(const std::string& address, Duration timeout,
                                    OnDone handler) {
   Io& state = *this->io;
+  state.address = address;
   const auto endpoint = settings::Endpoint::Parse(address);
   if (!endpoint) {
     asio::post(state.socket.get_executor(), [handler = std::move(handler)] {
@@ -129,71 +150,94 @@
 
 void HttpClientConnection::ReadHead(Duration timeout, OnHead handler) {
   Io& state = *this->io;
-  state.parser.emplace();
-  state.parser->header_limit(kMaxHeaderBytes);
-  // Beast 1.74 takes "no limit" for a limit of nothing when the answer has a
-  // Content-Length. The readers of the body bound it themselves.
-  state.parser->body_limit(std::numeric_limits<uint64_t>::max());
+  state.parser.emplace(state.buffer);
   this->Arm(timeout);
-  http::async_read_header(
-      state.socket, state.buffer, *state.parser,
-      [self = this->shared_from_this(), handler = std::move(handler)](
-          ErrorCode error, size_t) {
-        if (self->io->closed) return;
-        error = self->Disarm(error);
-        HttpHead head;
-        if (!error) {
-          const auto& parser = *self->io->parser;
-          const auto& message = parser.get();
-          head.status = static_cast<int>(message.result_int());
-          head.content_type = message[http::field::content_type].to_string();
-          head.not_run =
-              OnlyValue(message, "X-Not-Run", head.ambiguous) == "true";
-          head.request_id = OnlyValue(message, "X-Request-Id", head.ambiguous);
-          head.attempt = OnlyValue(message, "X-Attempt", head.ambiguous);
-          head.leaving = message["X-Leaving"] == "true";
-          head.framed = !message.need_eof();
-          head.keep_alive = message.keep_alive();
-        }
-        handler(error, head);
-      });
+  if (state.buffer.size() == 0) return this->ContinueHead(std::move(handler));
+  this->Post([self = this->shared_from_this(), handler = std::move(handler)] {
+    self->ContinueHead(handler);
+  });
+}
+
+void HttpClientConnection::ContinueHead(OnHead handler) {
+  AnswerParser& parser = *this->io->parser;
+  const AnswerProgress progress = parser.ParseHead();
+  if (progress == AnswerProgress::kMore) {
+    return this->Fill([self = this->shared_from_this(),
+                       handler = std::move(handler)](ErrorCode error) {
+      if (!error) return self->ContinueHead(handler);
+      handler(self->Disarm(error), {});
+    });
+  }
+  if (progress == AnswerProgress::kBroken) {
+    return handler(this->Disarm(this->OnBroken()), {});
+  }
+  handler(this->Disarm({}), DecodeHead(parser));
 }
 
 void HttpClientConnection::ReadSome(Duration timeout, OnPiece handler) {
   Io& state = *this->io;
-  if (state.parser->is_done()) {
-    state.idle = true;
-    asio::post(state.socket.get_executor(),
-               [self = this->shared_from_this(), handler = std::move(handler)] {
-                 if (!self->io->closed) handler({}, {}, true);
-               });
-    return;
+  this->Arm(timeout);
+  const bool must_read = !state.parser->IsDone() && state.buffer.size() == 0;
+  if (must_read) return this->ContinueBody(std::move(handler));
+  this->Post([self = this->shared_from_this(), handler = std::move(handler)] {
+    self->ContinueBody(handler);
+  });
+}
+
+void HttpClientConnection::ContinueBody(OnPiece handler) {
+  Io& state = *this->io;
+  size_t bytes = 0;
+  const AnswerProgress progress =
+      state.parser->ParseBody(asio::buffer(state.piece), bytes);
+  if (progress == AnswerProgress::kMore && bytes == 0) {
+    return this->Fill([self = this->shared_from_this(),
+                       handler = std::move(handler)](ErrorCode error) {
+      if (!error) return self->ContinueBody(handler);
+      Io& read = *self->io;
+      // Requests are sent whole before their answers are read.
+      const bool is_last = error == asio::error::eof &&
+                           read.parser->ParseEof(AnswerEof::kDelivered) ==
+                               AnswerProgress::kWhole;
+      read.idle = is_last;
+      error = self->Disarm(is_last ? ErrorCode() : error);
+      handler(error, {}, is_last);
+    });
   }
+  ErrorCode error;
+  if (progress == AnswerProgress::kBroken) error = this->OnBroken();
+  const bool is_last = progress == AnswerProgress::kWhole;
+  state.idle = is_last;
+  handler(this->Disarm(error), std::string_view(state.piece, bytes), is_last);
+}
 
-  auto& body = state.parser->get().body();
-  body.data = state.piece;
-  body.size = sizeof state.piece;
-  body.more = true;
-  this->Arm(timeout);
-  http::async_read_some(
-      state.socket, state.buffer, *state.parser,
+void HttpClientConnection::Fill(OnDone handler) {
+  Io& state = *this->io;
+  state.socket.async_read_some(
+      state.buffer.prepare(beast::read_size(state.buffer, kMaxReadBytes)),
       [self = this->shared_from_this(), handler = std::move(handler)](
-          ErrorCode error, size_t) {
-        Io& read = *self->io;
-        if (read.closed) return;
-        error = self->Disarm(error);
-        // The body filled the whole piece; the rest comes with the next call.
-        if (error == http::error::need_buffer) error = {};
-        const size_t size = sizeof read.piece - read.parser->get().body().size;
-        const bool last = !error && read.parser->is_done();
-        read.idle = last;
-        handler(error, std::string_view(read.piece, size), last);
+          ErrorCode error, size_t bytes) {
+        if (self->io->closed) return;
+        self->io->buffer.commit(bytes);
+        handler(error);
       });
 }
 
+void HttpClientConnection::Post(std::function<void()> handler) {
+  asio::post(this->io->socket.get_executor(),
+             [self = this->shared_from_this(), handler = std::move(handler)] {
+               if (!self->io->closed) handler();
+             });
+}
+
+ErrorCode HttpClientConnection::OnBroken() {
+  Io& state = *this->io;
+  state.faults.Count(state.address, state.parser->Fault());
+  return make_error_code(boost::system::errc::bad_message);
+}
+
 bool HttpClientConnection::IsReusable() {
   Io& state = *this->io;
-  if (state.closed || !state.idle || !state.parser->keep_alive()) return false;
+  if (state.closed || !state.idle || !state.parser->KeepsAlive()) return false;
   // Bytes that came with the last answer would be read as the next one.
   if (state.buffer.size() > 0) return false;
 
--- a/daemon/http_client_connection.h
+++ b/daemon/http_client_connection.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "daemon/answer_fault_log.h"
 #include "daemon/asio.h"
 #include "fuchsiadrum/core/types.h"
 #include "fuchsiadrum/upstream/exchange_proof.h"
@@ -44,7 +45,10 @@
   using OnPiece =
       std::function<void(ErrorCode, std::string_view piece, bool last)>;
 
-  explicit HttpClientConnection(asio::io_context& context);
+  /// An operation that reads bytes which are no answer ends with
+  /// errc::bad_message and is counted in `fault_log`.
+  HttpClientConnection(asio::io_context& context,
+                       const AnswerFaultLog& fault_log);
   ~HttpClientConnection();
   HttpClientConnection(const HttpClientConnection&) = delete;
   HttpClientConnection& operator=(const HttpClientConnection&) = delete;
@@ -69,6 +73,14 @@
  private:
   struct Io;
 
+  void ContinueHead(OnHead handler);
+  void ContinueBody(OnPiece handler);
+  /// Reads some bytes for the parser.
+  void Fill(OnDone handler);
+  /// Calls the handler from the event loop.
+  void Post(std::function<void()> handler);
+  /// Reports what is wrong with the answer. Returns the error.
+  ErrorCode OnBroken();
   void Arm(Duration timeout);
   ErrorCode Disarm(ErrorCode error);
 
--- a/daemon/platform_client.cc
+++ b/daemon/platform_client.cc
@@ -26,7 +26,8 @@
   const bool open = this->connection && this->connection->IsReusable();
   if (!open) {
     if (this->connection) this->connection->Close();
-    this->connection = std::make_shared<HttpClientConnection>(this->context);
+    this->connection =
+        std::make_shared<HttpClientConnection>(this->context, this->faults);
   }
 
   const auto call =
@@ -49,9 +50,9 @@
       metrics(daemon_metrics),
       read_timer(io_context),
       vms_timer(io_context),
-      reader(settings.log(), io_context),
-      appender(settings.log(), io_context),
-      vm_list(VmListAddress(settings), io_context) {
+      reader(settings.log(), io_context, daemon_metrics),
+      appender(settings.log(), io_context, daemon_metrics),
+      vm_list(VmListAddress(settings), io_context, daemon_metrics) {
   const auto timeout = std::chrono::milliseconds(settings.timeout_ms());
   this->limits = {.connect_timeout = timeout,
                   .head_timeout = timeout,
--- a/daemon/platform_client.h
+++ b/daemon/platform_client.h
@@ -13,8 +13,11 @@
 /// One connection to the platform, made anew when it fails.
 class PlatformChannel {
  public:
-  PlatformChannel(std::string platform_address, asio::io_context& io_context)
-      : address(std::move(platform_address)), context(io_context) {}
+  PlatformChannel(std::string platform_address, asio::io_context& io_context,
+                  DaemonMetrics& daemon_metrics)
+      : address(std::move(platform_address)),
+        context(io_context),
+        faults(daemon_metrics) {}
 
   /// Sends the request and calls the handler with its answer.
   void Call(std::string_view method, const std::string& target,
@@ -24,6 +27,7 @@
  private:
   std::string address;
   asio::io_context& context;
+  AnswerFaultLog faults;
   std::shared_ptr<HttpClientConnection> connection;
 };
 
--- a/daemon/upstream_client.cc
+++ b/daemon/upstream_client.cc
@@ -20,13 +20,14 @@
                                const AnswerBounds& bounds,
                                asio::io_context& io_context,
                                Ring<ToUpstream>& from_control,
-                               Ring<FromUpstream>& to_control)
+                               Ring<FromUpstream>& to_control,
+                               DaemonMetrics& daemon_metrics)
     : answer_memory(std::make_shared<ByteBudget>(bounds.max_total_bytes)),
       context(io_context),
       orders(from_control),
       sender(to_control, io_context),
-      pool(io_context, settings.pool_size()),
-      poll_pool(io_context, 1) {
+      pool(io_context, settings.pool_size(), daemon_metrics),
+      poll_pool(io_context, 1, daemon_metrics) {
   this->limits = {
       .connect_timeout =
           std::chrono::milliseconds(settings.connect_timeout_ms()),
--- a/daemon/upstream_client.h
+++ b/daemon/upstream_client.h
@@ -26,8 +26,8 @@
  public:
   UpstreamClient(const pb::UpstreamSettings& settings,
                  const AnswerBounds& bounds, asio::io_context& io_context,
-                 Ring<ToUpstream>& from_control,
-                 Ring<FromUpstream>& to_control);
+                 Ring<ToUpstream>& from_control, Ring<FromUpstream>& to_control,
+                 DaemonMetrics& daemon_metrics);
 
  private:
   using AttemptKey = std::pair<node::RequestHandle, uint32_t>;
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -8,6 +8,10 @@
 
 constexpr std::string_view kPrefix = "fuchsiadrum_gateway_";
 
+/// Upstreams and faults by which malformed answers are counted apart: ids of
+/// upstreams are new at each start.
+constexpr size_t kMaxMalformedAnswers = 256;
+
 std::string Number(double value) {
   std::array<char, 40> text{};
   std::snprintf(text.data(), text.size(), "%.10g", value);
@@ -50,6 +54,14 @@
   ++this->oversized_answers[std::string(limit)];
 }
 
+void GatewayMetrics::CountMalformedAnswer(const std::string& upstream,
+                                          std::string_view fault) {
+  const std::pair key(upstream, std::string(fault));
+  const bool has_room = this->malformed_answers.size() < kMaxMalformedAnswers ||
+                        this->malformed_answers.contains(key);
+  ++this->malformed_answers[has_room ? key : std::pair("other", key.second)];
+}
+
 void GatewayMetrics::CountUnusableLoad(const std::string& service) {
   ++this->unusable_loads[service];
 }
@@ -92,6 +104,11 @@
     text += Line("oversized_answers_total{limit=\"" + limit + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [key, count] : this->malformed_answers) {
+    text += Line("malformed_answers_total{upstream=\"" + key.first +
+                     "\",fault=\"" + key.second + "\"}",
+                 static_cast<double>(count));
+  }
   for (const auto& [service, count] : this->unusable_loads) {
     text += Line("unusable_load_reports_total{service=\"" + service + "\"}",
                  static_cast<double>(count));
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -38,6 +38,11 @@
   /// Counts an answer of an upstream that has exceeded a bound (AnswerLimit).
   void CountOversizedAnswer(std::string_view limit);
 
+  /// Counts an answer of an upstream that is malformed. Upstreams beyond a
+  /// bounded number are counted together.
+  void CountMalformedAnswer(const std::string& upstream,
+                            std::string_view fault);
+
   /// Counts a load report that could not be used, or not all of it.
   void CountUnusableLoad(const std::string& service);
 
@@ -62,6 +67,8 @@
   std::map<std::string, uint64_t, std::less<>> withheld;
   /// Answers that have exceeded a bound, by its name.
   std::map<std::string, uint64_t, std::less<>> oversized_answers;
+  /// Malformed answers by upstream and fault.
+  std::map<std::pair<std::string, std::string>, uint64_t> malformed_answers;
   /// Load reports that could not be used, or not all of them, by service.
   std::map<std::string, uint64_t> unusable_loads;
   /// Times to first byte by route.
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -7,8 +7,7 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/http/read.hpp>
-#include <limits>
+#include <boost/beast/core/read_size.hpp>
 
 #include "fuchsiadrum/core/hash.h"
 #include "settings/endpoint.h"
@@ -21,13 +20,13 @@
 /// Maximum number of body bytes of one read; events of a stream are far
 /// smaller.
 constexpr size_t kReadBufferBytes = 8192;
-/// Maximum size of an answer head.
-constexpr uint32_t kMaxHeadBytes = 65536;
-/// Maximum number of bytes buffered for the parser: one read, and a head or a
-/// chunk-size line, whose length the parser itself does not limit.
-constexpr size_t kMaxBufferedBytes = size_t{2} * kMaxHeadBytes;
-/// Interval at which the acknowledgement of a request is looked up, because the
-/// kernel does not tell when it arrives.
+/// Maximum number of bytes of one read from the network, and of those buffered
+/// for the parser: one read, and a head, a chunk-size line or a trailer.
+constexpr size_t kMaxReadBytes = 65536;
+constexpr size_t kMaxBufferedBytes =
+    kMaxReadBytes + daemon::AnswerParser::kMaxHeadBytes;
+/// Interval at which the acknowledgement of a request is looked up. The kernel
+/// does not tell when it arrives.
 constexpr Duration kDeliveryInterval = std::chrono::milliseconds(5);
 /// TCP keep-alive: a peer that has vanished without closing the connection, by
 /// a network partition or a loss of power, is detected after this many idle
@@ -106,56 +105,84 @@
 }
 
 asio::awaitable<const platform::HttpAnswerHead*> HttpConnection::ReadHead() {
-  this->parser.emplace();
-  this->parser->header_limit(kMaxHeadBytes);
-  // If no limit is set, Beast 1.74 refuses every body with a length.
-  this->parser->body_limit(std::numeric_limits<uint64_t>::max());
-  ErrorCode error;
-  const size_t head_bytes = co_await http::async_read_header(
-      this->socket, this->buffer, *this->parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    this->OnReadError(error);
+  this->parser.emplace(this->buffer);
+  daemon::AnswerProgress progress = this->parser->ParseHead();
+  while (progress == daemon::AnswerProgress::kMore) {
+    const ErrorCode error = co_await this->ReadSome();
+    if (error) {
+      const bool is_cut = error == asio::error::eof && this->parser->HasBegun();
+      this->OnReadError(is_cut ? http::error::partial_message : error);
+      co_return nullptr;
+    }
+    progress = this->parser->ParseHead();
+  }
+  if (progress == daemon::AnswerProgress::kBroken) {
+    this->OnBrokenAnswer();
     co_return nullptr;
   }
-  if (this->link != nullptr) this->link->OnReceived(head_bytes);
-  co_return &this->parser->get().base();
+  co_return &this->parser->Head().base();
 }
 
 asio::awaitable<BodyReadStatus> HttpConnection::ReadBody(std::string& out) {
-  if (this->parser->is_done()) co_return BodyReadStatus::kEnd;
+  if (this->parser->IsDone()) co_return BodyReadStatus::kEnd;
+
+  size_t bytes = 0;
+  daemon::AnswerProgress progress =
+      this->parser->ParseBody(asio::buffer(this->read_buffer), bytes);
+  while (progress == daemon::AnswerProgress::kMore && bytes == 0) {
+    const ErrorCode error = co_await this->ReadSome();
+    if (error == asio::error::eof) co_return co_await this->ReadEof();
+    if (error) {
+      this->OnReadError(error);
+      co_return BodyReadStatus::kBroken;
+    }
+    progress = this->parser->ParseBody(asio::buffer(this->read_buffer), bytes);
+  }
+  out.append(this->read_buffer.data(), bytes);
+  if (progress == daemon::AnswerProgress::kBroken) {
+    this->OnBrokenAnswer();
+    co_return BodyReadStatus::kBroken;
+  }
+  co_return progress == daemon::AnswerProgress::kWhole ? BodyReadStatus::kEnd
+                                                       : BodyReadStatus::kMore;
+}
 
-  auto& body = this->parser->get().body();
-  body.data = this->read_buffer.data();
-  body.size = this->read_buffer.size();
-  body.more = true;
+asio::awaitable<ErrorCode> HttpConnection::ReadSome() {
   ErrorCode error;
-  const size_t body_bytes = co_await http::async_read_some(
-      this->socket, this->buffer, *this->parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (this->link != nullptr) this->link->OnReceived(body_bytes);
-  out.append(this->read_buffer.data(), this->read_buffer.size() - body.size);
-
-  if (error && error != http::error::need_buffer) {
-    this->OnReadError(error);
+  const auto space = this->buffer.prepare(
+      boost::beast::read_size(this->buffer, kMaxReadBytes));
+  const size_t bytes = co_await this->socket.async_read_some(
+      space, asio::redirect_error(asio::use_awaitable, error));
+  this->buffer.commit(bytes);
+  if (this->link != nullptr) this->link->OnReceived(bytes);
+  co_return error;
+}
+
+asio::awaitable<BodyReadStatus> HttpConnection::ReadEof() {
+  daemon::AnswerEof eof = daemon::AnswerEof::kDelivered;
+  if (this->EndsWithConnection() && !co_await this->IsRequestDelivered()) {
+    eof = daemon::AnswerEof::kUndelivered;
+  }
+  if (!this->socket.is_open()) {
+    this->OnReadError(asio::error::operation_aborted);
     co_return BodyReadStatus::kBroken;
   }
-  if (!this->parser->is_done()) co_return BodyReadStatus::kMore;
-  if (!this->EndsWithConnection()) co_return BodyReadStatus::kEnd;
-  if (co_await this->IsRequestDelivered()) co_return BodyReadStatus::kEnd;
+  if (this->parser->ParseEof(eof) == daemon::AnswerProgress::kWhole) {
+    co_return BodyReadStatus::kEnd;
+  }
   this->OnReadError(this->send_error ? this->send_error
-                                     : asio::error::operation_aborted);
+                                     : http::error::partial_message);
   co_return BodyReadStatus::kBroken;
 }
 
 asio::awaitable<bool> HttpConnection::IsRequestDelivered() {
   // A socket reports a reset once. If a write is pending, the write gets it,
-  // and the read finds the end of the connection. After an end in order, no
-  // read gets it.
+  // and the read finds the end of the connection; so it does if the reset
+  // follows an end in order.
   while (this->socket.is_open() && !this->send_error) {
     if (!this->sending) this->send_error = TakeSocketError(this->socket);
-    const bool is_delivered = !this->sending && !this->send_error &&
-                              this->UnacknowledgedBytes() == 0;
+    const bool is_delivered =
+        !this->sending && !this->send_error && this->UnacknowledgedBytes() == 0;
     if (is_delivered) co_return true;
     if (!this->send_error) co_await this->send_ended.Wait(kDeliveryInterval);
   }
@@ -170,17 +197,19 @@
 
 void HttpConnection::OnReadError(ErrorCode error) {
   this->last_error = error.message();
-  if (error == http::error::header_limit ||
-      error == http::error::buffer_overflow) {
-    this->exceeded = AnswerLimit::kHead;
-  }
-  this->ended_by_peer = error == http::error::end_of_stream ||
-                        error == http::error::partial_message ||
+  this->ended_by_peer = error == http::error::partial_message ||
                         error == asio::error::eof ||
                         error == asio::error::connection_reset ||
                         error == asio::error::broken_pipe;
 }
 
+void HttpConnection::OnBrokenAnswer() {
+  this->last_error = serving::AnswerFaultName(this->parser->Fault());
+  if (this->parser->Fault() == serving::AnswerFault::kTooLong) {
+    this->exceeded = AnswerLimit::kHead;
+  }
+}
+
 void HttpConnection::OnLimitExceeded(AnswerLimit limit) {
   this->exceeded = limit;
   this->Close();
@@ -188,18 +217,18 @@
 
 serving::AnswerFraming HttpConnection::Framing() const {
   if (this->EndsWithConnection()) return serving::AnswerFraming::kConnection;
-  const bool is_chunked = this->parser && this->parser->get().chunked();
+  const bool is_chunked = this->parser && this->parser->IsChunked();
   return is_chunked ? serving::AnswerFraming::kChunks
                     : serving::AnswerFraming::kLength;
 }
 
 bool HttpConnection::EndsWithConnection() const {
-  return this->parser && this->parser->get().need_eof();
+  return this->parser && this->parser->NeedsEof();
 }
 
 bool HttpConnection::HasContradictoryFraming() const {
   if (!this->parser) return false;
-  const auto& head = this->parser->get();
+  const auto& head = this->parser->Head();
   constexpr unsigned int kSwitchingProtocols = 101;
   constexpr unsigned int kFirstFinalStatus = 200;
   constexpr unsigned int kNoContent = 204;
@@ -211,7 +240,7 @@
       status != kNotModified) {
     return false;
   }
-  if (!this->parser->keep_alive()) return true;
+  if (!this->parser->KeepsAlive()) return true;
   const auto length = head.find(http::field::content_length);
   return head.count(http::field::transfer_encoding) > 0 ||
          (length != head.end() && length->value() != "0");
@@ -221,7 +250,7 @@
   if (!this->socket.is_open() || this->sending) return false;
   const bool is_new = this->exchanges == 0;
   if (!is_new && !this->parser) return false;
-  if (!is_new && (!this->parser->is_done() || !this->parser->keep_alive())) {
+  if (!is_new && (!this->parser->IsDone() || !this->parser->KeepsAlive())) {
     return false;
   }
   return this->IsQuiet();
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -2,14 +2,14 @@
 
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "daemon/answer_parser.h"
+#include "fuchsiadrum/serving/answer_fault.h"
 #include "fuchsiadrum/serving/answer_framing.h"
 #include "fuchsiadrum/serving/link_load.h"
 #include "gateway/answer_limit.h"
@@ -55,6 +55,11 @@
   /// True if the last read failed because the other end closed or reset the
   /// connection.
   bool WasEndedByPeer() const { return this->ended_by_peer; }
+  /// What is wrong with the bytes of the current answer; kNone also if it was
+  /// only cut off.
+  serving::AnswerFault Fault() const {
+    return this->parser ? this->parser->Fault() : serving::AnswerFault::kNone;
+  }
   /// The bound that the current answer has exceeded.
   AnswerLimit ExceededLimit() const { return this->exceeded; }
   /// The answer has exceeded a bound of its reader; closes the connection, so
@@ -91,22 +96,26 @@
   void OnExpired() override;
 
  private:
-  void OnReadError(ErrorCode error);
-  /// True if the server has acknowledged the whole request. Waits as long as it
+  /// Reads some bytes for the parser. Returns the error.
+  asio::awaitable<ErrorCode> ReadSome();
+  /// Returns the result of a read after the connection has ended.
+  asio::awaitable<BodyReadStatus> ReadEof();
+  /// True if the peer has acknowledged the whole request. Waits as long as it
   /// may still do so: a server may answer early, end its side of the connection
   /// and read the rest of the request.
   asio::awaitable<bool> IsRequestDelivered();
-  /// Bytes of the request that the server has not acknowledged.
+  /// Bytes of the request that the peer has not acknowledged.
   size_t UnacknowledgedBytes();
+  void OnReadError(ErrorCode error);
+  /// The bytes that were read are no answer.
+  void OnBrokenAnswer();
 
   static constexpr size_t kRememberedRequests = 16;
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   Tcp::socket socket;
   serving::LinkLoad* link;
   boost::beast::flat_buffer buffer;
-  std::optional<Parser> parser;
+  std::optional<daemon::AnswerParser> parser;
   std::vector<char> read_buffer;
   std::string send_head;
   std::shared_ptr<const std::string> send_body;
--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -88,6 +88,7 @@
 }
 
 void RequestLog::OnExchangeEnd(const HttpConnection& connection) {
+  this->OnMalformedAnswer(connection.Fault());
   if (connection.ExceededLimit() == AnswerLimit::kNone) return;
   const std::string_view name = AnswerLimitName(connection.ExceededLimit());
   this->core.Metrics().CountOversizedAnswer(name);
@@ -97,6 +98,19 @@
                           {"limit", name}});
 }
 
+void RequestLog::OnMalformedAnswer(serving::AnswerFault fault) {
+  const bool is_malformed = fault != serving::AnswerFault::kNone &&
+                            fault != serving::AnswerFault::kTooLong;
+  if (!is_malformed) return;
+  const std::string_view name = serving::AnswerFaultName(fault);
+  const std::string_view upstream = this->history.LastUpstream();
+  this->core.Metrics().CountMalformedAnswer(std::string(upstream), name);
+  this->core.Log().Write("upstream-answer-malformed",
+                         {{"id", this->active.request.id},
+                          {"upstream", upstream},
+                          {"fault", name}});
+}
+
 void RequestLog::OnUnprovenAnswer(const serving::UpstreamAnswer& answer,
                                   std::string_view reason) {
   this->core.Log().Write("upstream-answer-unproven",
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -52,7 +52,8 @@
   /// relayed.
   void OnBrokenAttempt(const HttpConnection& connection, bool has_head,
                        int events, TimePoint sent_at);
-  /// An exchange has ended; logged if its answer has exceeded a bound.
+  /// An exchange has ended; logged and counted if its answer is malformed or
+  /// has exceeded a bound.
   void OnExchangeEnd(const HttpConnection& connection);
   /// The end of the request. `outcome` says what the caller got (for example
   /// "complete" or "own-answer"), `reason` why it is not a complete answer of
@@ -61,6 +62,7 @@
              const RequestFigures& figures);
 
  private:
+  void OnMalformedAnswer(serving::AnswerFault fault);
   /// Says which request the answer names.
   std::string_view NamesOf(const serving::UpstreamAnswer& answer) const;
 
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -39,7 +39,8 @@
   const platform::HttpAnswerHead* head = co_await used->ReadHead();
   if (head == nullptr) {
     this->connection.reset();
-    co_return StoreReply();
+    reply.fault = used->Fault();
+    co_return reply;
   }
   reply.status = static_cast<int>(head->result_int());
   const TimePoint max_deadline = deadline + (kMaxTimeoutFactor - 1) * timeout;
@@ -55,7 +56,9 @@
   if (body_status == BodyReadStatus::kBroken) {
     used->Close();
     this->connection.reset();
-    co_return StoreReply();
+    StoreReply broken;
+    broken.fault = used->Fault();
+    co_return broken;
   }
   co_return reply;
 }
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "fuchsiadrum/serving/answer_fault.h"
 #include "gateway/asio.h"
 #include "gateway/event_log.h"
 #include "gateway/http_connection.h"
@@ -16,6 +17,8 @@
 struct StoreReply {
   int status = 0;
   std::string body;
+  /// What was wrong with the bytes of the answer.
+  serving::AnswerFault fault = serving::AnswerFault::kNone;
 };
 
 /// Answers of the store that do not fit a write after which the write gets
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -51,6 +51,7 @@
   const StoreReply reply = co_await this->client.Call(
       std::move(text), this->options.timeout + long_poll_wait);
   this->last_status = reply.status;
+  this->last_fault = reply.fault;
   const bool applied = !this->reads_again && this->ApplyReply(next, reply);
   if (!applied) this->client.Disconnect();
   if (applied && reply.status == platform::kStoreOk) {
@@ -120,7 +121,8 @@
       this->event_log.Write(
           "store-read-failed",
           {{"stream", stream},
-           {"status", static_cast<int64_t>(this->last_status)}});
+           {"status", static_cast<int64_t>(this->last_status)},
+           {"fault", serving::AnswerFaultName(this->last_fault)}});
     }
     return;
   }
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -107,6 +107,7 @@
   bool reads_again = false;
   int failures = 0;
   int last_status = 0;
+  serving::AnswerFault last_fault = serving::AnswerFault::kNone;
 };
 
 }  // namespace fuchsiadrum::gateway
