A folded line in a head or a trailer is no field of an answer

Callers got answers in whose head a line was joined to the field before it. The second line may have been one that proves, frames or encodes the answer: Not-Executed, Content-Length, Content-Encoding, a part of Runner-Signature.

Cause: Beast unfolds such lines (RFC 9112, section 5.2, wants a proxy to discard the answer or to repair it). A recipient that does not unfold sees another field there.

Change: HeadScanner refuses a line that begins with a blank; the last chunk's trailer is scanned like a head.

--- a/daemon/answer_parser.cc
+++ b/daemon/answer_parser.cc
@@ -13,6 +13,8 @@
 namespace http = boost::beast::http;
 using serving::AnswerFault;
 
+constexpr std::string_view kLineEnd = "\r\n";
+
 /// What Beast reports of bytes that are no answer; other errors are those of a
 /// chunk.
 constexpr std::array<std::pair<http::error, AnswerFault>, 9> kFaults = {{
@@ -87,9 +89,14 @@
   ErrorCode error;
   while (!error && !this->parser.is_done() && this->buffer.size() > 0) {
     const size_t used = this->parser.put(this->buffer.cdata(), error);
+    if (!error && this->parser.is_done() && this->IsChunked()) {
+      // One call takes the last chunk together with the trailer.
+      this->fault = CheckTrailer(Text(this->buffer).substr(0, used));
+    }
     this->buffer.consume(used);
   }
   bytes = piece.size() - body.size;
+  if (this->fault != AnswerFault::kNone) return AnswerProgress::kBroken;
   if (error && error != http::error::need_more &&
       error != http::error::need_buffer) {
     return this->Fail(FaultOf(error));
@@ -102,6 +109,15 @@
   return AnswerProgress::kMore;
 }
 
+AnswerFault AnswerParser::CheckTrailer(std::string_view last_chunk) {
+  // The line end of the chunk before belongs to it.
+  if (last_chunk.starts_with(kLineEnd)) last_chunk.remove_prefix(2);
+  last_chunk.remove_prefix(last_chunk.find(kLineEnd) + kLineEnd.size());
+  serving::HeadScanner trailer = serving::HeadScanner::ForTrailer();
+  trailer.Scan(last_chunk);
+  return trailer.Fault();
+}
+
 AnswerProgress AnswerParser::ParseEof(AnswerEof eof) {
   if (!this->parser.is_header_done() || !this->NeedsEof()) {
     return AnswerProgress::kBroken;
--- a/daemon/answer_parser.h
+++ b/daemon/answer_parser.h
@@ -68,6 +68,8 @@
 
  private:
   AnswerProgress Fail(serving::AnswerFault found);
+  /// Returns what is wrong with the last chunk and the trailer.
+  static serving::AnswerFault CheckTrailer(std::string_view last_chunk);
 
   boost::beast::flat_buffer& buffer;
   boost::beast::http::response_parser<boost::beast::http::buffer_body> parser;
--- a/fuchsiadrum/serving/head_scanner.cc
+++ b/fuchsiadrum/serving/head_scanner.cc
@@ -100,7 +100,7 @@
 
 HeadScanner::State HeadScanner::AfterLineStart(char byte) {
   if (byte == '\r') return State::kLastLineFeed;
-  if (byte == ' ' || byte == '\t') return State::kValue;
+  if (byte == ' ' || byte == '\t') return this->Fail(AnswerFault::kFoldedLine);
   return IsToken(byte) ? State::kName : this->Fail(AnswerFault::kFieldName);
 }
 
--- a/tests/daemon/answer_parser_test.cc
+++ b/tests/daemon/answer_parser_test.cc
@@ -243,6 +243,28 @@
     "HTTP/1.1 100 Continue\r\n\r\n",
 };
 
+// Guards against odd lines in a trailer, which may be near to a receipt.
+TEST_F(AnswerParserTest, MutatedTrailer_IsTakenOnlyIfTheGrammarTakesIt) {
+  const std::string before =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+  Rng rng(20261208);
+  constexpr int kRounds = 20000;
+  for (int i = 0; i < kRounds; ++i) {
+    const std::string text = Mutate(
+        before + "X-Checked: yes\r\nX-Next: a\r\n\r\n", before.size(), rng);
+    // Bytes may follow the answer.
+    const size_t end = text.find("\r\n\r\n", before.size() - 2);
+    const bool is_sound =
+        end != std::string::npos &&
+        StrictGrammar::IsTrailer(std::string_view(text).substr(
+            before.size(), end + 4 - before.size()));
+    const ReadAnswer read = Read(text, 1 + rng.Below(text.size()));
+    ASSERT_EQ(read.progress == AnswerProgress::kWhole, is_sound)
+        << ::testing::PrintToString(text.substr(before.size()));
+    ASSERT_EQ(read.body, "body");
+  }
+}
+
 // Guards against a status code that HTTP doesn't know.
 TEST_F(AnswerParserTest, StatusCode_OutOfRange_IsFault) {
   for (const std::string status :
@@ -267,6 +289,33 @@
   }
 }
 
+TEST_F(AnswerParserTest, Field_OutsideTheGrammar_IsFault) {
+  const std::pair<std::string, AnswerFault> fields[] = {
+      {"Content Length: 2", AnswerFault::kFieldName},
+      {"Content-Length : 2", AnswerFault::kFieldName},
+      {"Content-Length\x01: 2", AnswerFault::kFieldName},
+      {"Content-Length\x7f: 2", AnswerFault::kFieldName},
+      {"Content-L\xe9ngth: 2", AnswerFault::kFieldName},
+      {": 2", AnswerFault::kFieldName},
+      {"no colon", AnswerFault::kFieldName},
+      {"X-Note: a\r\n Content-Length: 2", AnswerFault::kFoldedLine},
+      {"X-Note: a\r\n\tb", AnswerFault::kFoldedLine},
+      {"X-Note: a\x01", AnswerFault::kFieldValue},
+      {"X-Note: a\x7f", AnswerFault::kFieldValue},
+      {"X-Note: a\nContent-Length: 2", AnswerFault::kFieldValue},
+      {"X-Note: a\rContent-Length: 2", AnswerFault::kLineEnd},
+      {std::string("X-Note: a\0", 10), AnswerFault::kFieldValue}};
+  for (const auto& [field, fault] : fields) {
+    EXPECT_EQ(FaultOf("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n"), fault)
+        << ::testing::PrintToString(field);
+    EXPECT_EQ(FaultOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "1\r\nx\r\n0\r\n" +
+                      field + "\r\n\r\n"),
+              fault)
+        << ::testing::PrintToString(field);
+  }
+}
+
 TEST_F(AnswerParserTest, Chunk_OutsideTheGrammar_IsFault) {
   for (const std::string body :
        {"x\r\n", "-1\r\na\r\n", "1 \r\na\r\n", "1\r\nab\r\n0\r\n",
--- a/tests/daemon/odd_answer_test.cc
+++ b/tests/daemon/odd_answer_test.cc
@@ -59,6 +59,34 @@
   }
 }
 
+// Guards against a line of the head that another reader reads differently.
+TEST_F(OddAnswerTest, FieldOutsideTheGrammar_ReachesNoCaller) {
+  for (const char* field :
+       {"Content Length: 2", "Content-Length : 2", "X\x01: a", "X\x7f: a",
+        "X\xe9: a", ": a", "X: a\x01", "X: a\rb", "X: a\nb: c",
+        "X: a\r\n X-Not-Run: true", "X: a\r\n\tb"}) {
+    this->ExpectRefused("HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n");
+  }
+}
+
+// Guards against a trailer that another reader reads differently.
+TEST_F(OddAnswerTest, TrailerOutsideTheGrammar_EndsNoAnswer) {
+  for (const char* trailer :
+       {"X y: a\r\n", "X\x01: a\r\n", "X: a\x01\r\n", "X: a\r\n b\r\n"}) {
+    this->Start([trailer](const std::string&, Tcp::socket& socket) {
+      Put(socket,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "6\r\nbooked\r\n0\r\n" +
+              std::string(trailer) + "\r\n");
+      return false;
+    });
+    const std::string answer = this->CallService();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 "))
+        << testing::PrintToString(trailer);
+    this->Stop();
+  }
+}
+
 // Guards against the part of an answer that a reset ends while the request is
 // written.
 TEST_F(OddAnswerTest, ResetDuringTheUpload_IsNoEndOfAnAnswer) {
--- a/tests/platform/odd_answer_test.cc
+++ b/tests/platform/odd_answer_test.cc
@@ -88,6 +88,39 @@
   }
 }
 
+// MIXED: a line of the head is no field. It may be near to one that frames or
+// proves the answer.
+TEST_F(OddAnswerTest, FieldOutsideTheGrammar_ReachesNoCaller) {
+  this->StartOdd();
+  for (const std::string field :
+       {"Content Length: 2\r\n", "Content-Length : 2\r\n", "X\x01: a\r\n",
+        "X\x7f: a\r\n", "X\xe9: a\r\n", ": a\r\n", "X\r: a\r\n", "X: a\x01\r\n",
+        "X: a\x7f\r\n", "X: a\rb\r\n", "X: a\nb: c\r\n", "Not Executed: 1\r\n",
+        "X: a\r\n b\r\n", "X: a\r\n Content-Encoding: gzip\r\n",
+        "Runner-Signature: s\r\n 1\r\n"}) {
+    this->make_answer = [&field](ScriptedExchange& exchange) {
+      return Answer(exchange, "HTTP/1.1 200 OK", field);
+    };
+    this->ExpectRefused(field);
+  }
+}
+
+// MIXED: what follows the body is no trailer. A stream has begun by then; its
+// end must not look complete.
+TEST_F(OddAnswerTest, TrailerOutsideTheGrammar_EndsNoAnswer) {
+  this->StartOdd();
+  for (const std::string trailer : {"X y: a\r\n", "X : a\r\n", "X\x01: a\r\n",
+                                    "X: a\x01\r\n", "X: a\r\n b\r\n"}) {
+    this->make_answer = [&trailer](ScriptedExchange& exchange) {
+      return Chunked(exchange, "chunked", trailer);
+    };
+    for (const CallerAnswer& answer : this->AskAll(trailer)) {
+      EXPECT_TRUE(answer.status == 502 || answer.end == AnswerEnd::kBroken)
+          << testing::PrintToString(trailer);
+    }
+  }
+}
+
 // Sound answers stay served, however unusual they look.
 TEST_F(OddAnswerTest, UnusualSoundAnswer_IsServed) {
   this->StartOdd();
--- a/tests/platform/stray_answer_test.cc
+++ b/tests/platform/stray_answer_test.cc
@@ -141,6 +141,8 @@
       "Transfer-Encoding: chunked, identity\r\n",
       "Transfer-Encoding: gzip, chunked\r\n",
       "Content-Length: 0, LEN\r\n",
+      "X-Note: a\r\n Not-Executed: 1\r\nContent-Length: 0\r\n",
+      "X-Note: a\r\n Content-Length: LEN\r\nContent-Length: 0\r\n",
       "Content-Length : LEN\r\n",
       "Content-Length: +LEN\r\n",
       "Connection: close\r\nContent-Length: 0\r\n"};
