An answer with another transfer coding than chunks is broken

Callers got bodies that may have been compressed for the transfer, without the field that says so: Transfer-Encoding is a field of one hop and is not passed on. A length beside another coding framed the body, and "identity" or "gzip" alone made the caller wait for the end of the connection.

Cause: Beast frames by "chunked" where it stands last and ignores the codings before it. No request of ours asks for one (RFC 9112, sections 6.1 and 7.4), and nothing here could undo it.

Change: AnswerParser takes one Transfer-Encoding, "chunked", in HTTP/1.1.

--- a/daemon/answer_parser.cc
+++ b/daemon/answer_parser.cc
@@ -77,9 +77,20 @@
   this->buffer.consume(
       this->parser.put(asio::buffer(text.data(), this->scanned), error));
   if (error) return this->Fail(FaultOf(error));
+  if (!this->HasKnownCoding()) return this->Fail(AnswerFault::kFraming);
   return AnswerProgress::kHead;
 }
 
+bool AnswerParser::HasKnownCoding() const {
+  const Message& head = this->parser.get();
+  const size_t codings = head.count(http::field::transfer_encoding);
+  if (codings == 0) return true;
+  // HTTP/1.0 has none, and no request asks for another one than chunks.
+  constexpr unsigned int kHttp11 = 11;
+  return codings == 1 && head.version() == kHttp11 &&
+         beast::iequals(head[http::field::transfer_encoding], "chunked");
+}
+
 AnswerProgress AnswerParser::ParseBody(asio::mutable_buffer piece,
                                        size_t& bytes) {
   auto& body = this->parser.get().body();
--- a/daemon/answer_parser.h
+++ b/daemon/answer_parser.h
@@ -68,6 +68,8 @@
 
  private:
   AnswerProgress Fail(serving::AnswerFault found);
+  /// True if the transfer coding, if there is one, is chunks alone.
+  bool HasKnownCoding() const;
   /// Returns what is wrong with the last chunk and the trailer.
   static serving::AnswerFault CheckTrailer(std::string_view last_chunk);
 
--- a/tests/daemon/answer_parser_test.cc
+++ b/tests/daemon/answer_parser_test.cc
@@ -243,6 +243,29 @@
     "HTTP/1.1 100 Continue\r\n\r\n",
 };
 
+// Guards against a reader that repairs what another one reads differently, and
+// against one that refuses sound answers.
+TEST_F(AnswerParserTest, MutatedHead_IsTakenOnlyIfTheGrammarTakesIt) {
+  Rng rng(20261207);
+  int taken = 0;
+  int refused = 0;
+  for (const std::string_view sound : kSoundHeads) {
+    EXPECT_TRUE(Read(sound, sound.size()).has_head) << sound;
+    constexpr int kRounds = 20000;
+    for (int i = 0; i < kRounds; ++i) {
+      const std::string text = Mutate(std::string(sound), 0, rng);
+      const bool is_sound = StrictGrammar::HasHead(text);
+      ++(is_sound ? taken : refused);
+      ASSERT_EQ(Read(text, text.size()).has_head, is_sound)
+          << ::testing::PrintToString(text);
+      ASSERT_EQ(Read(text, 1 + rng.Below(4)).has_head, is_sound)
+          << ::testing::PrintToString(text);
+    }
+  }
+  EXPECT_GT(taken, 10000);
+  EXPECT_GT(refused, 10000);
+}
+
 // Guards against odd lines in a trailer, which may be near to a receipt.
 TEST_F(AnswerParserTest, MutatedTrailer_IsTakenOnlyIfTheGrammarTakesIt) {
   const std::string before =
@@ -316,6 +339,27 @@
   }
 }
 
+// Guards against a body whose end two readers see at two places, or that is
+// still encoded when it is passed on.
+TEST_F(AnswerParserTest, Framing_WithMoreThanOneMeaning_IsFault) {
+  for (const std::string field :
+       {"Content-Length: 2\r\nContent-Length: 3", "Content-Length: 2, 3",
+        "Content-Length: +2", "Content-Length: -2", "Content-Length: 0x2",
+        "Content-Length:", "Content-Length: 99999999999999999999",
+        "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: gzip",
+        "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked;q=1", "Transfer-Encoding:"}) {
+    EXPECT_EQ(FaultOf("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n"),
+              AnswerFault::kFraming)
+        << field;
+  }
+  EXPECT_EQ(FaultOf("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+            AnswerFault::kFraming);
+}
+
 TEST_F(AnswerParserTest, Chunk_OutsideTheGrammar_IsFault) {
   for (const std::string body :
        {"x\r\n", "-1\r\na\r\n", "1 \r\na\r\n", "1\r\nab\r\n0\r\n",
--- a/tests/daemon/odd_answer_test.cc
+++ b/tests/daemon/odd_answer_test.cc
@@ -69,6 +69,20 @@
   }
 }
 
+// Guards against a body that is still encoded.
+TEST_F(OddAnswerTest, UnknownTransferCoding_ReachesNoCaller) {
+  for (const char* coding : {"gzip, chunked", "gzip", "identity"}) {
+    this->Start([coding](const std::string&, Tcp::socket& socket) {
+      Put(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: " +
+                      std::string(coding) + "\r\n\r\n6\r\nbooked\r\n0\r\n\r\n");
+      return false;
+    });
+    const std::string answer = this->CallService();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << coding << answer;
+    this->Stop();
+  }
+}
+
 // Guards against a trailer that another reader reads differently.
 TEST_F(OddAnswerTest, TrailerOutsideTheGrammar_EndsNoAnswer) {
   for (const char* trailer :
--- a/tests/platform/odd_answer_test.cc
+++ b/tests/platform/odd_answer_test.cc
@@ -105,6 +105,18 @@
   }
 }
 
+// MIXED: the body is still encoded, or ends where another reader sees no end.
+TEST_F(OddAnswerTest, UnknownTransferCoding_ReachesNoCaller) {
+  this->StartOdd();
+  for (const std::string coding :
+       {"gzip, chunked", "chunked, gzip", "gzip", "identity", "chunked;q=1"}) {
+    this->make_answer = [&coding](ScriptedExchange& exchange) {
+      return Chunked(exchange, coding, "");
+    };
+    this->ExpectRefused(coding);
+  }
+}
+
 // MIXED: what follows the body is no trailer. A stream has begun by then; its
 // end must not look complete.
 TEST_F(OddAnswerTest, TrailerOutsideTheGrammar_EndsNoAnswer) {
