EarlyAnswerTest: two tests that depended on the placement and on a kept connection

ResetDuringTheUpload_IsRepeatedOnlyWhereAllowed failed once of seven runs, in the whole suite: all 16 requests were placed at the sound upstream, so that no early answer came. Both are faults of the tests.

Change: the sound upstream is listed when the early answer comes; the framed answers say that the connection closes.

--- a/tests/platform/early_answer_test.cc
+++ b/tests/platform/early_answer_test.cc
@@ -48,7 +48,8 @@
     ::shutdown(exchange.Socket().native_handle(), SHUT_WR);
   }
 
-  /// Starts two upstreams; `sound`: the second one reads the upload first.
+  /// Starts two upstreams; `sound`: the second one reads the upload first, and
+  /// is listed by ListSound.
   void StartEarly(const EarlyScript& early_script, bool sound = false) {
     this->retry_slack = 100000;
     nlohmann::json routes = nlohmann::json::array();
@@ -80,12 +81,11 @@
         sound ? std::make_unique<ScriptedUpstream>(this->early_runs, late)
               : std::make_unique<ScriptedUpstream>(this->early_runs, early,
                                                    on_accept));
-    for (size_t i = 0; i < this->servers.size(); ++i) {
-      this->PutEntry("u" + std::to_string(i + 1), this->servers[i]->Address(),
-                     100);
-    }
+    this->PutServer(0);
+    if (!sound) this->PutServer(1);
     this->gateway = this->StartVm("vm-1");
   }
+  void ListSound() { this->PutServer(1); }
   void TearDown() override {
     UnframedAnswerFixture::TearDown();
     this->servers.clear();
@@ -129,6 +129,12 @@
   bool has_small_buffers = true;
 
  private:
+  void PutServer(size_t index) {
+    constexpr int kSlots = 100;
+    this->PutEntry("u" + std::to_string(index + 1),
+                   this->servers[index]->Address(), kSlots);
+  }
+
   RunRecord early_runs;
   int uploads = 0;
   std::vector<std::unique_ptr<ScriptedUpstream>> servers;
@@ -211,8 +217,9 @@
 TEST_F(EarlyAnswerTest, FramedAnswerBeforeAReset_IsServed) {
   this->StartEarly([](ScriptedExchange& exchange) {
     const size_t size = WholeBody(KindOf(exchange)).size();
-    exchange.Write(
-        Whole(exchange, "Content-Length: " + std::to_string(size) + "\r\n"));
+    // A connection that is kept could carry the next request.
+    exchange.Write(Whole(exchange, "Connection: close\r\nContent-Length: " +
+                                       std::to_string(size) + "\r\n"));
     Sleep(20);
     exchange.Reset();
   });
@@ -223,18 +230,16 @@
 // there.
 TEST_F(EarlyAnswerTest, ResetDuringTheUpload_IsRepeatedOnlyWhereAllowed) {
   this->StartEarly(
-      [](ScriptedExchange& exchange) {
+      [this](ScriptedExchange& exchange) {
+        this->ListSound();
         exchange.Write(Head(exchange.Id()));
-        Sleep(5);
+        // The gateway reads the entry meanwhile.
+        Sleep(300);
         exchange.Reset();
       },
       true);
-  for (int i = 0; i < 8; ++i) {
-    EXPECT_EQ(this->Upload("safe").body, WholeBody("safe"));
-    const int before = this->early_answers;
-    const CallerAnswer answer = this->Upload("unsafe");
-    EXPECT_EQ(answer.status, this->early_answers > before ? 502U : 200U);
-  }
+  EXPECT_EQ(this->Upload("unsafe").status, 502U);
+  EXPECT_EQ(this->Upload("safe").body, WholeBody("safe"));
   EXPECT_GE(this->early_answers, 1);
 }
 
