Gateway: an encoded body behind an empty Content-Encoding is not the upstream's

An answer with two fields Content-Encoding, the first of them empty, was passed on with its encoded body as if it were not encoded.

Cause: DecodeAnswer looked at the first field of the name.

--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -115,6 +115,17 @@
   EXPECT_EQ(decoded.load->waiting, 2);
 }
 
+// Guards against an encoded body that is passed on because an empty field comes
+// before the one that names the encoding.
+TEST_F(RequestCodecTest, SecondContentEncoding_IsSeen) {
+  HttpAnswerHead answer;
+  EXPECT_FALSE(DecodeAnswer(answer).is_encoded);
+  answer.insert("Content-Encoding", "");
+  EXPECT_FALSE(DecodeAnswer(answer).is_encoded);
+  answer.insert("content-encoding", "gzip");
+  EXPECT_TRUE(DecodeAnswer(answer).is_encoded);
+}
+
 // Guards against a gateway that knows no load at all where upstreams report a
 // fourth figure.
 TEST_F(RequestCodecTest, LoadOfFourFigures_IsDecoded) {
