Gateway: a stream to a caller of HTTP/1.0 ends with the connection, not in chunks

Callers of HTTP/1.0 got the size lines of chunks in the bodies of streams, and could not tell a stream that was cut from a whole one.

Cause: AnswerRelay framed all streams of framed upstreams for HTTP/1.1. RFC 9112, section 6.1, forbids chunks where the request is not of HTTP/1.1.

--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -43,6 +43,8 @@
   std::string body;
   /// True if the caller closes the connection after the answer.
   bool close_after = false;
+  /// False for a caller of HTTP/1.0, which has no chunks.
+  bool takes_chunks = true;
 };
 
 /// What the gateway adds to a request that it sends to an upstream.
--- a/gateway/answer_relay.cc
+++ b/gateway/answer_relay.cc
@@ -20,18 +20,23 @@
   // The caller is told no more about the end of the answer than the upstream
   // has told.
   if (answer.framing == serving::AnswerFraming::kConnection) {
-    this->ends_with_connection = true;
-    this->caller.EndAnswerWithConnection();
+    this->EndWithConnection();
   }
   std::string head = platform::EncodeAnswerHead(answer);
   if (this->caller.AnnounceClose()) head += "Connection: close\r\n";
   return head;
 }
 
+void AnswerRelay::EndWithConnection() {
+  this->ends_with_connection = true;
+  this->caller.EndAnswerWithConnection();
+}
+
 asio::awaitable<bool> AnswerRelay::RelayEvents(
     const serving::UpstreamAnswer& answer, std::string_view events, bool last) {
   std::string out;
   if (!this->begun) {
+    if (!this->caller.TakesChunks()) this->EndWithConnection();
     out = this->MakeHead(answer);
     if (!this->ends_with_connection) out += "Transfer-Encoding: chunked\r\n";
     out += "\r\n";
--- a/gateway/answer_relay.h
+++ b/gateway/answer_relay.h
@@ -18,7 +18,8 @@
   /// Forwards events that were read from the upstream. The first call sends the
   /// answer head before them: in chunks, of which a call with `last` sends the
   /// last, or up to the end of the connection if the upstream's answer is
-  /// framed so. Returns false if the caller is gone.
+  /// framed so or the caller takes no chunks. Returns false if the caller is
+  /// gone.
   asio::awaitable<bool> RelayEvents(const serving::UpstreamAnswer& answer,
                                     std::string_view events, bool last);
   /// Forwards an answer that was read whole. It names its length only if the
@@ -37,6 +38,7 @@
 
  private:
   std::string MakeHead(const serving::UpstreamAnswer& answer);
+  void EndWithConnection();
 
   CallerConnection& caller;
   bool begun = false;
--- a/gateway/caller_connection.cc
+++ b/gateway/caller_connection.cc
@@ -134,6 +134,7 @@
     // An idle connection, or one whose request is served, needs no buffer.
     if (this->buffer.size() == 0) this->buffer.shrink_to_fit();
     this->close_after = request->close_after;
+    this->takes_chunks = request->takes_chunks;
     this->has_served_request = true;
     RequestTask task(this->core, *this, std::move(*request));
     const bool complete = co_await task.Run();
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -44,6 +44,8 @@
   /// connection is reset unless the answer is completed, also if the process
   /// dies. Call it before AnnounceClose.
   void EndAnswerWithConnection();
+  /// True if the answer to the current request may come in chunks.
+  bool TakesChunks() const { return this->takes_chunks; }
   /// True if the answer must announce that the connection will be closed. The
   /// connection then closes after it.
   bool AnnounceClose();
@@ -118,6 +120,7 @@
   /// True if the last answer announced that the connection will be closed.
   bool close_announced = false;
   bool close_after = false;
+  bool takes_chunks = true;
   bool resets_on_close = false;
   bool has_served_request = false;
   /// True while a wait for the caller's close is pending.
