fuchsiadrumctl: an answer without length is none

A daemon that dies closes its connections, and the part of an answer without length that it had sent would have counted as the whole one. fuchsiadrumd always names the length.

--- a/ctl/admin_client.cc
+++ b/ctl/admin_client.cc
@@ -78,6 +78,10 @@
         });
     context.run();
     if (error) throw beast::system_error(error);
+    // A daemon that dies closes its connections, too.
+    if (parser.get().need_eof()) {
+      throw std::runtime_error("the answer has no length");
+    }
     return AdminResponse{.status = static_cast<int>(parser.get().result_int()),
                          .body = std::move(parser.get().body())};
   } catch (const std::exception& error) {
