Soak: uploads beyond the buffers, early resets, early whole answers, malformed answers

The soak had not found the incident: its uploads had 600 KB at most and were always written before a reset came, and none of its answers was malformed.

Change: 4 in 100 requests have 3.9 MB; three more faults of upstreams, of which early whole answers count as sound. No run makes the signature of a malformed answer, so that one which is passed on breaks MIXED. A caller whose write failed takes no end of its connection for the end of an answer: it had the fault that it looks for.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -64,6 +64,8 @@
 Caller::Plan Caller::DrawPlan() {
   constexpr uint64_t kSmallBytes = 2000;
   constexpr uint64_t kLargeBytes = 600000;
+  /// More than the buffers of a connection take.
+  constexpr uint64_t kHugeBytes = 3900000;
   Plan plan;
   if (this->options.asks_long) return {.route = SoakRoute::kLong};
   // Requests that may run once only are drawn most often.
@@ -74,6 +76,7 @@
                            : SoakRoute::kSafe;
   plan.body_bytes =
       this->rng.Below(this->rng.Chance(0.1) ? kLargeBytes : kSmallBytes);
+  if (this->rng.Chance(0.04)) plan.body_bytes = kHugeBytes;
   plan.in_chunks = this->rng.Chance(0.4);
   constexpr int64_t kUsualPauseMs = 3;
   constexpr int64_t kLongPauseMs = 250;
@@ -138,7 +141,11 @@
   ReadStatus status = ReadStatus::kBytes;
   while (!parser.is_done() && status == ReadStatus::kBytes) {
     status = this->socket.Read(bytes, deadline);
-    if (status == ReadStatus::kEnd && parser.got_some()) parser.put_eof(error);
+    if (status == ReadStatus::kEnd) {
+      // A write that failed has taken the reset that this end stands for.
+      if (result.sent == TimePoint() || !parser.got_some()) break;
+      parser.put_eof(error);
+    }
     while (!bytes.empty() && !parser.is_done()) {
       const size_t used =
           parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error);
--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -1,5 +1,7 @@
 #include "soak/faulty_upstream.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -30,6 +32,13 @@
       exchange.Request()[boost::beast::string_view(name.data(), name.size())]);
 }
 
+/// True if the upstream answers before it has read the body.
+bool IsBeforeBody(UpstreamFault fault) {
+  return fault == UpstreamFault::kEarlyAnswer ||
+         fault == UpstreamFault::kEarlyUnframed ||
+         fault == UpstreamFault::kEarlyReset;
+}
+
 SoakRoute RouteOf(const gateway::ScriptedExchange& exchange) {
   return RouteOfPath(std::string(exchange.Request().target()));
 }
@@ -135,7 +144,7 @@
       fault == UpstreamFault::kResetAfterBody) {
     return this->ResetWithoutRun(fault, exchange);
   }
-  if (fault != UpstreamFault::kEarlyAnswer && !exchange.ReadBody()) return;
+  if (!IsBeforeBody(fault) && !exchange.ReadBody()) return;
 
   this->WritePrelude(fault, exchange, rng);
   this->Run(fault, exchange);
@@ -159,6 +168,13 @@
     case UpstreamFault::kSilenceAfterHead:
       this->BreakOff(fault, exchange, rng);
       break;
+    case UpstreamFault::kEarlyUnframed:
+    case UpstreamFault::kEarlyReset:
+      this->AnswerEarly(exchange, fault == UpstreamFault::kEarlyReset, rng);
+      break;
+    case UpstreamFault::kMalformed:
+      this->WriteMalformed(exchange, rng);
+      break;
     case UpstreamFault::kUnframed:
       exchange.Write(this->MakeUnframedAnswer(exchange));
       exchange.Close();
@@ -271,6 +287,47 @@
   }
 }
 
+void FaultyUpstream::AnswerEarly(Exchange& exchange, bool resets, Rng& rng) {
+  const std::string answer = this->MakeUnframedAnswer(exchange);
+  if (!resets) {
+    exchange.Write(answer);
+    ::shutdown(exchange.Socket().native_handle(), SHUT_WR);
+    exchange.ReadBody();
+    return exchange.Close();
+  }
+  const size_t head = answer.find("\r\n\r\n") + 4;
+  std::string written =
+      answer.substr(0, head + rng.Below(answer.size() - head));
+  // Nothing but the reset tells a part up to an event from the whole.
+  written.erase(std::max(head, written.rfind("\n\n") + 2));
+  constexpr int64_t kLongestMs = 50;
+  exchange.Write(written);
+  Work(rng.Between(0, kLongestMs));
+  exchange.Reset();
+}
+
+void FaultyUpstream::WriteMalformed(Exchange& exchange, Rng& rng) {
+  constexpr std::array<std::string_view, 4> kStatuses = {"000 OK", "099 Odd",
+                                                         "600 Odd", "20 OK"};
+  constexpr std::array<std::string_view, 7> kFields = {
+      "X Note: a\r\n",
+      "X\x01: a\r\n",
+      "X: a\r\n b\r\n",
+      "X: a\x01\r\n",
+      "X\x7f: a\r\n",
+      "Not Executed: 1\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n"};
+  const bool has_status = rng.Chance(0.4);
+  const std::string body = AnswerBody(RouteOf(exchange), exchange.Id());
+  // No run has made an answer with this signature.
+  exchange.Write(
+      EncodeAnswerHead(has_status ? Pick(kStatuses, rng) : "200 OK",
+                       exchange.Id(), this->options.name + "-malformed") +
+      "Content-Type: text/event-stream\r\n" +
+      std::string(has_status ? "" : Pick(kFields, rng)) + "\r\n" + body);
+  exchange.Close();
+}
+
 void FaultyUpstream::CutUnframed(Exchange& exchange, const std::string& answer,
                                  size_t head, Rng& rng) {
   const size_t body_bytes = answer.size() - head;
@@ -294,7 +351,7 @@
   exchange.Run();
   this->seen.AddRun(exchange.Id());
   // Before the whole body was read it cannot be compared.
-  if (fault != UpstreamFault::kEarlyAnswer &&
+  if (!IsBeforeBody(fault) &&
       !IsRequestBody(exchange.Id(), exchange.Request().body())) {
     this->seen.AddChange(exchange.Id());
   }
--- a/soak/faulty_upstream.h
+++ b/soak/faulty_upstream.h
@@ -53,6 +53,11 @@
   void WritePrelude(UpstreamFault fault, Exchange& exchange, Rng& rng);
   /// What a run ends with, if it is not its whole answer.
   void BreakOff(UpstreamFault fault, Exchange& exchange, Rng& rng);
+  /// Answers before the body was read; `resets`: and resets the connection
+  /// within the answer.
+  void AnswerEarly(Exchange& exchange, bool resets, Rng& rng);
+  /// Writes an answer with one byte, line or coding that HTTP/1.1 doesn't have.
+  void WriteMalformed(Exchange& exchange, Rng& rng);
   void CutUnframed(Exchange& exchange, const std::string& answer, size_t head,
                    Rng& rng);
   void Run(UpstreamFault fault, Exchange& exchange);
--- a/soak/upstream_fault.cc
+++ b/soak/upstream_fault.cc
@@ -34,6 +34,9 @@
     FaultTraits{"no-events", 10},
     FaultTraits{"refusal-as-events", 10},
     FaultTraits{"early-answer", 20},
+    FaultTraits{"early-unframed", 20},
+    FaultTraits{"early-reset", 30},
+    FaultTraits{"malformed", 30},
     FaultTraits{"silence", 10},
     FaultTraits{"silence-after-head", 10},
     FaultTraits{"end", 0}};
@@ -47,6 +50,7 @@
 bool IsSound(UpstreamFault fault) {
   return fault == UpstreamFault::kNone || fault == UpstreamFault::kSlow ||
          fault == UpstreamFault::kUnframed ||
+         fault == UpstreamFault::kEarlyUnframed ||
          fault == UpstreamFault::kTrueRefusal;
 }
 
--- a/soak/upstream_fault.h
+++ b/soak/upstream_fault.h
@@ -30,11 +30,15 @@
   kNoEvents,          // ran; the head, then the end of the connection
   kRefusalAsEvents,   // ran; the head, then a refusal as the body
   kEarlyAnswer,       // ran; the answer before the body was read
+  kEarlyUnframed,     // ran; a whole answer that ends with its connection,
+                      // before the body was read
+  kEarlyReset,        // ran; the same, cut by a reset
+  kMalformed,         // ran; an answer that is none in HTTP/1.1
   kSilence,           // ran; no answer
   kSilenceAfterHead,  // ran; the head and no more
   kEnd,               // the upstream ended meanwhile, with all connections
 };
-constexpr int kUpstreamFaultCount = 25;
+constexpr int kUpstreamFaultCount = 28;
 
 std::string_view UpstreamFaultName(UpstreamFault fault);
 
