--- a/tests/daemon/answer_parser_test.cc
+++ b/tests/daemon/answer_parser_test.cc
@@ -373,15 +373,14 @@
 }
 
 TEST_F(AnswerParserTest, SoundBody_IsReadWhole) {
-  const std::pair<std::string, std::string> answers[] = {
-      {"Content-Length: 16", "sixteen bytes ok"},
-      {"Transfer-Encoding: Chunked",
-       "a;x=y;z=\"q\\\"\"\r\nsixteen by\r\n6\r\ntes ok\r\n00\r\nX: y\r\n\r\n"}};
-  for (const auto& [field, body] : answers) {
+  const std::string answers[] = {
+      "Content-Length: 16\r\n\r\nsixteen bytes ok",
+      "Transfer-Encoding: Chunked\r\n\r\n"
+      "a;x=y;z=\"q\\\"\"\r\nsixteen by\r\n6\r\ntes ok\r\n00\r\nX: y\r\n\r\n"};
+  for (const std::string& answer : answers) {
     for (size_t part = 1; part < 12; ++part) {
-      const ReadAnswer read =
-          Read("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n" + body, part);
-      EXPECT_EQ(read.progress, AnswerProgress::kWhole) << field;
+      const ReadAnswer read = Read("HTTP/1.1 200 OK\r\n" + answer, part);
+      EXPECT_EQ(read.progress, AnswerProgress::kWhole) << answer;
       EXPECT_EQ(read.body, "sixteen bytes ok");
     }
   }
@@ -390,15 +389,16 @@
 // Guards against a head, a chunk-size line or a trailer without end.
 TEST_F(AnswerParserTest, HeadOrLine_WithoutEnd_IsTooLong) {
   const std::string filler(AnswerParser::kMaxHeadBytes, 'x');
-  const std::string chunked =
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   std::string fields;
   while (fields.size() < AnswerParser::kMaxHeadBytes) fields += "X: y\r\n";
-  for (const std::string& text :
-       {"HTTP/1.1 200 " + filler, "HTTP/1.1 200 OK\r\nX: " + filler,
-        "HTTP/1.1 200 OK\r\n" + fields, chunked + "1;" + filler,
-        chunked + "0\r\n" + fields + "X"}) {
-    const ReadAnswer read = Read(text, 4096);
+  const std::pair<std::string, std::string> texts[] = {
+      {"HTTP/1.1 200 ", filler},
+      {"HTTP/1.1 200 OK\r\nX: ", filler},
+      {"HTTP/1.1 200 OK\r\n", fields},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", filler},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", fields}};
+  for (const auto& [begin, rest] : texts) {
+    const ReadAnswer read = Read(begin + rest + "X", 4096);
     EXPECT_EQ(read.progress, AnswerProgress::kBroken);
     EXPECT_EQ(read.fault, AnswerFault::kTooLong);
   }
