Soak: an early reset of a stream without a rest

Of a plain answer, it always cut the whole body.

Change: one function cuts for both ways; only streams are cut at an event.

--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -32,6 +32,13 @@
       exchange.Request()[boost::beast::string_view(name.data(), name.size())]);
 }
 
+/// The head of an answer, and its body up to some byte. The rest of a stream
+/// may be empty.
+std::string CutInBody(const std::string& answer, size_t head, Rng& rng) {
+  const size_t body_bytes = answer.size() - head;
+  return answer.substr(0, head + (body_bytes > 0 ? rng.Below(body_bytes) : 0));
+}
+
 /// True if the upstream answers before it has read the body.
 bool IsBeforeBody(UpstreamFault fault) {
   return fault == UpstreamFault::kEarlyAnswer ||
@@ -296,10 +303,11 @@
     return exchange.Close();
   }
   const size_t head = answer.find("\r\n\r\n") + 4;
-  std::string written =
-      answer.substr(0, head + rng.Below(answer.size() - head));
+  std::string written = CutInBody(answer, head, rng);
   // Nothing but the reset tells a part up to an event from the whole.
-  written.erase(std::max(head, written.rfind("\n\n") + 2));
+  if (TraitsOf(RouteOf(exchange)).is_stream) {
+    written.erase(std::max(head, written.rfind("\n\n") + 2));
+  }
   constexpr int64_t kLongestMs = 50;
   exchange.Write(written);
   Work(rng.Between(0, kLongestMs));
@@ -330,9 +338,7 @@
 
 void FaultyUpstream::CutUnframed(Exchange& exchange, const std::string& answer,
                                  size_t head, Rng& rng) {
-  const size_t body_bytes = answer.size() - head;
-  const size_t size = head + (body_bytes > 0 ? rng.Below(body_bytes) : 0);
-  std::string written = answer.substr(0, size);
+  std::string written = CutInBody(answer, head, rng);
   // Nothing but its place tells a close after an event from the end.
   if (rng.Chance(0.5)) {
     written.erase(std::max(head, written.rfind("\n\n") + 2));
