HttpConnection: braces around co_await; soak: an upstream that ends within an early answer

The linter asks for braces in two places of HttpConnection. Nothing else changes there.

The soak records such a close as the one in order that it was, as it does for answers that are cut by a close.

--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -131,7 +131,9 @@
       this->parser->ParseBody(asio::buffer(this->read_buffer), bytes);
   while (progress == daemon::AnswerProgress::kMore && bytes == 0) {
     const ErrorCode error = co_await this->ReadSome();
-    if (error == asio::error::eof) co_return co_await this->ReadEof();
+    if (error == asio::error::eof) {
+      co_return co_await this->ReadEof();
+    }
     if (error) {
       this->OnReadError(error);
       co_return BodyReadStatus::kBroken;
@@ -184,7 +186,9 @@
     const bool is_delivered =
         !this->sending && !this->send_error && this->UnacknowledgedBytes() == 0;
     if (is_delivered) co_return true;
-    if (!this->send_error) co_await this->send_ended.Wait(kDeliveryInterval);
+    if (!this->send_error) {
+      co_await this->send_ended.Wait(kDeliveryInterval);
+    }
   }
   co_return false;
 }
--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -311,6 +311,8 @@
   constexpr int64_t kLongestMs = 50;
   exchange.Write(written);
   Work(rng.Between(0, kLongestMs));
+  // An upstream that has ended meanwhile has closed the connection in order.
+  if (this->is_ending) this->seen.AddEarlyClose(exchange.Id());
   exchange.Reset();
 }
 
