A cut answer with a length is broken, also if it closes the connection

Cause: for an answer with a length or chunks and "Connection: close", Beast's message says need_eof, which means that the connection must be closed after it, and AnswerParser::ParseEof took it for an answer that the end of the connection ends.

Change: both ask the parser, which knows what frames the body.

--- a/ctl/admin_client.cc
+++ b/ctl/admin_client.cc
@@ -79,7 +79,7 @@
     context.run();
     if (error) throw beast::system_error(error);
     // A daemon that dies closes its connections, too.
-    if (parser.get().need_eof()) {
+    if (parser.need_eof()) {
       throw std::runtime_error("the answer has no length");
     }
     return AdminResponse{.status = static_cast<int>(parser.get().result_int()),
--- a/daemon/answer_parser.cc
+++ b/daemon/answer_parser.cc
@@ -130,7 +130,8 @@
 }
 
 AnswerProgress AnswerParser::ParseEof(AnswerEof eof) {
-  if (!this->parser.is_header_done() || !this->NeedsEof()) {
+  // The message also counts an answer with a length that closes the connection.
+  if (!this->parser.is_header_done() || !this->parser.need_eof()) {
     return AnswerProgress::kBroken;
   }
   if (eof == AnswerEof::kUndelivered) {
--- a/tests/daemon/answer_parser_test.cc
+++ b/tests/daemon/answer_parser_test.cc
@@ -406,14 +406,15 @@
 
 // Guards against the end of a connection that ends no answer.
 TEST_F(AnswerParserTest, Eof_ProvesTheEndOnlyOfADeliveredUnframedAnswer) {
-  for (const bool is_framed : {false, true}) {
+  for (const std::string framing :
+       {"", "Connection: close\r\n", "Content-Length: 9\r\n",
+        "Content-Length: 9\r\nConnection: close\r\n"}) {
+    const bool is_framed = framing.starts_with("Content-Length");
     for (const AnswerEof eof :
          {AnswerEof::kDelivered, AnswerEof::kUndelivered}) {
       boost::beast::flat_buffer buffer;
       AnswerParser parser(buffer);
-      const std::string text = std::string("HTTP/1.1 200 OK\r\n") +
-                               (is_framed ? "Content-Length: 9\r\n" : "") +
-                               "\r\npart";
+      const std::string text = "HTTP/1.1 200 OK\r\n" + framing + "\r\npart";
       asio::buffer_copy(buffer.prepare(text.size()), asio::buffer(text));
       buffer.commit(text.size());
       EXPECT_EQ(parser.ParseHead(), AnswerProgress::kHead);
