--- a/tests/platform/odd_answer_test.cc
+++ b/tests/platform/odd_answer_test.cc
@@ -143,7 +143,8 @@
            {"HTTP/1.1 200 \xe9t\xe9", "X:\r\n"},
            {"HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~: \t a \t b\xff \r\n"},
            {"HTTP/1.1 200 OK", "content-type:text/event-stream\r\n"}}) {
-    this->make_answer = [&](ScriptedExchange& exchange) {
+    this->make_answer = [&line = line,
+                         &field = field](ScriptedExchange& exchange) {
       return Answer(exchange, line, field);
     };
     this->ExpectServed(line + field);
