--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -215,12 +215,13 @@
     `plan(fields)` returns the pauses, in seconds, before each event of the
     stream that answers a request, or a number: the seconds until a plain
     answer. A runner that does not drop a request at once when its channel
-    closes finds that out when it writes the next event.
+    closes finds that out when it writes the next event. The streams of a runner
+    that is not `framed` have no length and end with their channel.
     """
 
-    def __init__(self, record, store, name, service, zone, plan, drops_at_once=True):
+    def __init__(self, record, store, name, service, zone, plan, drops_at_once=True, framed=True):
         self.record, self.store, self.name = record, store, name
-        self.drops_at_once = drops_at_once
+        self.drops_at_once, self.framed = drops_at_once, framed
         self.service, self.zone, self.plan = service, zone, plan
         self.port = free_port()
         self.state = "ready"
@@ -242,6 +243,19 @@
         self.beat.cancel()
         self.store.put("keyed.servers", self.name, None)
 
+    def drain(self):
+        """Reports that it drains; it goes on serving what it has."""
+        self.state = "draining"
+        self.report()
+
+    def exit(self):
+        """Ends as a process does: the system closes its channels in order."""
+        self.beat.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.store.put("keyed.servers", self.name, None)
+
     async def stop(self):
         """Ends the runner, and with it its channels."""
         self.server.close()
@@ -322,18 +336,26 @@
                 run["how"] = "answered"
                 return
             first = int(fields.get("last-event-id", 0)) + 1
-            writer.write((head + "Content-Type: text/event-stream\r\n"
-                          "Transfer-Encoding: chunked\r\n\r\n").encode())
+            framing = "Transfer-Encoding: chunked" if self.framed else "Connection: close"
+            writer.write((head + "Content-Type: text/event-stream\r\n%s\r\n\r\n" % framing).encode())
             for number in range(first, len(plan) + 1):
                 # A run that goes on elsewhere has no reason to pause again.
                 pause = plan[number - 1] if first == 1 else 0.05
                 if not await self.pause(pause, closed):
                     return
+                if writer.is_closing():
+                    run["how"] = "the runner has ended"
+                    return
                 event = "id: %d\ndata: %s-%d\n\n" % (number, attempt, number)
-                writer.write(("%x\r\n%s\r\n" % (len(event), event)).encode())
+                if self.framed:
+                    event = "%x\r\n%s\r\n" % (len(event), event)
+                writer.write(event.encode())
                 await writer.drain()
                 run["sent"] = number
-            writer.write(b"0\r\n\r\n")
+            if self.framed:
+                writer.write(b"0\r\n\r\n")
+            else:
+                writer.close()
             run["how"] = "complete"
         finally:
             if not closed.done():
@@ -475,6 +497,13 @@
             result["body"] = await self.reader.readexactly(int(fields["content-length"]))
             result["whole"] = True
             return
+        if "transfer-encoding" not in fields:
+            # Ends with the channel; a reset raises an error.
+            data = await self.reader.read(-1)
+            result["events"] = [(int(line[3:]), self.record.now())
+                                for line in data.split(b"\n") if line.startswith(b"id:")]
+            result["whole"] = True
+            return
         data = b""
         while True:
             size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
