--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the scripts of review/11 to review/15.
+"""Stand-ins for the scripts of review/11, 12 and 14.
 
 A store (the platform's log), runners, clients, and gateways as processes. Only
 what the operators' pages describe is done here; where they are silent, the
@@ -228,6 +228,8 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.slots = 64
+        # True: the next answer says "Connection: close", and its channel ends.
+        self.closes = False
         self.writers = set()
         self.running = 0
         self.runs = []
@@ -323,6 +325,7 @@
 
     async def answer(self, attempt, fields, reader, writer, run):
         plan = self.plan(fields)
+        closes, self.closes = self.closes, False
         head = ("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nRunner-Signature: %s.%s\r\n"
                 "Runner-Load: %d,0,%d\r\n" % (attempt, self.name, attempt, self.running, self.slots))
         run["how"] = "its channel was closed"
@@ -337,6 +340,8 @@
                 return
             first = int(fields.get("last-event-id", 0)) + 1
             framing = "Transfer-Encoding: chunked" if self.framed else "Connection: close"
+            if self.framed and closes:
+                framing += "\r\nConnection: close"
             writer.write((head + "Content-Type: text/event-stream\r\n%s\r\n\r\n" % framing).encode())
             for number in range(first, len(plan) + 1):
                 # A run that goes on elsewhere has no reason to pause again.
@@ -354,7 +359,7 @@
                 run["sent"] = number
             if self.framed:
                 writer.write(b"0\r\n\r\n")
-            else:
+            if closes or not self.framed:
                 writer.close()
             run["how"] = "complete"
         finally:
