review/12: the outage begins once all gateways have read the removal

In a clean clone beside the project's tests the case could not run: one gateway read the removal later than the script allowed. It waits for each gateway's channel now.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -82,8 +82,9 @@
         self.append_s = 0.002
         # While True, each call finds its channel reset, and nothing is done.
         self.is_down = False
-        # Called with the offset after the last record of each answered read.
-        self.on_read = lambda topic, end: None
+        # Called for each answered read, with the offset after the last record
+        # and the reader's channel.
+        self.on_read = lambda topic, end, channel: None
         self.server = None
 
     @property
@@ -116,7 +117,8 @@
                 if self.is_down:
                     writer.transport.abort()
                     return
-                status, answer = await self.answer(path, values, body)
+                channel = writer.get_extra_info("peername")
+                status, answer = await self.answer(path, values, body, channel)
                 if self.is_down:
                     writer.transport.abort()
                     return
@@ -129,14 +131,14 @@
         finally:
             writer.close()
 
-    async def answer(self, path, values, body):
+    async def answer(self, path, values, body, channel):
         part = self.part(values.get("topic", ""), int(values.get("part", 0)))
         if path == "/log-append":
             await asyncio.sleep(self.append_s)
             return self.do_append(part, values, body)
         if path == "/log-read":
             status, text = await self.do_read(part, values)
-            self.on_read(values.get("topic", ""), len(part.records))
+            self.on_read(values.get("topic", ""), len(part.records), channel)
             return status, text
         if path == "/log-newest":
             return self.do_newest(part)
