--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the scripts of review/11, 12 and 14.
+"""Stand-ins for the scripts of review/11, 12, 14 and 15.
 
 A store (the platform's log), runners, clients, and gateways as processes. Only
 what the operators' pages describe is done here; where they are silent, the
