gateway: a refusal by the configuration logs the read it rests on

The log of a refused request names the version only, which can't tell a reader that skipped or dropped records from one whose answers were old or from a document that was not taken.

Event config-refusal: offset of the configuration in force, next offset of the reader, whether it has read to the known end, age of its last read by arrival and by begin. Decisions are unchanged.

--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -247,6 +247,22 @@
   return now - this->config_follower.LastRead() > kMaxConfigAge;
 }
 
+void GatewayCore::LogConfigRefusal(const std::string& request,
+                                   uint64_t version, std::string_view wanted) {
+  const TimePoint now = Now();
+  const StreamFollower& reader = this->config_follower;
+  this->log.Write(
+      "config-refusal",
+      {{"id", request},
+       {"wanted", wanted},
+       {"config", static_cast<int64_t>(version)},
+       {"offset", static_cast<int64_t>(this->config_offset)},
+       {"next_offset", static_cast<int64_t>(reader.NextOffset())},
+       {"is_current", reader.IsCurrent()},
+       {"read_age_ms", ToMilliseconds(now - reader.LastRead())},
+       {"read_begun_age_ms", ToMilliseconds(now - reader.LastReadBegun())}});
+}
+
 serving::CallerLimits GatewayCore::Limits() const {
   return this->config.Get() ? this->config.Get()->limits
                             : serving::CallerLimits();
@@ -372,6 +388,7 @@
                    {"offset", static_cast<int64_t>(record.offset)},
                    {"in_force", taken}});
   if (!taken) return;
+  this->config_offset = record.offset;
   this->budgets.OnConfig(*offered);
   this->directory.Cold().OnConfig(*offered);
   this->answer_times.KeepRoutesOf(*offered);
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -66,6 +66,10 @@
   /// True if the configuration was last read so long ago that it may have
   /// changed since. A key or route that it does not name may then be new.
   bool IsConfigStale(TimePoint now) const;
+  /// Logs on which read of the configuration a refusal for want of `wanted`, a
+  /// route or key, rests.
+  void LogConfigRefusal(const std::string& request, uint64_t version,
+                        std::string_view wanted);
   /// Finds out whether the process has been paused, for example with its VM.
   /// Call it before a request is sent.
   void CheckPause();
@@ -131,6 +135,8 @@
   serving::CurrentConfig config;
   /// The newest record of the configuration, until it is decoded.
   std::optional<store::KeyedRecord> pending_config;
+  /// Offset of the record of the configuration in force.
+  uint64_t config_offset = 0;
   serving::UpstreamDirectory directory;
   serving::Placement placement;
   serving::RetryAllowance retries;
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -15,6 +15,21 @@
 /// that the upstream sends right at the limit still arrives.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(40);
 
+/// Logs what a refusal for want of a route or key rests on, and returns it.
+GatewayAnswer RefuseByConfig(GatewayCore& core, const ActiveRequest& active,
+                             bool stale, std::string_view wanted) {
+  core.LogConfigRefusal(active.request.id, active.config->version, wanted);
+  const bool is_route = wanted == "route";
+  if (stale) {
+    return {503,
+            is_route ? "no route in stale configuration"
+                     : "unknown key in stale configuration",
+            kRetryAfterNoConfig};
+  }
+  return is_route ? GatewayAnswer{404, "no route", std::nullopt}
+                  : GatewayAnswer{401, "unknown key", std::nullopt};
+}
+
 /// Finds the route and, unless the route is open to all, the organisation.
 std::optional<GatewayAnswer> FindRoute(GatewayCore& core,
                                        ActiveRequest& active) {
@@ -27,11 +42,7 @@
   const serving::CallerRequest& request = active.request;
   active.route = active.config->Match(request.host, request.path);
   if (active.route == nullptr) {
-    if (stale) {
-      return GatewayAnswer{503, "no route in stale configuration",
-                           kRetryAfterNoConfig};
-    }
-    return GatewayAnswer{404, "no route", std::nullopt};
+    return RefuseByConfig(core, active, stale, "route");
   }
   if (active.config->organisations.empty() || active.route->anonymous) {
     return std::nullopt;
@@ -39,11 +50,7 @@
 
   active.organisation = active.config->FindOrganisationByKey(request.key);
   if (active.organisation != nullptr) return std::nullopt;
-  if (stale) {
-    return GatewayAnswer{503, "unknown key in stale configuration",
-                         kRetryAfterNoConfig};
-  }
-  return GatewayAnswer{401, "unknown key", std::nullopt};
+  return RefuseByConfig(core, active, stale, "key");
 }
 
 /// The longest time of the route's answers, those that are still open included.
