gateway: readers of the store begin anew when the store was restored

Cause: store::KeyedView drops a record whose offset is not above the one known for its key, also after a restart with the newest records. A store that comes back from an older copy gives offsets out again, so that newer versions counted as older ones. Reads succeeded, and the configuration counted as current. Where the offsets had grown past the reader's position before its next read, no read was refused and the records between were skipped.

Change: store::StoreEra decides for each answer of the store, from its era, whether it answers the call: an answer of an earlier copy, or to a call that was begun before the era rose, counts as none. It tells its listeners before an answer of the new era is used. StreamFollower then reads the newest records again, each of which replaces what is known of its key. Keys that the copy lacks keep their values for a while, as their owners write them again; evacuations stay for 5 s. For 3 s an unknown route or key is refused with 503. A store that names no era is served as before. A configuration never goes back.

Event store-restored, metrics store_era, store_restores_total, store_answers_dropped_total.

--- a/fuchsiadrum/store/keyed_view.cc
+++ b/fuchsiadrum/store/keyed_view.cc
@@ -43,10 +43,29 @@
   this->seen.clear();
 }
 
+void KeyedView::OnNewEra() {
+  for (const auto& [key, offset] : this->offsets) {
+    this->unconfirmed.insert(key);
+  }
+  this->offsets.clear();
+  this->known_end = 0;
+  this->last_page_end = 0;
+  this->OnExpired();
+}
+
+void KeyedView::DropUnconfirmed() {
+  const std::set<std::string> dropped = std::move(this->unconfirmed);
+  this->unconfirmed.clear();
+  for (const std::string& key : dropped) {
+    this->change({.key = key, .value = std::nullopt});
+  }
+}
+
 void KeyedView::Apply(const KeyedRecord& record) {
   const auto known = this->offsets.find(record.key);
   if (known != this->offsets.end() && known->second >= record.offset) return;
 
+  this->unconfirmed.erase(record.key);
   if (record.value) {
     this->offsets[record.key] = record.offset;
   } else if (known != this->offsets.end()) {
--- a/fuchsiadrum/store/keyed_view.h
+++ b/fuchsiadrum/store/keyed_view.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,15 @@
   /// The store no longer has the tail at the current offset: restarts with the
   /// newest records. Known values stay until the new pages replace them.
   void OnExpired();
+  /// The store was restored from an older copy: offsets known so far order
+  /// nothing any more. Restarts with the newest records, each of which replaces
+  /// what is known of its key. Keys that the copy lacks keep their values until
+  /// DropUnconfirmed, because their owners may write them again.
+  void OnNewEra();
+  /// Drops the keys that were known before OnNewEra and not read since.
+  void DropUnconfirmed();
+  /// True if DropUnconfirmed would drop a key.
+  bool HasUnconfirmed() const { return !this->unconfirmed.empty(); }
 
   /// True once the tail was read up to the end offset of the last page.
   bool IsConsistent() const { return this->consistent; }
@@ -89,6 +99,8 @@
   OnChange change;
   /// Offset of the newest record of each key.
   std::map<std::string, uint64_t> offsets;
+  /// Keys with a value of an earlier era only.
+  std::set<std::string> unconfirmed;
   bool reading_tail = false;
   bool consistent = false;
   bool first_page = true;
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -210,7 +210,7 @@
 asio::awaitable<AccountShard::Outcome> AccountShard::Append(
     StoreClient& client, const std::vector<store::KeyedRecord>& records) {
   const std::string text = platform::EncodeAppend(
-      this->options.store_address, this->options.partition, this->writer,
+      this->options.store->address, this->options.partition, this->writer,
       records, this->end);
   // The store may still apply an unanswered write later, while the partition's
   // end is as expected, so the write is retried until its outcome is known.
@@ -412,7 +412,7 @@
   const std::vector<store::KeyedRecord> none;
   while (true) {
     std::string text = platform::EncodeAppend(
-        this->options.store_address, this->options.partition, fence, none);
+        this->options.store->address, this->options.partition, fence, none);
     const StoreReply reply =
         co_await client.Call(std::move(text), this->options.max_timeout);
     if (reply.status == platform::kStoreOk ||
@@ -462,7 +462,7 @@
 }
 
 std::string AccountShard::EncodeRead(uint64_t from) const {
-  return platform::EncodeReadTail(this->options.store_address,
+  return platform::EncodeReadTail(this->options.store->address,
                                   this->options.partition,
                                   {.from = from, .max_bytes = kReadBytes});
 }
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -18,7 +18,8 @@
   platform::StreamPartition partition;
   /// Name and incarnation of this gateway, under which it holds its grants.
   std::string holder;
-  std::string store_address;
+  /// Never null.
+  StoreEndpoint* store = nullptr;
   /// Timeout of the first attempt at a write. A write that times out is retried
   /// with twice the timeout, up to `max_timeout`.
   Duration initial_timeout = std::chrono::milliseconds(250);
--- a/gateway/budget_client.cc
+++ b/gateway/budget_client.cc
@@ -33,7 +33,7 @@
 FleetHeartbeatsOptions HeartbeatOptions(const BudgetClientOptions& options) {
   return {.vm = options.vm,
           .incarnation = options.incarnation,
-          .store_address = options.store_address,
+          .store = options.store,
           .store_timeout = options.store_timeout};
 }
 
@@ -84,10 +84,9 @@
         .stream = platform::Stream::kAccounts,
         .topic = number / this->options.parts,
         .part = number % this->options.parts};
-    const AccountShardOptions shard_options = {
-        .partition = partition,
-        .holder = this->name,
-        .store_address = this->options.store_address};
+    const AccountShardOptions shard_options = {.partition = partition,
+                                               .holder = this->name,
+                                               .store = this->options.store};
     shard = std::make_unique<AccountShard>(shard_options, this->context,
                                            *this->holder, this->event_log);
   }
@@ -179,7 +178,7 @@
     return client;
   }
   return std::make_unique<StoreClient>(this->context, this->watchdog,
-                                       this->options.store_address);
+                                       *this->options.store);
 }
 
 asio::awaitable<void> BudgetClient::SyncLoop() {
@@ -289,8 +288,7 @@
     held.ceiling = Tokens(item.ceiling_tokens());
     by_shard[&this->ShardOf(held.organisation)].push_back(held);
   }
-  StoreClient client(this->context, this->watchdog,
-                     this->options.store_address);
+  StoreClient client(this->context, this->watchdog, *this->options.store);
   for (const auto& [shard, ceilings] : by_shard) {
     co_await shard->Reclaim(client, this->heartbeats->PredecessorHolder(),
                             ceilings, *silence);
--- a/gateway/budget_client.h
+++ b/gateway/budget_client.h
@@ -28,7 +28,8 @@
 struct BudgetClientOptions {
   std::string vm;
   uint64_t incarnation = 0;
-  std::string store_address;
+  /// Never null.
+  StoreEndpoint* store = nullptr;
   Duration store_timeout = std::chrono::milliseconds(600);
   /// Number of partitions of each topic of the store, and number of topics with
   /// accounts. They determine where an organisation's account is stored, so
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -46,8 +46,8 @@
                                  EventLog& log)
     : options(opts),
       event_log(log),
-      write_client(context, watchdog, opts.store_address),
-      read_client(context, watchdog, opts.store_address),
+      write_client(context, watchdog, *opts.store),
+      read_client(context, watchdog, *opts.store),
       timer(context) {
   this->writer.name = VmRef{opts.vm, opts.incarnation}.ToString();
 }
@@ -100,7 +100,7 @@
   // the store applies a delayed write and its retry only once.
   int unproven = 0;
   while (true) {
-    std::string text = platform::EncodeAppend(this->options.store_address,
+    std::string text = platform::EncodeAppend(this->options.store->address,
                                               partition, this->writer, records);
     const StoreReply reply = co_await this->write_client.Call(
         std::move(text), this->options.store_timeout);
@@ -227,7 +227,7 @@
   read.from = from;
   read.max_bytes = kMaxReadBytes;
   std::string text =
-      platform::EncodeReadTail(this->options.store_address, partition, read);
+      platform::EncodeReadTail(this->options.store->address, partition, read);
   StoreReply reply = co_await this->read_client.Call(
       std::move(text), this->options.store_timeout);
   if (reply.status == platform::kStoreOffsetExpired) {
@@ -237,7 +237,7 @@
     if (!first || *first > this->predecessor_offset) co_return false;
     read.from = *first;
     std::string retry_text =
-        platform::EncodeReadTail(this->options.store_address, partition, read);
+        platform::EncodeReadTail(this->options.store->address, partition, read);
     reply = co_await this->read_client.Call(std::move(retry_text),
                                             this->options.store_timeout);
   }
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -19,7 +19,8 @@
 struct FleetHeartbeatsOptions {
   std::string vm;
   uint64_t incarnation = 0;
-  std::string store_address;
+  /// Never null.
+  StoreEndpoint* store = nullptr;
   Duration store_timeout = std::chrono::milliseconds(600);
   /// Minimum time between two heartbeats. From the last heartbeat, the
   /// successor of this process derives for how long it may have been cut off
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -22,10 +22,16 @@
 /// Age of the last read of the configuration above which a change may be
 /// unknown: the wait of a held read, its timeout and some slack.
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
+/// Time after which the operators have written again what a restored store has
+/// lost. Until then, its configuration may be older than the one in force.
+constexpr Duration kRewriteTime = std::chrono::seconds(3);
 /// After a pause of the process, nothing is sent until the evacuations have
 /// been read again, but for this time at most: if the store is away, the last
 /// ones remain in force.
 constexpr Duration kMaxEvacuationRead = std::chrono::milliseconds(1000);
+/// How long evacuations of an earlier era of the store stay in force after it
+/// was restored, unless they are written again or deleted.
+constexpr Duration kKeepUnconfirmed = std::chrono::seconds(5);
 constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr size_t kBytesPerMegabyte = 1000000;
 /// Interval at which idle connections and upstreams are checked and the fleet's
@@ -95,10 +101,11 @@
   return limits;
 }
 
-BudgetClientOptions BudgetOptions(const pb::GatewaySettings& settings) {
+BudgetClientOptions BudgetOptions(const pb::GatewaySettings& settings,
+                                  StoreEndpoint& store) {
   return {.vm = settings.vm().name(),
           .incarnation = daemon::StartIncarnation(),
-          .store_address = settings.store().address(),
+          .store = &store,
           .store_timeout = StoreTimeout(settings),
           .parts = settings.store().parts(),
           .writes_per_s = settings.store().writes_per_s()};
@@ -111,6 +118,7 @@
     : settings(gateway_settings),
       context(io_context),
       log({.vm = gateway_settings.vm().name()}),
+      store({.address = gateway_settings.store().address()}),
       rng(daemon::StartIncarnation()),
       directory(DirectoryOptions(gateway_settings)),
       placement(
@@ -133,12 +141,12 @@
            .long_poll_wait = kConfigReadWait,
            .skip_to_newest_after_failure = true,
            .max_lag_records = 1,
-           .timeout = StoreTimeout(gateway_settings)},
+           .timeout = StoreTimeout(gateway_settings),
+           .keep_unconfirmed = kKeepUnconfirmed},
           {.on_change = [this](const auto& r) { this->OnOperatorsRecord(r); },
            .on_read = [this] { this->ApplyPendingConfig(); },
            .on_recovered = [] {}},
-          io_context, this->watchdog, this->log,
-          gateway_settings.store().address()),
+          io_context, this->watchdog, this->log, this->store),
       upstream_follower(
           {.stream = platform::Stream::kUpstreams,
            .interval = kUpstreamReadInterval,
@@ -150,18 +158,17 @@
                  this->directory.Cold().OnEntriesRead();
                },
            .on_recovered = [this] { this->OnStoreRecovered(); }},
-          io_context, this->watchdog, this->log,
-          gateway_settings.store().address()),
-      budgets(BudgetOptions(gateway_settings), io_context, this->watchdog,
-              this->log),
+          io_context, this->watchdog, this->log, this->store),
+      budgets(BudgetOptions(gateway_settings, this->store), io_context,
+              this->watchdog, this->log),
       shared_limits({.holder = HolderName(gateway_settings),
-                     .store_address = gateway_settings.store().address(),
+                     .store = &this->store,
                      .store_timeout = StoreTimeout(gateway_settings)},
                     io_context, this->watchdog, this->log,
                     this->directory.Limits()),
       quarantines(QuarantineOptions(gateway_settings)),
       quarantine_client({.holder = HolderName(gateway_settings),
-                         .store_address = gateway_settings.store().address(),
+                         .store = &this->store,
                          .store_timeout = StoreTimeout(gateway_settings)},
                         io_context, this->watchdog, this->log,
                         this->quarantines),
@@ -170,6 +177,8 @@
                     this->OnUpstreamCrash(crash);
                   }),
       stop_schedule({.grace = FromSeconds(gateway_settings.stop().grace_s())}) {
+  this->store.era.Subscribe(
+      [this](auto before, auto now) { this->OnStoreRestored(before, now); });
 }
 
 void GatewayCore::Start() {
@@ -244,11 +253,15 @@
 }
 
 bool GatewayCore::IsConfigStale(TimePoint now) const {
+  if (this->store_restored_at &&
+      now - *this->store_restored_at < kRewriteTime) {
+    return true;
+  }
   return now - this->config_follower.LastRead() > kMaxConfigAge;
 }
 
-void GatewayCore::LogConfigRefusal(const std::string& request,
-                                   uint64_t version, std::string_view wanted) {
+void GatewayCore::LogConfigRefusal(const std::string& request, uint64_t version,
+                                   std::string_view wanted) {
   const TimePoint now = Now();
   const StreamFollower& reader = this->config_follower;
   this->log.Write(
@@ -260,7 +273,8 @@
        {"next_offset", static_cast<int64_t>(reader.NextOffset())},
        {"is_current", reader.IsCurrent()},
        {"read_age_ms", ToMilliseconds(now - reader.LastRead())},
-       {"read_begun_age_ms", ToMilliseconds(now - reader.LastReadBegun())}});
+       {"read_begun_age_ms", ToMilliseconds(now - reader.LastReadBegun())},
+       {"era", static_cast<int64_t>(this->store.era.Current().value_or(0))}});
 }
 
 serving::CallerLimits GatewayCore::Limits() const {
@@ -315,6 +329,24 @@
   }
 }
 
+void GatewayCore::OnStoreRestored(std::optional<uint64_t> before,
+                                  std::optional<uint64_t> now) {
+  const auto logged = [](std::optional<uint64_t> era) {
+    return era ? static_cast<int64_t>(*era) : -1;
+  };
+  this->log.Write(
+      "store-restored",
+      {{"era_before", logged(before)},
+       {"era", logged(now)},
+       {"config_offset",
+        static_cast<int64_t>(this->config_follower.NextOffset())},
+       {"upstreams_offset",
+        static_cast<int64_t>(this->upstream_follower.NextOffset())}});
+  const TimePoint at = Now();
+  this->store_restored_at = at;
+  this->directory.OnStoreReconnected(at);
+}
+
 void GatewayCore::CheckPause() {
   // Asked before each send, and it reads several clocks.
   const pb::GatewayBoundSettings& bounds = this->settings.bounds();
@@ -435,6 +467,16 @@
   add("config_version", this->config.Get()
                             ? static_cast<double>(this->config.Get()->version)
                             : 0);
+  add("store_era", static_cast<double>(this->store.era.Current().value_or(0)));
+  add("store_restores_total",
+      static_cast<double>(this->store.era.Generation()));
+  for (const auto verdict :
+       {store::EraVerdict::kOutdated, store::EraVerdict::kDoubtful}) {
+    std::string name = "store_answers_dropped_total{era=\"";
+    name += store::EraVerdictName(verdict);
+    name += "\"}";
+    add(name, static_cast<double>(this->store.era.Count(verdict)));
+  }
   add("callers", static_cast<double>(this->callers.size()));
   add("upstreams", static_cast<double>(this->directory.Size()));
   add("evacuated_zones",
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -120,6 +120,9 @@
                           const std::string& zone);
   void ApplyPendingConfig();
   void OnStoreRecovered();
+  /// The store was restored from an older copy.
+  void OnStoreRestored(std::optional<uint64_t> before,
+                       std::optional<uint64_t> now);
   /// Takes over what is known of the fleet's VMs, if that has changed.
   void UpdateFleet();
   void LogColdUpstreams(TimePoint now);
@@ -130,6 +133,7 @@
   asio::io_context& context;
   Watchdog watchdog;
   EventLog log;
+  StoreEndpoint store;
   Rng rng;
   GatewayMetrics metrics;
   serving::CurrentConfig config;
@@ -167,6 +171,8 @@
   uint64_t fleet_reads = 0;
   /// When the process went on after its last pause; us is 0: it had none.
   TimePoint paused_until;
+  /// When the store was last seen to be restored from an older copy.
+  std::optional<TimePoint> store_restored_at;
   TimePoint last_pool_sweep;
   serving::StopSchedule stop_schedule;
   serving::AnswerTimes answer_times;
--- a/gateway/limit_client.cc
+++ b/gateway/limit_client.cc
@@ -29,8 +29,8 @@
                {.on_change = [this](const auto& r) { this->OnRecord(r); },
                 .on_read = [this] { this->read_done.Notify(); },
                 .on_recovered = [] {}},
-               io_context, watchdog, log, opts.store_address),
-      writer(io_context, watchdog, opts.store_address),
+               io_context, watchdog, log, *opts.store),
+      writer(io_context, watchdog, *opts.store),
       update_due(io_context),
       read_done(io_context),
       timer(io_context),
@@ -145,7 +145,7 @@
   std::optional<uint64_t> at;
   if (update.ChangesLimits()) at = end;
   return platform::EncodeAppend(
-      this->options.store_address, kPartition, platform::Writer(),
+      this->options.store->address, kPartition, platform::Writer(),
       EncodeLimitUpdate(update, this->options.holder), at);
 }
 
--- a/gateway/limit_client.h
+++ b/gateway/limit_client.h
@@ -15,7 +15,8 @@
 struct LimitClientOptions {
   /// Name of this gateway process among the holders: "<vm>/<incarnation>".
   std::string holder;
-  std::string store_address;
+  /// Never null.
+  StoreEndpoint* store = nullptr;
   Duration store_timeout = std::chrono::milliseconds(600);
   /// How long a read may wait in the store for a new record.
   Duration long_poll_wait = std::chrono::seconds(4);
--- a/gateway/quarantine_client.cc
+++ b/gateway/quarantine_client.cc
@@ -38,8 +38,8 @@
                {.on_change = [this](const auto& r) { this->OnRecord(r); },
                 .on_read = [this] { this->read_done.Notify(); },
                 .on_recovered = [] {}},
-               io_context, watchdog, log, opts.store_address),
-      writer(io_context, watchdog, opts.store_address),
+               io_context, watchdog, log, *opts.store),
+      writer(io_context, watchdog, *opts.store),
       update_due(io_context),
       read_done(io_context),
       timer(io_context),
@@ -115,7 +115,7 @@
   if (update.IsEmpty()) co_return;
   const uint64_t end = this->follower.NextOffset();
   std::string text = platform::EncodeAppend(
-      this->options.store_address, kPartition, platform::Writer(),
+      this->options.store->address, kPartition, platform::Writer(),
       EncodeQuarantineUpdate(update), end);
   StoreReply reply =
       co_await this->writer.Call(std::move(text), this->options.store_timeout);
--- a/gateway/quarantine_client.h
+++ b/gateway/quarantine_client.h
@@ -15,7 +15,8 @@
 struct QuarantineClientOptions {
   /// Name of this gateway process: "<vm>/<incarnation>".
   std::string holder;
-  std::string store_address;
+  /// Never null.
+  StoreEndpoint* store = nullptr;
   Duration store_timeout = std::chrono::milliseconds(600);
   /// How long a read may wait in the store for a new record. Together with the
   /// timeout it bounds the time after which a dead connection is noticed.
--- a/gateway/store_client.cc
+++ b/gateway/store_client.cc
@@ -21,12 +21,13 @@
 asio::awaitable<StoreReply> StoreClient::Call(std::string text,
                                               Duration timeout) {
   ++this->calls;
+  const uint64_t generation = this->endpoint.era.Generation();
   const TimePoint deadline = Now() + timeout;
   if (!this->connection || !this->connection->IsReusable()) {
     this->connection = std::make_shared<HttpConnection>(this->context);
     this->watchdog.Watch(*this->connection);
     this->connection->ExpireAt(deadline);
-    if (!co_await this->connection->Connect(this->address)) {
+    if (!co_await this->connection->Connect(this->endpoint.address)) {
       this->connection.reset();
       co_return StoreReply();
     }
@@ -43,6 +44,7 @@
     co_return reply;
   }
   reply.status = static_cast<int>(head->result_int());
+  const std::optional<uint64_t> era = platform::DecodeEra(*head);
   const TimePoint max_deadline = deadline + (kMaxTimeoutFactor - 1) * timeout;
   BodyReadStatus body_status = BodyReadStatus::kMore;
   while (body_status == BodyReadStatus::kMore) {
@@ -60,6 +62,10 @@
     broken.fault = used->Fault();
     co_return broken;
   }
+  // Only an answer of the copy for which the call was made answers it.
+  const store::EraVerdict verdict =
+      this->endpoint.era.OnAnswer(era, generation);
+  if (verdict != store::EraVerdict::kCurrent) co_return StoreReply();
   co_return reply;
 }
 
--- a/gateway/store_client.h
+++ b/gateway/store_client.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "fuchsiadrum/serving/answer_fault.h"
+#include "fuchsiadrum/store/store_era.h"
 #include "gateway/asio.h"
 #include "gateway/event_log.h"
 #include "gateway/http_connection.h"
@@ -13,7 +14,16 @@
 
 namespace fuchsiadrum::gateway {
 
-/// Answer of the store; the status is 0 if the call failed without an answer.
+/// Where the store is, and what is known of the copy of it that answers.
+struct StoreEndpoint {
+  /// IP:port.
+  std::string address;
+  store::StoreEra era;
+};
+
+/// Answer of the store; the status is 0 if the call failed without an answer,
+/// or if its answer was made by an earlier or later copy of the store than the
+/// call was made for.
 struct StoreReply {
   int status = 0;
   std::string body;
@@ -27,14 +37,13 @@
 constexpr int kMaxUnprovenAnswers = 3;
 
 /// Client of the platform's store over one connection, which is opened again
-/// after a failure. Only one call may be pending at a time.
+/// after a failure. Only one call may be pending at a time. Tells the
+/// endpoint's era of each answer.
 class StoreClient {
  public:
   StoreClient(asio::io_context& io_context, Watchdog& timeouts,
-              std::string store_address)
-      : context(io_context),
-        watchdog(timeouts),
-        address(std::move(store_address)) {}
+              StoreEndpoint& store)
+      : context(io_context), watchdog(timeouts), endpoint(store) {}
 
   /// Sends a request and reads the answer. `timeout` applies to the time until
   /// the answer begins, and then to the time between its parts. A call that
@@ -49,14 +58,14 @@
   }
   /// Disconnects and logs the reply, which does not fit the call.
   void DropUnproven(const StoreReply& reply, EventLog& log);
-  const std::string& Address() const { return this->address; }
+  const std::string& Address() const { return this->endpoint.address; }
   /// Calls made, answered or not.
   uint64_t Calls() const { return this->calls; }
 
  private:
   asio::io_context& context;
   Watchdog& watchdog;
-  std::string address;
+  StoreEndpoint& endpoint;
   std::shared_ptr<HttpConnection> connection;
   uint64_t calls = 0;
 };
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -9,13 +9,22 @@
 StreamFollower::StreamFollower(const StreamFollowerOptions& opts,
                                Handlers callbacks, asio::io_context& context,
                                Watchdog& watchdog, EventLog& log,
-                               const std::string& address)
+                               StoreEndpoint& store)
     : options(opts),
       handlers(std::move(callbacks)),
       event_log(log),
-      client(context, watchdog, address),
+      client(context, watchdog, store),
       view(this->handlers.on_change),
-      timer(context) {}
+      timer(context) {
+  store.era.Subscribe(
+      [this](auto /*before*/, auto /*now*/) { this->OnNewEra(); });
+}
+
+void StreamFollower::OnNewEra() {
+  this->view.OnNewEra();
+  this->new_era_at = Now();
+  this->ReadAgain();
+}
 
 asio::awaitable<void> StreamFollower::Run() {
   while (true) {
@@ -101,6 +110,10 @@
     this->view.OnNewest(*page);
   }
   this->last_read = Now();
+  if (this->view.HasUnconfirmed() && this->IsCurrent() &&
+      this->last_read - this->new_era_at >= this->options.keep_unconfirmed) {
+    this->view.DropUnconfirmed();
+  }
   this->handlers.on_read();
   return true;
 }
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -35,6 +35,9 @@
   /// `max_backoff`.
   Duration initial_backoff = std::chrono::milliseconds(60);
   Duration max_backoff = std::chrono::milliseconds(500);
+  /// How long a key that a restored copy of the store lacks keeps its value:
+  /// its owner writes it again.
+  Duration keep_unconfirmed = Duration::zero();
 };
 
 /// Follows one stream of the store: reads the newest record of each key and
@@ -53,7 +56,7 @@
 
   StreamFollower(const StreamFollowerOptions& opts, Handlers callbacks,
                  asio::io_context& context, Watchdog& watchdog, EventLog& log,
-                 const std::string& address);
+                 StoreEndpoint& store);
 
   /// Reads the stream until the process ends.
   asio::awaitable<void> Run();
@@ -86,6 +89,8 @@
   uint64_t Calls() const { return this->client.Calls(); }
 
  private:
+  /// The store was restored from an older copy.
+  void OnNewEra();
   asio::awaitable<bool> ReadOnce();
   asio::awaitable<void> Pause(Duration time);
   std::string EncodeRead(const store::KeyedView::NextRead& next) const;
@@ -102,6 +107,8 @@
   AsyncCondition timer;
   TimePoint last_read;
   TimePoint last_read_begun;
+  /// When the store was last seen to be restored; us is 0: it was not.
+  TimePoint new_era_at;
   bool pausing = false;
   /// The pending read does not count.
   bool reads_again = false;
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -68,6 +68,25 @@
     }
     return found;
   }
+  /// Copies all streams. The store names an era in its answers from now on.
+  void TakeCopy() {
+    const std::lock_guard lock(this->mutex);
+    this->copy = this->streams;
+    this->copied_answers = this->answered;
+    if (this->era == 0) this->era = 1;
+  }
+  /// Puts the last copy in the place of what was written since, and begins the
+  /// next era.
+  void RestoreCopy() {
+    const std::lock_guard lock(this->mutex);
+    // Calls that wait refer to the streams.
+    for (auto& [name, stream] : this->streams) stream = this->copy[name];
+    this->answered = this->copied_answers;
+    ++this->era;
+    this->appended.notify_all();
+  }
+  /// Era in all answers; 0: they name none.
+  std::atomic<int> era{0};
   /// While set, every call is answered with status 503.
   std::atomic<bool> refusing{false};
   /// If not 0, answers to reads of the newest configuration are sent in this
@@ -135,6 +154,7 @@
       return this->last_account_answer;
     }
     HttpAnswer answer = this->Handle(request);
+    if (this->era > 0) answer.set("Store-Era", std::to_string(this->era));
     if (writes_account) this->last_account_answer = answer;
     if (writes_account && this->earlier_account_mismatches > 0) {
       --this->earlier_account_mismatches;
@@ -219,6 +239,11 @@
                                 std::chrono::milliseconds(std::stoi(wait_ms)),
                                 [&] { return stream.size() > from; });
       }
+      if (from > stream.size()) {
+        answer.result(http::status::gone);
+        answer.body() = R"({"first":0})";
+        return answer;
+      }
       answer.body() = BigEndian(stream.size(), 8) + BigEndian(0, 8);
       for (size_t i = from; i < stream.size(); ++i) {
         answer.body() += BigEndian(stream[i].size(), 4) + stream[i];
@@ -260,9 +285,11 @@
   std::mutex mutex;
   std::condition_variable appended;
   std::map<std::string, std::vector<std::string>> streams;
+  std::map<std::string, std::vector<std::string>> copy;
   /// Answers to appends that were applied, by their partition, producer, epoch
   /// and sequence.
   std::map<std::string, HttpAnswer> answered;
+  std::map<std::string, HttpAnswer> copied_answers;
   HttpAnswer last_account_answer;
   LoopbackServer server;
 };
--- a/tests/store/keyed_view_test.cc
+++ b/tests/store/keyed_view_test.cc
@@ -80,6 +80,37 @@
   EXPECT_TRUE(this->view.IsConsistent());
 }
 
+// After the store was restored from an older copy, offsets were given out
+// again, and newer configurations were taken for older ones.
+TEST_F(KeyedViewTest, NewEra_RecordAtALowerOffset_ReplacesTheValue) {
+  this->view.OnNewest({.records = {Put("a", "7", 6)}, .end_offset = 7});
+  this->view.OnNewEra();
+  this->view.OnNewest({.records = {Put("a", "5", 4)}, .end_offset = 5});
+  this->view.OnTail(
+      {.records = {Put("a", "8", 5)}, .next_offset = 6, .end_offset = 6});
+
+  EXPECT_EQ(this->values["a"], "8");
+  EXPECT_TRUE(this->view.IsConsistent());
+  EXPECT_FALSE(this->view.IsBehind());
+}
+
+// What a restored store lacks was deleted or is written again; until that is
+// known, an evacuation must stay in force.
+TEST_F(KeyedViewTest,
+       NewEra_KeyThatTheCopyLacks_KeepsItsValueUntilItIsDropped) {
+  this->view.OnNewest({.records = {Put("a", "1", 0), Put("b", "1", 1)},
+                       .more = false,
+                       .end_offset = 2});
+  this->view.OnNewEra();
+  this->view.OnNewest({.records = {Put("a", "1", 0)}, .end_offset = 1});
+  EXPECT_EQ(this->values.count("b"), 1U);
+  ASSERT_TRUE(this->view.HasUnconfirmed());
+
+  this->view.DropUnconfirmed();
+  EXPECT_EQ(this->values.count("b"), 0U);
+  EXPECT_EQ(this->values.count("a"), 1U);
+}
+
 TEST_F(KeyedViewTest, DeletedKey_InTheTail_IsDropped) {
   this->view.OnNewest(
       {.records = {Put("a", "1", 0)}, .more = false, .end_offset = 1});
