gateway: heartbeats begin anew when the store was restored

The offsets that prove how long a predecessor was silent were compared across eras, too.

Change: a new era resets the last offset and the sequence number, under a new epoch, and gives up a reclaim whose proof has begun in an earlier era; its tokens stay counted.

RestoredStoreTest.Heartbeats_GoOnAtLowerOffsets passes with and without this change: with the few heartbeats of the test the repeated writes catch up within a second.

--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -50,6 +50,16 @@
       read_client(context, watchdog, *opts.store),
       timer(context) {
   this->writer.name = VmRef{opts.vm, opts.incarnation}.ToString();
+  opts.store->era.Subscribe(
+      [this](auto /*before*/, auto /*now*/) { this->OnNewEra(); });
+}
+
+void FleetHeartbeats::OnNewEra() {
+  this->last_offset.reset();
+  // The restored store may expect an earlier sequence number.
+  ++this->writer.epoch;
+  this->writer.sequence = 0;
+  this->are_offsets_lost = true;
 }
 
 std::string FleetHeartbeats::PredecessorHolder() const {
@@ -199,6 +209,7 @@
   const TimePoint end = Now() + kPeerTimeout;
   while (Now() < end) {
     co_await this->timer.Wait(kPeerRetryInterval);
+    if (this->are_offsets_lost) co_return std::nullopt;
     if (!this->first_heartbeat) continue;
     std::vector<budget::FleetHeartbeat> found;
     const uint64_t before = this->predecessor_offset -
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -82,6 +82,8 @@
   uint64_t ReadCalls() const { return this->read_client.Calls(); }
 
  private:
+  /// The store was restored from an older copy.
+  void OnNewEra();
   void AddMember(const store::KeyedRecord& record);
   store::KeyedRecord OwnRecord(
       const std::vector<budget::GrantCeiling>& ceilings) const;
@@ -107,6 +109,8 @@
   uint64_t predecessor_offset = 0;
   /// The first heartbeat that this process wrote.
   std::optional<budget::FleetHeartbeat> first_heartbeat;
+  /// The offsets above are of an earlier era of the store.
+  bool are_offsets_lost = false;
   /// Offset of the last heartbeat that the store has acknowledged.
   std::optional<uint64_t> last_offset;
   TimePoint write_begun;
