budget: grants that a restored store has lost are written again first

Other gateways could be granted those tokens again, and a conditional append at an offset of the earlier copy could succeed on another book. The holder itself looped on an append that no longer fits: RestoredStoreTest.LostGrant_IsWrittenAgain got 503 for over 30 s.

Change: AccountShard reads the book again in a new era and first writes the grants that this gateway remembers (GrantHolder::PlanRestore): the stored state of its own grant is replaced by the remembered one, so that the account becomes the sum of all grants again, in any order of gateways. For 5 s no grant is raised; requests use what the gateways hold. Reclaims planned before are dropped.

LostGrant failed without this change and passes with it.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -194,6 +194,31 @@
                      .account = pool.planned_account};
 }
 
+std::optional<GrantUpdate> GrantHolder::PlanRestore(
+    const std::string& organisation, const RecordedGrant& stored,
+    const FleetAccount& account) {
+  Pool& pool = this->PoolOf(organisation);
+  if (!pool.limit || pool.in_flight) return std::nullopt;
+  // Without a write the account is the sum of what is stored.
+  if (stored.granted == pool.recorded.granted &&
+      stored.spent == pool.recorded.spent) {
+    return std::nullopt;
+  }
+  pool.in_flight = true;
+  pool.planned = pool.recorded;
+  pool.planned.spent = pool.spent;
+  pool.planned.ceiling = std::max(
+      pool.grant_ceiling, this->NextCeiling(pool, pool.recorded.granted));
+  pool.planned_account = account;
+  pool.planned_account.limit = LimitOf(pool, account);
+  pool.planned_account.limit_version =
+      std::max(account.limit_version, pool.limit_version);
+  pool.planned_account.Replace(stored, pool.planned);
+  return GrantUpdate{.organisation = organisation,
+                     .grant = pool.planned,
+                     .account = pool.planned_account};
+}
+
 void GrantHolder::OnWritten(TimePoint now, const std::string& organisation) {
   Pool& pool = this->PoolOf(organisation);
   FD_ASSERT(pool.in_flight, "OnWritten without a planned write");
@@ -441,7 +466,12 @@
     const Tokens max_total = MaxTotal(pool, account);
     const Tokens total =
         std::min(in_use + std::max(target, pool.unmet_amount), max_total);
-    if (total > recorded && total >= in_use + pool.unmet_amount) return total;
+    const bool may_raise =
+        !this->store_restored_at ||
+        now - *this->store_restored_at >= this->options.restore_time;
+    if (may_raise && total > recorded && total >= in_use + pool.unmet_amount) {
+      return total;
+    }
     return std::nullopt;
   }
   const double high_water =
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -128,6 +128,10 @@
   /// whether a budget is exhausted or tokens are unused elsewhere.
   double spend_refresh_threshold = 0.15;
   Duration spend_refresh_interval = std::chrono::seconds(3);
+  /// After the store was restored from an older copy, no grant is raised for
+  /// this long: by then each gateway that reaches the store has written again
+  /// the grants that the store lost.
+  Duration restore_time = std::chrono::seconds(5);
 };
 
 /// A grant record to be written, and the account after that write.
@@ -214,6 +218,15 @@
   std::optional<GrantUpdate> PlanWrite(TimePoint now,
                                        const std::string& organisation,
                                        const FleetAccount& account);
+  /// The store was restored from an older copy, in which grants may be lost.
+  void OnStoreRestored(TimePoint now) { this->store_restored_at = now; }
+  /// Plans to write the grant again, if the store has another state of it than
+  /// this holder, from which the account was computed. The account may exceed
+  /// the budget by that: tokens that a holder may have used are counted. As
+  /// after PlanWrite, the outcome has to be reported.
+  std::optional<GrantUpdate> PlanRestore(const std::string& organisation,
+                                         const RecordedGrant& stored,
+                                         const FleetAccount& account);
   /// Reports that the planned change is in the store.
   void OnWritten(TimePoint now, const std::string& organisation);
   /// Reports that the planned change is not in the store and never will be, for
@@ -360,6 +373,7 @@
   /// began.
   TimePoint heartbeat_written_at;
   TimePoint heartbeat_started_at;
+  std::optional<TimePoint> store_restored_at;
   bool closed = false;
 };
 
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -97,6 +97,7 @@
                            budget::GrantHolder& grant_holder, EventLog& log)
     : options(opts), holder(grant_holder), event_log(log), timer(context) {
   this->writer.name = opts.holder;
+  this->generation = opts.store->era.Generation();
 }
 
 void AccountShard::Add(const std::string& organisation) {
@@ -114,6 +115,7 @@
 
 bool AccountShard::IsDue(TimePoint now) {
   if (now < this->backoff_until) return false;
+  if (this->IsOfEarlierEra() || this->are_grants_lost) return true;
   if (!this->pending_reclaims.empty()) return true;
   return std::ranges::any_of(this->organisations, [&](const auto& name) {
     return this->holder.IsDue(now, name);
@@ -128,10 +130,14 @@
   this->busy = true;
   this->rate_limited = false;
   const uint64_t calls_before = client.Calls() - this->calls.appends;
+  if (this->IsOfEarlierEra()) this->BeginEra();
   bool is_fresh = this->end && Now() - this->book_at < kMaxBookAge;
   if (!is_fresh) {
     is_fresh = co_await this->ReadBook(client);
   }
+  if (is_fresh && this->are_grants_lost) {
+    is_fresh = co_await this->RestoreGrants(client);
+  }
   if (!is_fresh) this->BackOff();
   for (int attempt = 0; is_fresh && attempt < kMaxAppendAttempts; ++attempt) {
     const Change change = this->PlanChange(Now());
@@ -160,6 +166,66 @@
   this->backoff_until = Now() + std::min(backoff, kMaxBackoff);
 }
 
+void AccountShard::BeginEra() {
+  this->generation = this->options.store->era.Generation();
+  this->end.reset();
+  // The restored store may expect an earlier sequence number.
+  ++this->writer.epoch;
+  this->writer.sequence = 0;
+  // They were planned on records that may be lost. Without them the tokens stay
+  // counted.
+  this->pending_reclaims.clear();
+  this->are_grants_lost = true;
+}
+
+asio::awaitable<bool> AccountShard::RestoreGrants(StoreClient& client) {
+  const auto page = co_await ReadAllNewest(client, this->options.partition,
+                                           this->options.max_timeout);
+  if (!page || !this->end || this->IsOfEarlierEra()) co_return false;
+  // What was written between the two reads changes no grant of this gateway.
+  Change change;
+  change.book = this->book;
+  for (const std::string& name : this->organisations) {
+    const auto found =
+        std::ranges::find(page->records, GrantKey(name, this->options.holder),
+                          &store::KeyedRecord::key);
+    pb::FleetRecord content;
+    budget::RecordedGrant stored;
+    if (found != page->records.end() && found->value &&
+        content.ParseFromString(*found->value) && content.has_grant()) {
+      stored = DecodeGrant(content.grant());
+    }
+    const auto update =
+        this->holder.PlanRestore(name, stored, change.book[name]);
+    if (!update) continue;
+    change.book[name] = update->account;
+    change.records.push_back(
+        EncodeGrant(name, this->options.holder, update->grant));
+    change.updates.push_back(*update);
+  }
+  if (change.records.empty()) {
+    this->are_grants_lost = false;
+    co_return true;
+  }
+  change.records.push_back(EncodeBook(change.book));
+  this->write_begun = Now();
+  const Outcome outcome = co_await this->Append(client, change.records);
+  this->write_begun = TimePoint();
+  this->OnOutcome(change, outcome);
+  if (outcome != Outcome::kDone) {
+    // The partition may have moved on; the grants are compared again.
+    this->end.reset();
+    co_return false;
+  }
+  this->are_grants_lost = false;
+  this->event_log.Write(
+      "grants-restored",
+      {{"topic", static_cast<int64_t>(this->options.partition.topic)},
+       {"part", static_cast<int64_t>(this->options.partition.part)},
+       {"grants", static_cast<int64_t>(change.updates.size())}});
+  co_return true;
+}
+
 AccountShard::Change AccountShard::PlanChange(TimePoint now) {
   Change change;
   change.book = this->book;
@@ -220,6 +286,8 @@
   while (true) {
     ++this->calls.appends;
     StoreReply reply = co_await client.Call(text, timeout);
+    // Neither the copy before nor the present one tells whether it was applied.
+    if (this->IsOfEarlierEra()) co_return Outcome::kUnknown;
     if (!this->IsAnswerToAppend(reply)) {
       client.DropUnproven(reply, this->event_log);
       reply = StoreReply();
@@ -283,6 +351,7 @@
   while (true) {
     const StoreReply reply =
         co_await client.Call(this->EncodeRead(at), kReadTimeout);
+    if (this->IsOfEarlierEra()) co_return Outcome::kUnknown;
     if (reply.status == platform::kStoreOffsetExpired) {
       this->event_log.Write("grant-outcome-unknown",
                             {{"offset", static_cast<int64_t>(at)}});
@@ -426,6 +495,7 @@
 asio::awaitable<void> AccountShard::Reclaim(
     StoreClient& client, std::string dead_holder,
     std::vector<budget::GrantCeiling> ceilings, Duration silence) {
+  const uint64_t begun = this->options.store->era.Generation();
   co_await this->Fence(client, dead_holder);
   std::optional<store::NewestPage> page;
   while (!page) {
@@ -435,6 +505,8 @@
       co_await this->timer.Wait(kInitialBackoff);
     }
   }
+  // The predecessor's last grants may be lost, so that all of it stays counted.
+  if (begun != this->options.store->era.Generation()) co_return;
   for (const budget::GrantCeiling& held : ceilings) {
     const auto found = std::ranges::find(
         page->records, GrantKey(held.organisation, dead_holder),
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -94,6 +94,16 @@
     budget::AccountBook book;
   };
 
+  /// True if the store was restored from an older copy since the book was read.
+  bool IsOfEarlierEra() const {
+    return this->generation != this->options.store->era.Generation();
+  }
+  /// Forgets the positions of an earlier era. The grants that this gateway
+  /// holds have to be written again.
+  void BeginEra();
+  /// Writes the grants that this gateway holds and that the restored store
+  /// lacks or has an older state of. False if that failed.
+  asio::awaitable<bool> RestoreGrants(StoreClient& client);
   Change PlanChange(TimePoint now);
   /// Delays the next sync; the delay doubles with each failure in a row.
   void BackOff();
@@ -137,6 +147,9 @@
   TimePoint write_begun;
   TimePoint backoff_until;
   AccountCalls calls;
+  /// Generation of the store's era to which the book and its end belong.
+  uint64_t generation = 0;
+  bool are_grants_lost = false;
   int failures = 0;
   bool rate_limited = false;
   bool busy = false;
--- a/gateway/budget_client.cc
+++ b/gateway/budget_client.cc
@@ -54,7 +54,12 @@
       heartbeats(std::make_unique<FleetHeartbeats>(HeartbeatOptions(opts),
                                                    io_context, timeouts, log)),
       grants_changed(io_context),
-      sync_needed(io_context) {}
+      sync_needed(io_context) {
+  opts.store->era.Subscribe([this](auto /*before*/, auto /*now*/) {
+    this->holder->OnStoreRestored(Now());
+    this->sync_needed.Notify();
+  });
+}
 
 BudgetClient::~BudgetClient() = default;
 
--- a/tests/budget/grant_fleet.h
+++ b/tests/budget/grant_fleet.h
@@ -40,6 +40,8 @@
     Tokens reserved;
     Tokens spent;
     bool alive = true;
+    /// The store was restored, and the gateway has not written its grant again.
+    bool restores = false;
     std::optional<UnansweredWrite> unanswered_write;
   };
 
@@ -114,6 +116,42 @@
     return true;
   }
 
+  /// Copies the store's records of the account.
+  void TakeCopy() {
+    this->copied_account = this->account;
+    this->copied_grants.clear();
+    for (const auto& gateway : this->gateways) {
+      this->copied_grants.push_back(gateway->recorded);
+    }
+  }
+  /// Replaces the store's records by the last copy. Gateways keep what they
+  /// remember; all of them learn of it at once.
+  void RestoreCopy(TimePoint now) {
+    this->account = this->copied_account;
+    this->end += 1000;
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+      Gateway& gateway = *this->gateways[i];
+      gateway.recorded = i < this->copied_grants.size() ? this->copied_grants[i]
+                                                        : RecordedGrant();
+      gateway.restores = gateway.alive;
+      if (gateway.unanswered_write) {
+        gateway.unanswered_write.reset();
+        gateway.holder->OnOutcomeUnknown(kOrganisation);
+      }
+      gateway.holder->OnStoreRestored(now);
+    }
+  }
+  /// Writes the grant of the gateway again, as it does before any other write.
+  void Restore(Gateway& gateway, TimePoint now) {
+    gateway.restores = false;
+    this->Read(gateway);
+    const auto update = gateway.holder->PlanRestore(
+        kOrganisation, gateway.recorded, gateway.read_account);
+    if (!update) return;
+    ASSERT_TRUE(this->Apply(gateway, *update, gateway.read_end));
+    gateway.holder->OnWritten(now, kOrganisation);
+  }
+
   /// Like Spend, but a request that finds too few tokens waits for one write of
   /// the grant.
   bool SpendOrFetch(Gateway& gateway, TimePoint now, Tokens amount) {
@@ -138,6 +176,8 @@
 
   std::vector<std::unique_ptr<Gateway>> gateways;
   FleetAccount account;
+  FleetAccount copied_account;
+  std::vector<RecordedGrant> copied_grants;
   uint64_t end = 0;
   uint64_t version = 1;
 };
--- a/tests/platform/restored_store_test.cc
+++ b/tests/platform/restored_store_test.cc
@@ -101,6 +101,46 @@
   EXPECT_EQ(this->StatusOn(9), 404U);
 }
 
+// After a restore every heartbeat counted as unproven, because its offset was
+// lower than that of the one before; without heartbeats no tokens are granted.
+TEST_F(RestoredStoreTest, Heartbeats_GoOnAtLowerOffsets) {
+  this->PutUpstream("u1", this->upstream);
+  this->PutVersion(1);
+  this->store.TakeCopy();
+  this->StartGateway();
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  this->store.RestoreCopy();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+
+  const std::string key = "member/vm-1";
+  const std::string before = this->store.Newest("keyed.fuchsiadrum", key);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  EXPECT_NE(before, "");
+  EXPECT_NE(this->store.Newest("keyed.fuchsiadrum", key), before);
+}
+
+// A gateway's grant that the store lost must be counted again before another
+// one is made from the same budget.
+TEST_F(RestoredStoreTest, LostGrant_IsWrittenAgain) {
+  this->PutUpstream("u1", this->upstream);
+  this->PutConfig(1, 100000);
+  this->StartGateway();
+  this->store.TakeCopy();
+  const std::string topic = "keyed.fuchsiadrum-accounts";
+  const HttpRequest call = Request("/book/x", "100,10");
+  for (int i = 0; i < 100 && this->Call(call).result_int() != 200; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const std::string book = this->store.Newest(topic, "book");
+  ASSERT_NE(book, "");
+
+  this->store.RestoreCopy();
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  EXPECT_NE(this->store.Newest(topic, "book"), "");
+  EXPECT_EQ(this->Call(call).result_int(), 200U)
+      << "tokens that the gateway holds stay in use";
+}
+
 // An older version in the restored store must not replace the one in force.
 TEST_F(RestoredStoreTest, OlderVersionInTheCopy_DoesNotReplaceTheOneInForce) {
   this->store.holds_reads = true;
