gateway: limits and quarantines that a restored store lacks stay in force for 20 s

Same class: a limit or a quarantined part of a prompt that was written after the copy was taken would end at once, as if its record had been deleted. They stay in force as during an outage of 20 s. By reading; no test shows the fault before. UpstreamLimitTest (7), CrashingPartTest (3) and RestoredStoreTest (6) pass.

--- a/gateway/quarantine_client.cc
+++ b/gateway/quarantine_client.cc
@@ -9,6 +9,9 @@
 namespace fuchsiadrum::gateway {
 namespace {
 
+/// Records that a restored store lacks stay in force for this long, as if the
+/// store were away. It covers the leases of shares and the spread of evidence.
+constexpr Duration kKeepUnconfirmed = std::chrono::seconds(20);
 constexpr platform::StreamPartition kPartition = {
     .stream = platform::Stream::kQuarantine};
 
@@ -34,7 +37,8 @@
       follower({.stream = platform::Stream::kQuarantine,
                 .long_poll_wait = opts.long_poll_wait,
                 .interval = opts.min_read_interval,
-                .timeout = opts.store_timeout},
+                .timeout = opts.store_timeout,
+                .keep_unconfirmed = kKeepUnconfirmed},
                {.on_change = [this](const auto& r) { this->OnRecord(r); },
                 .on_read = [this] { this->read_done.Notify(); },
                 .on_recovered = [] {}},
