gateway: a stream goes on only at the software version that began it

Cause: the version in an upstream's entry was dropped by the decoder, and nothing read Resumes. A broken stream was asked for its rest at any upstream of the service, and so was a stream that its caller took up. After all gateways were killed nobody knew who had begun a stream.

Change: serving::StreamVersions decides from records in the store. A stream without a record is one of the service's base version; another version is listed before it begins a stream, and each of its streams is recorded before its first event is forwarded. StreamOriginGuard asks it for each choice of an upstream: first sends, retries, repeats after a stall, rests and take-ups. A stream whose version is not known or has left is refused with 503. Where upstreams name no version, nothing is restricted and nothing is written.

--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -33,6 +33,9 @@
   /// Number of the last event that the caller has received; the answer resumes
   /// after it.
   std::optional<uint64_t> last_event;
+  /// Id of the attempt that brought the first event of the stream that the
+  /// caller takes up; empty if the request names none, or not exactly one.
+  std::string resumed_attempt;
   /// Prompt tokens and maximum output tokens; empty if the request has no such
   /// value.
   std::optional<Tokens> prompt_tokens;
--- a/fuchsiadrum/serving/fleet_upstream.h
+++ b/fuchsiadrum/serving/fleet_upstream.h
@@ -20,6 +20,8 @@
   /// IP:port.
   std::string address;
   std::string availability_zone;
+  /// Version of the upstream's software; empty if it names none.
+  std::string version;
   /// When the upstream process started, in Unix milliseconds. The same id with
   /// another start time is a new incarnation, which has none of the old state.
   int64_t started_unix_ms = 0;
--- a/fuchsiadrum/serving/upstream_directory.cc
+++ b/fuchsiadrum/serving/upstream_directory.cc
@@ -214,7 +214,8 @@
 
 std::vector<FleetUpstreamPtr> UpstreamDirectory::Candidates(
     TimePoint now, const std::string& service,
-    std::span<const std::string> excluded, int priority) {
+    std::span<const std::string> excluded, int priority,
+    const std::function<bool(const UpstreamEntry&)>& accepts) {
   std::vector<FleetUpstreamPtr> usable;
   std::vector<FleetUpstreamPtr> failing;
   std::vector<FleetUpstreamPtr> missing;
@@ -223,6 +224,7 @@
   size_t held_cold = 0;
   for (const auto& [id, upstream] : this->upstreams) {
     if (upstream->entry.service != service) continue;
+    if (accepts && !accepts(upstream->entry)) continue;
     const UpstreamEligibility eligibility = this->EligibilityOf(now, *upstream);
     if (eligibility == UpstreamEligibility::kIneligible) {
       if (this->IsHeldCold(now, *upstream)) ++held_cold;
@@ -257,6 +259,24 @@
   return usable;
 }
 
+std::map<std::string, std::set<std::string>>
+UpstreamDirectory::VersionsByService() const {
+  std::map<std::string, std::set<std::string>> versions;
+  for (const auto& [id, upstream] : this->upstreams) {
+    versions[upstream->entry.service].insert(upstream->entry.version);
+  }
+  return versions;
+}
+
+bool UpstreamDirectory::HasVersion(TimePoint now, std::string_view service,
+                                   std::string_view version) const {
+  return std::ranges::any_of(this->upstreams, [&](const auto& item) {
+    const UpstreamEntry& entry = item.second->entry;
+    return entry.service == service && entry.version == version &&
+           !entry.draining && this->IsKept(now, *item.second);
+  });
+}
+
 std::optional<TimePoint> UpstreamDirectory::FirstPauseEnd(
     TimePoint now, std::string_view service) const {
   std::optional<TimePoint> first;
--- a/fuchsiadrum/serving/upstream_directory.h
+++ b/fuchsiadrum/serving/upstream_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -70,6 +71,8 @@
   /// Drops an upstream at once, because another upstream has answered at its
   /// address.
   void EraseMisdirected(const FleetUpstream& upstream);
+  /// True if the upstream's id belongs to another incarnation by now.
+  bool IsReplaced(const FleetUpstream& upstream) const;
   /// The store is reachable again after an outage.
   void OnStoreReconnected(TimePoint now) { this->store_reconnected_at = now; }
   /// The next three functions ignore an upstream that has been replaced by
@@ -138,9 +141,19 @@
   /// other. Cold ones for which there is a permit are included only if fewer
   /// than half of the upstreams are warm. If all of them have limits, less
   /// urgent requests get only the permits that more urgent ones leave.
+  /// Upstreams for which `accepts` returns false do not count as upstreams of
+  /// the service; without it all do.
   std::vector<FleetUpstreamPtr> Candidates(
       TimePoint now, const std::string& service,
-      std::span<const std::string> excluded = {}, int priority = 0);
+      std::span<const std::string> excluded = {}, int priority = 0,
+      const std::function<bool(const UpstreamEntry&)>& accepts = {});
+  /// Software versions that the entries of each service name; an entry that
+  /// names none counts as version "".
+  std::map<std::string, std::set<std::string>> VersionsByService() const;
+  /// True if an upstream of the service that may get requests, now or later,
+  /// has this software version.
+  bool HasVersion(TimePoint now, std::string_view service,
+                  std::string_view version) const;
   /// Returns when the first pause among the service's upstreams ends; nullopt
   /// if no upstream has asked for a pause.
   std::optional<TimePoint> FirstPauseEnd(TimePoint now,
@@ -162,8 +175,6 @@
   size_t Size() const { return this->upstreams.size(); }
 
  private:
-  /// True if the upstream's id belongs to another incarnation by now.
-  bool IsReplaced(const FleetUpstream& upstream) const;
   bool IsKept(TimePoint now, const FleetUpstream& upstream) const;
   /// EligibilityOf without regard to permits.
   UpstreamEligibility UnlimitedEligibilityOf(
--- a/gateway/active_request.cc
+++ b/gateway/active_request.cc
@@ -19,6 +19,12 @@
       arrived(Now()),
       deadline(arrived) {}
 
+void ActiveRequest::SetService(const std::string& name) {
+  this->service = name;
+  const serving::Service* known = this->config->FindService(name);
+  this->engine = known == nullptr ? std::nullopt : known->engine;
+}
+
 int ActiveRequest::Priority() const {
   const bool is_set =
       this->organisation != nullptr && this->organisation->priority.has_value();
--- a/gateway/active_request.h
+++ b/gateway/active_request.h
@@ -19,6 +19,8 @@
   ActiveRequest(const ActiveRequest&) = delete;
   ActiveRequest& operator=(const ActiveRequest&) = delete;
 
+  /// Sets the service that the request is for, one of its route's.
+  void SetService(const std::string& name);
   /// Priority of the request; 0 is the most urgent.
   int Priority() const;
   /// Time until the caller's time limit or the route's timeout, whichever ends
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -101,6 +101,34 @@
   return limits;
 }
 
+/// Services with streams that callers may take up.
+std::set<std::string> ResumableServices(const serving::ServingConfig& config) {
+  std::set<std::string> services;
+  for (const serving::Route& route : config.routes) {
+    if (route.kind != serving::RequestKind::kStreaming || !route.resumable) {
+      continue;
+    }
+    for (const serving::ServiceShare& share : route.services) {
+      services.insert(share.service);
+    }
+  }
+  return services;
+}
+
+/// How long after its first event a stream may be taken up: a caller makes all
+/// its attempts within a time limit, which is about its route's timeout.
+Duration StreamLifetime(const serving::ServingConfig& config) {
+  constexpr Duration kMargin = std::chrono::seconds(5);
+  constexpr Duration kMaxLifetime = std::chrono::minutes(10);
+  Duration longest = Duration::zero();
+  for (const serving::Route& route : config.routes) {
+    if (route.kind == serving::RequestKind::kStreaming && route.resumable) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return std::min(2 * longest + kMargin, kMaxLifetime);
+}
+
 BudgetClientOptions BudgetOptions(const pb::GatewaySettings& settings,
                                   StoreEndpoint& store) {
   return {.vm = settings.vm().name(),
@@ -154,8 +182,9 @@
           {.on_change = [this](const auto& r) { this->OnUpstreamRecord(r); },
            .on_read =
                [this] {
-                 if (!this->upstream_follower.IsCurrent()) return;
-                 this->directory.Cold().OnEntriesRead();
+                 if (this->upstream_follower.IsCurrent()) {
+                   this->OnUpstreamsRead();
+                 }
                },
            .on_recovered = [this] { this->OnStoreRecovered(); }},
           io_context, this->watchdog, this->log, this->store),
@@ -172,6 +201,10 @@
                          .store_timeout = StoreTimeout(gateway_settings)},
                         io_context, this->watchdog, this->log,
                         this->quarantines),
+      versions(serving::StreamVersionsOptions()),
+      version_client({.store = &this->store,
+                      .store_timeout = StoreTimeout(gateway_settings)},
+                     io_context, this->watchdog, this->log, this->versions),
       crash_watch(CrashWatchOptions(), io_context, this->pool, this->log,
                   [this](const serving::UpstreamCrash& crash) {
                     this->OnUpstreamCrash(crash);
@@ -187,6 +220,7 @@
   this->budgets.Start();
   this->shared_limits.Start();
   this->quarantine_client.Start();
+  this->version_client.Start();
 }
 
 void GatewayCore::OnTick(TimePoint now) {
@@ -249,7 +283,8 @@
          this->config.Get() != nullptr &&
          this->upstream_follower.LastRead().us != 0 &&
          this->shared_limits.LastRead().us != 0 &&
-         this->quarantine_client.LastRead().us != 0;
+         this->quarantine_client.LastRead().us != 0 &&
+         this->version_client.HasReadNewest();
 }
 
 bool GatewayCore::IsConfigStale(TimePoint now) const {
@@ -424,6 +459,15 @@
   this->budgets.OnConfig(*offered);
   this->directory.Cold().OnConfig(*offered);
   this->answer_times.KeepRoutesOf(*offered);
+  this->versions.SetServices(ResumableServices(*offered),
+                             StreamLifetime(*offered));
+  this->version_client.OnEntriesRead();
+}
+
+void GatewayCore::OnUpstreamsRead() {
+  this->directory.Cold().OnEntriesRead();
+  this->versions.OnEntries(Now(), this->directory.VersionsByService());
+  this->version_client.OnEntriesRead();
 }
 
 void GatewayCore::OnUpstreamRecord(const store::KeyedRecord& record) {
@@ -486,11 +530,11 @@
   add("cold_upstreams",
       static_cast<double>(this->directory.ColdIds(Now()).size()));
   add("upstream_connections_total", static_cast<double>(this->pool.Opened()));
-  add("store_calls_total", static_cast<double>(this->config_follower.Calls() +
-                                               this->upstream_follower.Calls() +
-                                               this->shared_limits.Calls() +
-                                               this->quarantine_client.Calls() +
-                                               this->budgets.Calls()));
+  add("store_calls_total",
+      static_cast<double>(
+          this->config_follower.Calls() + this->upstream_follower.Calls() +
+          this->shared_limits.Calls() + this->quarantine_client.Calls() +
+          this->version_client.Calls() + this->budgets.Calls()));
   add("limited_upstreams",
       static_cast<double>(this->directory.Limits().Limited()));
   add("own_limit_shares", this->directory.Limits().OwnRate());
@@ -499,6 +543,8 @@
   add("suspected_parts", static_cast<double>(this->quarantines.Suspected()));
   add("quarantined_parts",
       static_cast<double>(this->quarantines.Quarantined()));
+  add("recorded_streams", static_cast<double>(this->versions.Recorded()));
+  add("unrecorded_streams", static_cast<double>(this->versions.Unrecorded()));
   add("link_use", this->link.Utilization());
   add("loop_delay_ms", ToMilliseconds(this->loop_delay.Mean()));
   add("client_bytes", static_cast<double>(this->client_bytes.Held()));
@@ -514,6 +560,7 @@
   add_calls("upstreams", this->upstream_follower.Calls());
   add_calls("limits", this->shared_limits.Calls());
   add_calls("quarantine", this->quarantine_client.Calls());
+  add_calls("versions", this->version_client.Calls());
   text += this->budgets.MetricsText();
   return text;
 }
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -24,6 +24,7 @@
 #include "gateway/quarantine_client.h"
 #include "gateway/stream_follower.h"
 #include "gateway/upstream_pool.h"
+#include "gateway/version_client.h"
 #include "schema/gateway.pb.h"
 
 namespace fuchsiadrum::gateway {
@@ -86,6 +87,9 @@
   serving::RetryAllowance& Retries() { return this->retries; }
   /// Logs an announcement of an upstream that is not known, once for each name.
   void LogUnknownNotice(const std::string& upstream, const std::string& name);
+  /// Software versions that began streams, and the records of them.
+  serving::StreamVersions& Versions() { return this->versions; }
+  VersionClient& VersionRecords() { return this->version_client; }
   LimitClient& SharedLimits() { return this->shared_limits; }
   serving::PromptQuarantine& Quarantines() { return this->quarantines; }
   CrashWatch& Crashes() { return this->crash_watch; }
@@ -127,6 +131,8 @@
   void UpdateFleet();
   void LogColdUpstreams(TimePoint now);
   void OnUpstreamRecord(const store::KeyedRecord& record);
+  /// All entries of the upstreams were read.
+  void OnUpstreamsRead();
   void OnUpstreamCrash(const serving::UpstreamCrash& crash);
 
   pb::GatewaySettings settings;
@@ -157,6 +163,8 @@
   LimitClient shared_limits;
   serving::PromptQuarantine quarantines;
   QuarantineClient quarantine_client;
+  serving::StreamVersions versions;
+  VersionClient version_client;
   CrashWatch crash_watch;
   std::set<CallerConnection*> callers;
   /// Requests that are being served.
--- a/gateway/gateway_metrics.cc
+++ b/gateway/gateway_metrics.cc
@@ -50,6 +50,10 @@
   ++this->withheld[std::string(cause)];
 }
 
+void GatewayMetrics::CountTakeUpRefused(std::string_view reason) {
+  ++this->take_ups_refused[std::string(reason)];
+}
+
 void GatewayMetrics::CountOversizedAnswer(std::string_view limit) {
   ++this->oversized_answers[std::string(limit)];
 }
@@ -96,6 +100,10 @@
     text += Line("held_back_total{route=\"" + route + "\"}",
                  static_cast<double>(count));
   }
+  for (const auto& [reason, count] : this->take_ups_refused) {
+    text += Line("take_ups_refused_total{reason=\"" + reason + "\"}",
+                 static_cast<double>(count));
+  }
   for (const auto& [cause, count] : this->withheld) {
     text += Line("withheld_total{cause=\"" + cause + "\"}",
                  static_cast<double>(count));
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -35,6 +35,8 @@
   /// of `cause`: "evacuated" or "cold".
   void CountWithheld(std::string_view cause);
 
+  /// Counts a stream that a caller takes up and that is refused for `reason`.
+  void CountTakeUpRefused(std::string_view reason);
   /// Counts an answer of an upstream that has exceeded a bound (AnswerLimit).
   void CountOversizedAnswer(std::string_view limit);
 
@@ -65,6 +67,7 @@
   /// Requests that were not sent because of an evacuation or a cold upstream,
   /// by cause.
   std::map<std::string, uint64_t, std::less<>> withheld;
+  std::map<std::string, uint64_t, std::less<>> take_ups_refused;
   /// Answers that have exceeded a bound, by its name.
   std::map<std::string, uint64_t, std::less<>> oversized_answers;
   /// Malformed answers by upstream and fault.
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -137,9 +137,7 @@
     return GatewayAnswer{503, "processor saturated", kRetryAfterOtherVm};
   }
 
-  active.service = serving::ChooseService(*active.route, core.Random());
-  const serving::Service* known = active.config->FindService(active.service);
-  if (known != nullptr) active.engine = known->engine;
+  active.SetService(serving::ChooseService(*active.route, core.Random()));
   active.deadline = active.arrived + active.route->timeout;
   const std::optional<Duration>& limit = active.request.caller_timeout;
   if (limit) {
--- a/gateway/request_log.cc
+++ b/gateway/request_log.cc
@@ -154,6 +154,7 @@
        {"tokens", figures.reserved_tokens.count},
        {"events", static_cast<int64_t>(figures.events_relayed)},
        {"framing", figures.framing},
+       {"version", figures.version},
        {"first_ms", figures.first_byte_ms},
        {"ms", ToMilliseconds(Now() - ended.arrived)}});
 }
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -28,6 +28,8 @@
   /// Name of the framing of the last answer that an upstream has begun; empty
   /// if none has.
   std::string_view framing;
+  /// Software version to which the stream is bound; empty: to none.
+  std::string_view version;
 };
 
 /// Logs and counts what happens to one request.
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -40,7 +40,8 @@
       reader(gateway_core, active, log),
       relay(caller_connection),
       stream(active, log, relay),
-      prompt(gateway_core, active) {
+      prompt(gateway_core, active),
+      origin(gateway_core, active) {
   this->core.Tasks().insert(this);
 }
 
@@ -81,6 +82,10 @@
   }
   this->caller.Arm(this->active.deadline,
                    [this](bool gone) { this->OnInterrupt(gone); });
+  refusal = co_await this->origin.Find();
+  if (refusal) {
+    co_return co_await this->SendGatewayAnswer(*refusal);
+  }
   refusal = co_await this->ReserveTokens();
   if (refusal) {
     co_return co_await this->SendGatewayAnswer(*refusal);
@@ -173,19 +178,21 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-std::vector<serving::FleetUpstreamPtr> RequestTask::UntriedUpstreams() const {
+std::vector<serving::FleetUpstreamPtr> RequestTask::Candidates(
+    std::span<const std::string> excluded) const {
   return this->core.Upstreams().Candidates(Now(), this->active.service,
-                                           this->history.Upstreams(),
-                                           this->active.Priority());
+                                           excluded, this->active.Priority(),
+                                           this->origin.Filter());
+}
+
+std::vector<serving::FleetUpstreamPtr> RequestTask::UntriedUpstreams() const {
+  return this->Candidates(this->history.Upstreams());
 }
 
 std::optional<serving::PlacementChoice> RequestTask::ChooseUpstream() {
   const TimePoint now = Now();
   const std::vector<serving::FleetUpstreamPtr> candidates =
-      this->repeats_at_full
-          ? this->core.Upstreams().Candidates(now, this->active.service, {},
-                                              this->active.Priority())
-          : this->UntriedUpstreams();
+      this->repeats_at_full ? this->Candidates({}) : this->UntriedUpstreams();
   const serving::CallerRequest& request = this->active.request;
   return this->core.Placer().Choose(
       now, candidates,
@@ -362,6 +369,7 @@
 asio::awaitable<AttemptOutcome> RequestTask::Exchange(
     UpstreamAttempt& attempt, HttpConnection& connection) {
   this->reader.Reset();
+  this->origin.OnSend(attempt.Upstream());
   attempt.Send(connection, this->stream.LastEvent());
   if (!co_await this->reader.ReadMatchingHead(attempt, connection)) {
     co_return this->BrokenOutcome();
@@ -384,6 +392,10 @@
       this->active.route->kind == serving::RequestKind::kStreaming) {
     const StreamHandlers handlers = {
         .on_first = [this, &attempt] { this->RecordFirstByte(attempt); },
+        .may_begin =
+            [this, &attempt] {
+              return this->origin.BeginStream(attempt.Upstream());
+            },
         .on_sound = [this, &attempt] { this->prompt.OnSound(attempt); }};
     const AttemptOutcome outcome = co_await this->stream.RelayEvents(
         attempt, connection, answer, handlers);
@@ -496,6 +508,7 @@
                          std::string_view reason) {
   this->figures.reserved_tokens = this->tokens.Amount();
   this->figures.events_relayed = this->stream.EventsRelayed();
+  this->figures.version = this->origin.Version();
   this->log.OnEnd(status, outcome, reason, this->figures);
 }
 
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -2,6 +2,8 @@
 
 #include <memory>
 #include <optional>
+#include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -17,6 +19,7 @@
 #include "gateway/gateway_core.h"
 #include "gateway/prompt_guard.h"
 #include "gateway/request_log.h"
+#include "gateway/stream_origin_guard.h"
 #include "gateway/stream_relay.h"
 #include "gateway/token_reservation.h"
 #include "gateway/upstream_attempt.h"
@@ -62,6 +65,10 @@
   asio::awaitable<void> PauseForFullUpstream();
   /// Upstreams of the service that may get the request and have not had it.
   std::vector<serving::FleetUpstreamPtr> UntriedUpstreams() const;
+  /// Upstreams that may get the request and may go on with its stream, but for
+  /// `excluded`.
+  std::vector<serving::FleetUpstreamPtr> Candidates(
+      std::span<const std::string> excluded) const;
   std::optional<serving::PlacementChoice> ChooseUpstream();
   serving::NextStep DecideNextStep(serving::AttemptOutcome outcome);
   /// Ends the request because no further attempt is made; `answer` is for a
@@ -126,6 +133,7 @@
   AnswerRelay relay;
   StreamRelay stream;
   PromptGuard prompt;
+  StreamOriginGuard origin;
 
   std::shared_ptr<HttpConnection> current_connection;
   /// The attempt that is being run; nullptr if there is none.
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -21,6 +21,9 @@
 struct StreamHandlers {
   /// Before the first event of the stream is forwarded.
   std::function<void()> on_first;
+  /// Awaited before the first event of the stream is forwarded; false if none
+  /// may be forwarded.
+  std::function<asio::awaitable<bool>()> may_begin;
   /// When the attempt has gone on for so long, or has ended so, that the prompt
   /// is sound for its upstream. At most once.
   std::function<void()> on_sound;
