--- a/gateway/version_client.cc
+++ b/gateway/version_client.cc
@@ -170,12 +170,13 @@
 
 asio::awaitable<bool> VersionClient::WriteStreams() {
   const auto begun = this->versions.PlanStreams(kMaxBatch);
+  const auto ended = this->versions.PlanDeletions(Now(), kMaxBatch);
   std::vector<store::KeyedRecord> records;
+  records.reserve(begun.size() + ended.size());
   for (const auto& [attempt, origin] : begun) {
     records.push_back(EncodeStreamStart(attempt, origin));
   }
-  for (const std::string& attempt :
-       this->versions.PlanDeletions(Now(), kMaxBatch)) {
+  for (const std::string& attempt : ended) {
     records.push_back(EncodeStreamEnd(attempt));
   }
   std::string text = platform::EncodeAppend(
