--- a/fuchsiadrum/serving/stream_versions.cc
+++ b/fuchsiadrum/serving/stream_versions.cc
@@ -1,8 +1,12 @@
 #include "fuchsiadrum/serving/stream_versions.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
+#include "fuchsiadrum/core/hash.h"
+
 namespace fuchsiadrum::serving {
 
 void StreamVersions::SetServices(std::set<std::string> resumable,
@@ -15,14 +19,23 @@
 void StreamVersions::OnEntries(
     TimePoint now,
     const std::map<std::string, std::set<std::string>>& versions) {
+  const bool has_pause =
+      now - this->entries_at > this->options.max_entries_pause;
   this->entries_at = now;
   for (const auto& [name, present] : versions) this->services[name];
   for (auto& [name, service] : this->services) {
     const auto found = versions.find(name);
     service.present =
         found == versions.end() ? std::set<std::string>() : found->second;
+    // A version may have come and gone between two reads.
+    if (has_pause) service.absent_since.clear();
     for (const std::string& version : service.present) {
-      service.absent_since.erase(version);
+      const auto since = service.absent_since.find(version);
+      if (since == service.absent_since.end()) continue;
+      if (now - since->second > this->options.lifetime) {
+        service.returned_at[version] = now;
+      }
+      service.absent_since.erase(since);
     }
     if (!service.record) continue;
     std::set<std::string> listed = service.record->others;
@@ -35,23 +48,33 @@
   this->DropOld(now);
 }
 
+void StreamVersions::OnRecordsRead(TimePoint begun) {
+  this->records_at = begun;
+}
+
 void StreamVersions::OnStoreRestored(TimePoint now) {
   this->restored_at = now;
   for (auto& [attempt, stream] : this->own) {
-    if (!stream.is_recorded) continue;
+    if (!stream.has_record) continue;
     stream.is_recorded = false;
     this->unrecorded.insert(attempt);
   }
-  // A copy may lack a version whose streams are being taken up.
-  for (auto& [name, service] : this->services) service.absent_since.clear();
+  for (auto& [name, service] : this->services) {
+    service.is_stored = false;
+    // A copy may lack a version whose streams are being taken up.
+    service.absent_since.clear();
+  }
 }
 
 void StreamVersions::OnService(const ServiceVersions& record) {
-  this->services[record.service].record = record;
+  Service& service = this->services[record.service];
+  service.record = record;
+  service.is_stored = true;
 }
 
 void StreamVersions::OnServiceDeleted(const std::string& service) {
   this->services[service].record.reset();
+  this->services[service].is_stored = false;
 }
 
 void StreamVersions::OnStream(TimePoint now, const std::string& attempt,
@@ -63,6 +86,14 @@
   this->records.erase(attempt);
 }
 
+std::string StreamVersions::StreamName(const std::string& attempt) {
+  if (attempt.empty()) return {};
+  std::array<char, 17> name{};
+  std::snprintf(name.data(), name.size(), "%016llx",
+                static_cast<unsigned long long>(Hash64(attempt)));
+  return name.data();
+}
+
 bool StreamVersions::HasVersions(const std::string& service) const {
   const auto found = this->services.find(service);
   if (found == this->services.end()) return false;
@@ -78,14 +109,19 @@
 bool StreamVersions::MayBegin(const UpstreamEntry& entry) const {
   if (!this->HasVersions(entry.service)) return true;
   const Service& service = this->services.at(entry.service);
-  return service.record && service.record->Lists(entry.version);
+  // Without a record of the service, each stream has one.
+  return !service.record || service.record->Lists(entry.version);
 }
 
 bool StreamVersions::NeedsRecord(TimePoint now,
                                  const StreamOrigin& origin) const {
   if (!this->HasVersions(origin.service)) return false;
   const Service& service = this->services.at(origin.service);
+  const auto returned = service.returned_at.find(origin.version);
+  const bool may_be_replaced = returned != service.returned_at.end() &&
+                               returned->second > this->records_at;
   return !service.record || service.record->base != origin.version ||
+         may_be_replaced ||
          now - this->entries_at > this->options.max_entries_age;
 }
 
@@ -93,12 +129,12 @@
                            const StreamOrigin& origin) {
   const auto before = this->own.find(attempt);
   // An earlier upstream of the same attempt may be in the record.
-  const bool was_other = before != this->own.end() &&
-                         before->second.origin != origin &&
-                         this->NeedsRecord(now, before->second.origin);
-  const bool needs = was_other || this->NeedsRecord(now, origin);
-  this->own[attempt] = {
-      .origin = origin, .begun_at = now, .is_recorded = false};
+  const bool needs = (before != this->own.end() && before->second.has_record) ||
+                     this->NeedsRecord(now, origin);
+  this->own[attempt] = {.origin = origin,
+                        .begun_at = now,
+                        .is_recorded = false,
+                        .has_record = needs};
   if (needs) {
     this->unrecorded.insert(attempt);
   } else {
@@ -148,6 +184,7 @@
   // Another gateway may have sent to its upstreams for as long as it takes its
   // entries for current.
   return since != service.absent_since.end() &&
+         now - this->entries_at <= this->options.max_entries_pause &&
          now - since->second >
              this->options.lifetime + this->options.max_entries_age;
 }
@@ -161,8 +198,12 @@
         !this->HasVersions(name)) {
       continue;
     }
+    // Streams of a base version without a name could not be taken up.
+    const std::string& first = service.present.begin()->empty()
+                                   ? *service.present.rbegin()
+                                   : *service.present.begin();
     ServiceVersions next = service.record.value_or(
-        ServiceVersions{.service = name, .base = *service.present.begin()});
+        ServiceVersions{.service = name, .base = first});
     for (const std::string& version : service.present) {
       if (!next.Lists(version)) next.others.insert(version);
     }
@@ -178,7 +219,7 @@
       next.base = *successor;
       next.others.erase(successor);
     }
-    if (!service.record || next != *service.record) due.push_back(next);
+    if (!service.is_stored || next != *service.record) due.push_back(next);
   }
   return due;
 }
--- a/fuchsiadrum/serving/stream_versions.h
+++ b/fuchsiadrum/serving/stream_versions.h
@@ -61,6 +61,9 @@
   /// Age of the last read of the upstreams' entries above which the base
   /// version may have been changed by others, so that every stream is recorded.
   Duration max_entries_age = std::chrono::seconds(30);
+  /// Longest pause between two reads of the entries for which an absent version
+  /// counts as absent throughout.
+  Duration max_entries_pause = std::chrono::seconds(2);
   /// Time after which the gateways have recorded again what a restored store
   /// has lost.
   Duration rewrite_time = std::chrono::seconds(5);
@@ -88,6 +91,8 @@
   /// service. An entry without a version counts as one of version "".
   void OnEntries(TimePoint now,
                  const std::map<std::string, std::set<std::string>>& versions);
+  /// The records were read to their end by a read that was begun at `begun`.
+  void OnRecordsRead(TimePoint begun);
   /// The store was restored from an older copy: its records may be incomplete.
   void OnStoreRestored(TimePoint now);
 
@@ -98,9 +103,15 @@
                 const StreamOrigin& origin);
   void OnStreamDeleted(const std::string& attempt);
 
+  /// Name under which the stream of a caller's attempt is recorded; empty
+  /// without an attempt. Callers choose the ids of their attempts, of any
+  /// length.
+  static std::string StreamName(const std::string& attempt);
+
   /// True if an upstream of this entry may begin a stream.
   bool MayBegin(const UpstreamEntry& entry) const;
   /// A stream is sent to an upstream of that origin, in the caller's attempt.
+  /// The attempts below are names of StreamName.
   /// Returns true if it has to be recorded before its first event is forwarded.
   bool Begin(TimePoint now, const std::string& attempt,
              const StreamOrigin& origin);
@@ -141,6 +152,8 @@
     StreamOrigin origin;
     TimePoint begun_at;
     bool is_recorded = false;
+    /// An origin of the attempt has needed a record, which may be in the store.
+    bool has_record = false;
   };
   struct StreamRecord {
     StreamOrigin origin;
@@ -148,10 +161,15 @@
   };
   struct Service {
     std::optional<ServiceVersions> record;
+    /// False if a restored store may lack the record.
+    bool is_stored = false;
     /// Versions of the present entries.
     std::set<std::string> present;
     /// Since when a listed version has had no entry.
     std::map<std::string, TimePoint> absent_since;
+    /// When a version came back that had been absent for so long that others
+    /// may have changed the base.
+    std::map<std::string, TimePoint> returned_at;
   };
 
   bool IsGone(TimePoint now, const Service& service,
@@ -167,6 +185,7 @@
   /// Records of all gateways, by attempt.
   std::map<std::string, StreamRecord> records;
   TimePoint entries_at;
+  TimePoint records_at;
   std::optional<TimePoint> restored_at;
 };
 
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -90,6 +90,21 @@
   return book;
 }
 
+/// Sums of the grants on the page, by organisation.
+budget::AccountBook SumGrants(const store::NewestPage& page) {
+  budget::AccountBook sums;
+  for (const store::KeyedRecord& record : page.records) {
+    pb::FleetRecord content;
+    if (!record.value || !content.ParseFromString(*record.value) ||
+        !content.has_grant()) {
+      continue;
+    }
+    sums[content.grant().organisation()].Replace(budget::RecordedGrant(),
+                                                 DecodeGrant(content.grant()));
+  }
+  return sums;
+}
+
 }  // namespace
 
 AccountShard::AccountShard(const AccountShardOptions& opts,
@@ -181,11 +196,26 @@
 asio::awaitable<bool> AccountShard::RestoreGrants(StoreClient& client) {
   const auto page = co_await ReadAllNewest(client, this->options.partition,
                                            this->options.max_timeout);
-  if (!page || !this->end || this->IsOfEarlierEra()) co_return false;
-  // What was written between the two reads changes no grant of this gateway.
+  // Only if nothing was written between the two reads, the page has the grants
+  // of which the book is the sum.
+  if (!page || this->end != page->end_offset || this->IsOfEarlierEra()) {
+    co_return false;
+  }
+  // An append of the earlier era may have been applied to the restored store,
+  // with a book that does not fit its grants.
   Change change;
   change.book = this->book;
+  const budget::AccountBook sums = SumGrants(*page);
+  bool differs = false;
   for (const std::string& name : this->organisations) {
+    budget::FleetAccount& account = change.book[name];
+    const auto sum = sums.find(name);
+    const budget::FleetAccount stored_sum =
+        sum == sums.end() ? budget::FleetAccount() : sum->second;
+    if (account.granted != stored_sum.granted) differs = true;
+    account.granted = stored_sum.granted;
+    account.spent = stored_sum.spent;
+    account.demand = stored_sum.demand;
     const auto found =
         std::ranges::find(page->records, GrantKey(name, this->options.holder),
                           &store::KeyedRecord::key);
@@ -195,19 +225,23 @@
         content.ParseFromString(*found->value) && content.has_grant()) {
       stored = DecodeGrant(content.grant());
     }
-    const auto update =
-        this->holder.PlanRestore(name, stored, change.book[name]);
+    const auto update = this->holder.PlanRestore(name, stored, account);
     if (!update) continue;
-    change.book[name] = update->account;
+    account = update->account;
     change.records.push_back(
         EncodeGrant(name, this->options.holder, update->grant));
     change.updates.push_back(*update);
   }
+  if (differs && change.records.empty()) {
+    change.records.push_back(EncodeBook(change.book));
+  }
   if (change.records.empty()) {
     this->are_grants_lost = false;
     co_return true;
   }
-  change.records.push_back(EncodeBook(change.book));
+  if (!change.updates.empty()) {
+    change.records.push_back(EncodeBook(change.book));
+  }
   this->write_begun = Now();
   const Outcome outcome = co_await this->Append(client, change.records);
   this->write_begun = TimePoint();
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -284,7 +284,7 @@
          this->upstream_follower.LastRead().us != 0 &&
          this->shared_limits.LastRead().us != 0 &&
          this->quarantine_client.LastRead().us != 0 &&
-         this->version_client.HasReadNewest();
+         this->version_client.LastRead().us != 0;
 }
 
 bool GatewayCore::IsConfigStale(TimePoint now) const {
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "fuchsiadrum/core/duration.h"
+#include "fuchsiadrum/core/hash.h"
+#include "fuchsiadrum/core/rng.h"
 #include "gateway/clock.h"
 #include "gateway/request_task.h"
 
@@ -53,6 +55,21 @@
   return RefuseByConfig(core, active, stale, "key");
 }
 
+/// Chooses one of the route's services. All attempts at one stream get the same
+/// one while the route's shares stay as they are, so that a stream is not
+/// joined from two services.
+const std::string& ChooseService(GatewayCore& core,
+                                 const ActiveRequest& active) {
+  const serving::CallerRequest& request = active.request;
+  const std::string& stream =
+      request.last_event ? request.resumed_attempt : request.id;
+  if (!active.route->resumable || stream.empty()) {
+    return serving::ChooseService(*active.route, core.Random());
+  }
+  Rng of_stream(Hash64(stream));
+  return serving::ChooseService(*active.route, of_stream);
+}
+
 /// The longest time of the route's answers, those that are still open included.
 std::optional<Duration> LongestWithOpen(GatewayCore& core,
                                         const std::string& route,
@@ -137,7 +154,7 @@
     return GatewayAnswer{503, "processor saturated", kRetryAfterOtherVm};
   }
 
-  active.SetService(serving::ChooseService(*active.route, core.Random()));
+  active.SetService(ChooseService(core, active));
   active.deadline = active.arrived + active.route->timeout;
   const std::optional<Duration>& limit = active.request.caller_timeout;
   if (limit) {
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -64,6 +64,8 @@
   void SetInterval(Duration interval) { this->options.interval = interval; }
   /// True while the follower waits between two reads.
   bool IsPausing() const { return this->pausing; }
+  /// True if the last read has failed.
+  bool IsFailing() const { return this->failures > 0; }
   /// Starts the next read at once if the follower is pausing.
   void Wake() { this->timer.Notify(); }
   /// Reads the newest record of each key next, also if a read is pending: its
--- a/gateway/stream_origin_guard.cc
+++ b/gateway/stream_origin_guard.cc
@@ -26,7 +26,8 @@
   if (!this->IsTakenUpLater() || !this->active.request.last_event) {
     co_return std::nullopt;
   }
-  const std::string& attempt = this->active.request.resumed_attempt;
+  const std::string attempt =
+      serving::StreamVersions::StreamName(this->active.request.resumed_attempt);
   serving::StreamVersions& versions = this->core.Versions();
   bool is_read =
       versions.IsOwn(attempt) || !versions.HasVersions(this->active.service);
@@ -111,27 +112,27 @@
   this->needs_record = false;
   if (this->origin || !this->IsTakenUpLater()) return;
   this->needs_record =
-      this->core.Versions().Begin(Now(), this->active.request.id, this->sent);
+      this->core.Versions().Begin(Now(), this->stream, this->sent);
   if (this->needs_record) this->core.VersionRecords().OnBegun();
 }
 
 asio::awaitable<bool> StreamOriginGuard::BeginStream(
     const serving::FleetUpstream& upstream) {
-  if (this->origin) co_return true;
   // An upstream that was started anew under its id may have another version.
+  if (this->origin) co_return !this->core.Upstreams().IsReplaced(upstream);
   if (this->core.Upstreams().IsReplaced(upstream) &&
       this->core.Versions().HasVersions(this->sent.service)) {
     this->sent.version.clear();
     if (this->IsTakenUpLater()) {
-      this->needs_record = this->core.Versions().Begin(
-          Now(), this->active.request.id, this->sent);
+      this->needs_record =
+          this->core.Versions().Begin(Now(), this->stream, this->sent);
       this->core.VersionRecords().OnBegun();
     }
   }
   if (this->needs_record) {
     const Duration limit = std::min(kRecordTimeout, this->active.TimeLeft());
-    const bool is_recorded = co_await this->core.VersionRecords().AwaitRecorded(
-        this->active.request.id, limit);
+    const bool is_recorded =
+        co_await this->core.VersionRecords().AwaitRecorded(this->stream, limit);
     if (!is_recorded) {
       this->core.Log().Write("stream-version-unrecorded",
                              {{"id", this->active.request.id},
--- a/gateway/stream_origin_guard.h
+++ b/gateway/stream_origin_guard.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "fuchsiadrum/serving/stream_versions.h"
@@ -18,7 +19,10 @@
 class StreamOriginGuard {
  public:
   StreamOriginGuard(GatewayCore& gateway_core, ActiveRequest& active_request)
-      : core(gateway_core), active(active_request) {}
+      : core(gateway_core),
+        active(active_request),
+        stream(serving::StreamVersions::StreamName(active_request.request.id)) {
+  }
 
   /// Finds the origin of the stream that the request takes up, if it does, and
   /// sets the service of the request to it. Returns the answer that refuses the
@@ -31,8 +35,9 @@
   bool IsServed() const;
   /// The request is sent to the upstream.
   void OnSend(const serving::FleetUpstream& upstream);
-  /// To be awaited before the first event of the stream is forwarded. Returns
-  /// false if its origin could not be recorded in time; then no event may be
+  /// To be awaited before the first event of an attempt is forwarded. Returns
+  /// false if its upstream may have another version than the stream, or if the
+  /// stream's origin could not be recorded in time; then no event may be
   /// forwarded.
   asio::awaitable<bool> BeginStream(const serving::FleetUpstream& upstream);
   /// Version to which the stream is bound; empty: to none.
@@ -45,6 +50,8 @@
 
   GatewayCore& core;
   ActiveRequest& active;
+  /// Name of the stream that this request's attempt begins.
+  std::string stream;
   /// Origin of the events that the caller has.
   std::optional<serving::StreamOrigin> origin;
   /// Origin of the attempt that was sent last.
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -44,11 +44,14 @@
     if (is_complete) events.append(splitter.Rest());
     if (events.empty() && !is_complete) continue;
 
-    if (this->events_relayed == 0 && count > 0) {
+    if (attempt_events == 0 && count > 0) {
       const bool may_begin = co_await handlers.may_begin();
-      if (!may_begin) break;
-      handlers.on_first();
+      if (!may_begin) {
+        attempt.Excuse();
+        break;
+      }
     }
+    if (this->events_relayed == 0 && count > 0) handlers.on_first();
     if (count > 0) attempt.OnEvents(count);
     attempt_events += count;
     if (!is_sound && (is_complete || attempt_events >= kEventsOfSoundPrompt)) {
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -21,7 +21,7 @@
 struct StreamHandlers {
   /// Before the first event of the stream is forwarded.
   std::function<void()> on_first;
-  /// Awaited before the first event of the stream is forwarded; false if none
+  /// Awaited before the first event of the attempt is forwarded; false if none
   /// may be forwarded.
   std::function<asio::awaitable<bool>()> may_begin;
   /// When the attempt has gone on for so long, or has ended so, that the prompt
--- a/gateway/upstream_attempt.cc
+++ b/gateway/upstream_attempt.cc
@@ -129,6 +129,7 @@
 void UpstreamAttempt::RecordOutcome(AttemptOutcome outcome) {
   this->core.Metrics().CountAttempt(this->active.service,
                                     serving::AttemptOutcomeName(outcome));
+  if (this->is_excused) return;
   serving::FleetUpstream& upstream = this->Upstream();
   switch (outcome) {
     case AttemptOutcome::kNotSent:
--- a/gateway/upstream_attempt.h
+++ b/gateway/upstream_attempt.h
@@ -40,7 +40,11 @@
   void OnMisdirected();
   /// Ends the attempt; puts back the permit unless the request was sent.
   void End();
-  /// Counts the outcome for the metrics and the upstream's failure statistics.
+  /// The gateway itself ends the attempt, for a reason that is not its
+  /// upstream's.
+  void Excuse() { this->is_excused = true; }
+  /// Counts the outcome for the metrics and, unless the attempt is excused, the
+  /// upstream's failure statistics.
   void RecordOutcome(serving::AttemptOutcome outcome);
   /// True if the attempt should be ended because its upstream is silent. `runs`
   /// is the number of earlier attempts that may have run the request.
@@ -69,6 +73,7 @@
   bool was_sent = false;
   /// True while the prompt's tokens count as pending at the upstream.
   bool prompt_pending = false;
+  bool is_excused = false;
   TimePoint sent_at;
   /// When the request was sent or bytes of a stream were last received.
   TimePoint last_progress;
--- a/gateway/version_client.cc
+++ b/gateway/version_client.cc
@@ -10,6 +10,9 @@
 
 constexpr platform::StreamPartition kPartition = {
     .stream = platform::Stream::kVersions};
+/// What a restored store lacks stays known until it is written again or too
+/// old.
+constexpr Duration kKeepUnconfirmed = std::chrono::minutes(10);
 /// Records in one write: about 16 KB.
 constexpr size_t kMaxBatch = 256;
 /// Interval at which a waiting request asks again for a read.
@@ -25,13 +28,23 @@
       context(io_context),
       event_log(log),
       versions(stream_versions),
-      follower({.stream = platform::Stream::kVersions,
-                .interval = opts.read_interval,
-                .timeout = opts.store_timeout},
-               {.on_change = [this](const auto& r) { this->OnRecord(r); },
-                .on_read = [this] { this->read_done.Notify(); },
-                .on_recovered = [] {}},
-               io_context, watchdog, log, *opts.store),
+      follower(
+          {.stream = platform::Stream::kVersions,
+           .interval = opts.read_interval,
+           .timeout = opts.store_timeout,
+           .keep_unconfirmed = kKeepUnconfirmed},
+          {.on_change = [this](const auto& r) { this->OnRecord(r); },
+           .on_read =
+               [this] {
+                 if (this->follower.IsCurrent()) {
+                   // That of the read before: the begin of this one is
+                   // known only when it has ended.
+                   this->versions.OnRecordsRead(this->follower.LastReadBegun());
+                 }
+                 this->read_done.Notify();
+               },
+           .on_recovered = [] {}},
+          io_context, watchdog, log, *opts.store),
       service_writer(io_context, watchdog, *opts.store),
       stream_writer(io_context, watchdog, *opts.store),
       update_due(io_context),
@@ -72,7 +85,9 @@
     }
     const TimePoint now = Now();
     if (now >= end) co_return false;
-    if (this->follower.IsPausing()) this->follower.Wake();
+    if (this->follower.IsPausing() && !this->follower.IsFailing()) {
+      this->follower.Wake();
+    }
     co_await this->read_done.Wait(std::min(end - now, kReadCheckInterval));
   }
 }
@@ -152,7 +167,8 @@
 
 asio::awaitable<void> VersionClient::StreamLoop() {
   while (true) {
-    if (this->versions.Unrecorded() == 0) {
+    if (this->versions.Unrecorded() == 0 &&
+        this->versions.PlanDeletions(Now(), 1).empty()) {
       this->write_begun = TimePoint();
       co_await this->stream_begun.Wait(this->options.sync_interval);
       continue;
@@ -191,6 +207,9 @@
     co_return false;
   }
   this->versions.OnStreamsWritten(begun);
+  for (const std::string& attempt : ended) {
+    this->versions.OnStreamDeleted(attempt);
+  }
   co_return true;
 }
 
--- a/gateway/version_client.h
+++ b/gateway/version_client.h
@@ -17,9 +17,9 @@
   StoreEndpoint* store = nullptr;
   Duration store_timeout = std::chrono::milliseconds(600);
   /// Interval between two reads of the records while nobody asks for them.
-  Duration read_interval = std::chrono::seconds(1);
-  /// Interval at which due writes are looked for.
-  Duration sync_interval = std::chrono::milliseconds(100);
+  Duration read_interval = std::chrono::seconds(2);
+  /// Interval at which due writes are looked for without a notification.
+  Duration sync_interval = std::chrono::seconds(1);
   /// Delay before a write that failed is tried again.
   Duration retry_interval = std::chrono::milliseconds(50);
   /// Age of an unanswered write above which no stream is begun that needs one.
@@ -49,8 +49,8 @@
   /// False while the store does not answer writes of records.
   bool CanRecord(TimePoint now) const;
 
-  /// True if the newest records were read since the start.
-  bool HasReadNewest() const { return this->follower.HasReadNewest(); }
+  /// Time of the last successful read; us is 0 if there was none yet.
+  TimePoint LastRead() const { return this->follower.LastRead(); }
   uint64_t Calls() const;
 
  private:
