--- a/tests/platform/config_codec_random_test.cc
+++ b/tests/platform/config_codec_random_test.cc
@@ -167,6 +167,7 @@
                   {"timeout_ms", this->Number(60000)}};
     if (this->rng.Chance(0.6)) {
       route["service"] = this->ServiceOf(services);
+      if (this->rng.Chance(0.1)) route["traffic_split"] = Json::array();
     } else {
       route["traffic_split"] = Json::array();
       const uint64_t shares = 1 + this->rng.Below(3);
--- a/tests/platform/config_codec_test.cc
+++ b/tests/platform/config_codec_test.cc
@@ -56,6 +56,19 @@
   }
 }
 
+// A route would lose its service to an empty list of shares, and each of its
+// requests would be refused.
+TEST_F(ConfigCodecTest, EmptySplit_LeavesTheRouteItsService) {
+  const serving::ServingConfigPtr config = DecodeConfig(
+      R"({"version":1,"services":[{"name":"s1"}],"routes":[
+          {"name":"r1","host":"a.example","path_prefix":"/","kind":"safe",
+           "timeout_ms":800,"service":"s1","traffic_split":[]}]})",
+      this->reason);
+  ASSERT_TRUE(config) << this->reason;
+  ASSERT_EQ(config->routes[0].services.size(), 1U);
+  EXPECT_EQ(config->routes[0].services[0].service, "s1");
+}
+
 TEST_F(ConfigCodecTest, OlderVersion_DoesNotReplaceANewerOne) {
   serving::CurrentConfig in_force;
   auto older = std::make_shared<serving::ServingConfig>();
