soak: the store comes back from older copies, and denials by a lost version are found

New event: the store is away for up to 0.6 s and returns from a copy that is 0.5 to 3 s old, an era later. Versions of the configuration that each add a route are written before and after it. Rule CONFIG: no 401, 403 or 404 for a route that was acknowledged over 2.5 s before, outside 2.5 s after the store was away.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -74,6 +74,12 @@
                : drawn < 7 ? SoakRoute::kUnsafe
                : drawn < 9 ? SoakRoute::kResumable
                            : SoakRoute::kSafe;
+  if (this->rng.Chance(0.2)) {
+    plan.route = SoakRoute::kAdded;
+    plan.added = this->seen.NewestVersion();
+    if (this->rng.Chance(0.5))
+      plan.added = static_cast<int>(this->rng.Between(1, plan.added));
+  }
   plan.body_bytes =
       this->rng.Below(this->rng.Chance(0.1) ? kLargeBytes : kSmallBytes);
   if (this->rng.Chance(0.04)) plan.body_bytes = kHugeBytes;
@@ -92,6 +98,7 @@
       this->options.name + "-" + std::to_string(++this->sent_count);
   CallerResult result;
   result.route = plan.route;
+  result.added = plan.added;
   result.gateway = this->gateway_index;
   result.number = ++this->number;
   result.begun = gateway::Now();
@@ -114,7 +121,7 @@
 }
 
 bool Caller::Send(const Plan& plan, const std::string& id, TimePoint deadline) {
-  std::string bytes = EncodeRequestHead(plan.route, id);
+  std::string bytes = EncodeRequestHead(plan.route, id, plan.added);
   const std::string body = RequestBody(id, plan.body_bytes);
   bytes += plan.in_chunks
                ? "Transfer-Encoding: chunked\r\n\r\n"
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -40,6 +40,8 @@
   struct Plan {
     SoakRoute route = SoakRoute::kUnsafe;
     size_t body_bytes = 0;
+    /// Version of the configuration that added the route.
+    int added = 1;
     bool in_chunks = false;
     /// Pause before each part of the body, in milliseconds.
     int64_t pause_ms = 0;
--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -18,6 +18,9 @@
 /// A request that is sent later than this after SIGTERM may not be cut, however
 /// long its upstream is at work.
 constexpr Duration kBalancerTime = std::chrono::seconds(3);
+/// Time after an acknowledgement, and after the store was away, in which a
+/// version of the configuration has to be in force.
+constexpr Duration kConfigApply = std::chrono::milliseconds(2500);
 constexpr double kLateGraceFraction = 5.0 / 6;
 /// Ends of upstreams after which a part is known, and requests with it that may
 /// be sent later than kContact after them.
@@ -66,7 +69,7 @@
 std::string_view RuleName(Rule rule) {
   static constexpr std::array<std::string_view, kRuleCount> kNames = {
       "REFUSED", "TWICE",   "MIXED",   "ORDER",   "UNASKED", "LOST",
-      "CLOSED",  "SERVICE", "RECOVER", "PROCESS", "BUDGET"};
+      "CLOSED",  "SERVICE", "RECOVER", "PROCESS", "BUDGET",  "CONFIG"};
   return kNames[static_cast<size_t>(rule)];
 }
 
@@ -77,6 +80,7 @@
     this->CheckAnswer(id, request);
     this->CheckLost(id, request);
     this->CheckService(id, request);
+    this->CheckConfig(id, request);
   }
   this->CheckBadPart();
   const auto is_closed = [](const Violation& violation) {
@@ -218,6 +222,25 @@
       "refused by all upstreams, answered " + std::to_string(result.status));
 }
 
+void Checker::CheckConfig(const std::string& id, const RequestRecord& request) {
+  const CallerResult& result = request.result;
+  // An upstream's own answer has arrived there.
+  if (!IsDenial(result.status) || !request.faults.empty()) return;
+  const auto& versions = this->seen.Versions();
+  const Duration age =
+      result.begun - versions[static_cast<size_t>(result.added) - 1];
+  if (age <= kConfigApply) return;
+  for (const auto& [away, back] : this->seen.StoreAway()) {
+    if (result.ended >= away && result.begun <= back + kConfigApply) return;
+  }
+  this->Add(Rule::kConfig, id,
+            "answered " + std::to_string(result.status) + " by gateway " +
+                std::to_string(result.gateway) + ", the route of version " +
+                std::to_string(result.added) + " was acknowledged " +
+                std::to_string(ToMilliseconds(age)) + " ms before");
+  this->violations.back().cause = "stale-config";
+}
+
 void Checker::Add(Rule rule, const std::string& id, std::string detail) {
   this->violations.push_back(
       {.rule = rule, .id = id, .detail = std::move(detail)});
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -22,8 +22,9 @@
   kRecover,  // a probe after the last fault was not served in time
   kProcess,  // a gateway ended by itself or did not end in its grace
   kBudget,   // requests with a part that ends upstreams were sent on and on
+  kConfig,   // denied by a configuration that is no longer in force
 };
-constexpr int kRuleCount = 11;
+constexpr int kRuleCount = 12;
 
 std::string_view RuleName(Rule rule);
 
@@ -52,6 +53,7 @@
   void CheckBody(const std::string& id, const RequestRecord& request);
   void CheckLost(const std::string& id, const RequestRecord& request);
   void CheckBadPart();
+  void CheckConfig(const std::string& id, const RequestRecord& request);
   void CheckService(const std::string& id, const RequestRecord& request);
   /// Name of the last signal to a gateway before that time.
   static std::string LastSignal(const GatewayProcess& process, TimePoint time);
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -62,6 +62,26 @@
   this->requests[id].was_changed = true;
 }
 
+void Observations::AddVersion() {
+  const std::lock_guard lock(this->mutex);
+  this->versions.push_back(Now());
+}
+
+int Observations::NewestVersion() {
+  const std::lock_guard lock(this->mutex);
+  return static_cast<int>(this->versions.size());
+}
+
+void Observations::AddStoreAway() {
+  const std::lock_guard lock(this->mutex);
+  this->store_away.emplace_back(Now(), Now());
+}
+
+void Observations::AddStoreBack() {
+  const std::lock_guard lock(this->mutex);
+  this->store_away.back().second = Now();
+}
+
 void Observations::AddResult(const std::string& id, CallerResult result) {
   const std::lock_guard lock(this->mutex);
   RequestRecord& request = this->requests[id];
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -16,6 +16,8 @@
 /// What a caller saw of one request.
 struct CallerResult {
   SoakRoute route = SoakRoute::kUnsafe;
+  /// Version of the configuration that added the route.
+  int added = 1;
   /// Index of the gateway, and number of the request on its connection; 1: the
   /// first.
   size_t gateway = 0;
@@ -86,6 +88,22 @@
   void AddChange(const std::string& id);
   void AddResult(const std::string& id, CallerResult result);
 
+  /// Records that the store has acknowledged the next version of the
+  /// configuration; the first one is version 1.
+  void AddVersion();
+  /// Newest version that was acknowledged; 0 before the first one.
+  int NewestVersion();
+  /// Records that the store went away, or came back from a copy.
+  void AddStoreAway();
+  void AddStoreBack();
+
+  /// When each version of the configuration was acknowledged. Call it when
+  /// callers have ended.
+  const std::vector<TimePoint>& Versions() const { return this->versions; }
+  /// Spans in which the store was away.
+  const std::vector<std::pair<TimePoint, TimePoint>>& StoreAway() const {
+    return this->store_away;
+  }
   /// Requests with the bad part that reached upstreams, and when. Call it when
   /// callers and upstreams have ended.
   const std::vector<std::pair<TimePoint, std::string>>& BadArrivals() const {
@@ -98,6 +116,8 @@
   std::mutex mutex;
   Requests requests;
   std::vector<std::pair<TimePoint, std::string>> bad_arrivals;
+  std::vector<TimePoint> versions;
+  std::vector<std::pair<TimePoint, TimePoint>> store_away;
 };
 
 }  // namespace fuchsiadrum::soak
--- a/soak/soak_report.cc
+++ b/soak/soak_report.cc
@@ -43,11 +43,15 @@
     signals[std::string(ProcessEventName(event))] =
         this->run.CountEvents(event);
   }
-  return {
-      {"seed", this->options.seed},  {"requests", this->run.Requests().size()},
-      {"runs", this->runs},          {"statuses", this->by_status},
-      {"signals", signals},          {"upstream_ends", this->run.Ends()},
-      {"violations", this->by_rule}, {"by_fault", this->by_fault}};
+  return {{"seed", this->options.seed},
+          {"requests", this->run.Requests().size()},
+          {"runs", this->runs},
+          {"statuses", this->by_status},
+          {"signals", signals},
+          {"upstream_ends", this->run.Ends()},
+          {"restores", this->run.Restores()},
+          {"violations", this->by_rule},
+          {"by_fault", this->by_fault}};
 }
 
 void SoakReport::Print(std::ostream& out) const {
@@ -56,7 +60,8 @@
       << this->run.CountEvents(ProcessEvent::kStop) << " stops, "
       << this->run.CountEvents(ProcessEvent::kKill) << " kills, "
       << this->run.CountEvents(ProcessEvent::kPause) << " pauses, "
-      << this->run.Ends() << " upstream ends, ";
+      << this->run.Ends() << " upstream ends, " << this->run.Restores()
+      << " restores, ";
   if (this->by_rule.empty()) out << "no promise broken";
   for (const auto& [rule, count] : this->by_rule) {
     out << rule << " " << count << " ";
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -32,6 +32,7 @@
 SoakRun::SoakRun(const SoakOptions& opts)
     : options(opts), folder(MakeFolder()) {
   this->store.holds_reads = true;
+  this->store.era = 1;
   for (int i = 1; i <= opts.upstreams; ++i) {
     const std::string name = "u" + std::to_string(i);
     this->upstreams.push_back(std::make_unique<FaultyUpstream>(
@@ -60,8 +61,7 @@
 }
 
 std::string SoakRun::Run(const std::atomic<bool>& interrupted) {
-  this->store.Put(std::string(kTopicOperators), std::string(kKeyConfig),
-                  EncodeConfig());
+  StoreDrill drill(this->options.seed, this->store, this->seen);
   this->Announce();
   std::string reason = this->StartGateways();
   if (!reason.empty()) return reason;
@@ -83,7 +83,7 @@
       Caller(caller_options, this->seen).Run(this->stopping);
     });
   }
-  this->RunFaults(interrupted);
+  this->RunFaults(drill, interrupted);
   this->StopCallers();
   if (interrupted) return "interrupted";
 
@@ -130,20 +130,24 @@
   if (has_started) this->Announce();
 }
 
-void SoakRun::RunFaults(const std::atomic<bool>& interrupted) {
+void SoakRun::RunFaults(StoreDrill& drill,
+                        const std::atomic<bool>& interrupted) {
   ProcessFaults faults(this->options.seed, this->gateways);
   const TimePoint end = Now() + FromSeconds(this->options.seconds);
   TimePoint next_heartbeat = Now() + kHeartbeatInterval;
   while (Now() < end && !interrupted) {
     faults.OnTick(Now());
     this->StepUpstreams();
-    if (Now() >= next_heartbeat) {
+    const bool is_restored = drill.OnTick(Now());
+    if (is_restored || Now() >= next_heartbeat) {
       this->Announce();
       next_heartbeat = next_heartbeat + kHeartbeatInterval;
     }
     std::this_thread::sleep_for(kTick);
   }
   if (interrupted) return;
+  drill.Settle();
+  this->Announce();
   faults.Settle();
   this->calm = true;
   for (const auto& [text, signal] : faults.Failures()) {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -11,6 +11,7 @@
 #include "soak/faulty_upstream.h"
 #include "soak/observations.h"
 #include "soak/process_faults.h"
+#include "soak/store_drill.h"
 #include "tests/platform/fake_store.h"
 
 namespace fuchsiadrum::soak {
@@ -49,13 +50,15 @@
   int CountEvents(ProcessEvent event) const;
   /// How often upstreams have ended under a request.
   int Ends() const { return this->ends; }
+  /// How often the store came back from a copy.
+  size_t Restores() const { return this->seen.StoreAway().size(); }
 
  private:
   std::string StartGateways();
   void Announce();
   /// Ends and starts upstreams.
   void StepUpstreams();
-  void RunFaults(const std::atomic<bool>& interrupted);
+  void RunFaults(StoreDrill& drill, const std::atomic<bool>& interrupted);
   /// Sends requests of each route to each gateway until they are served.
   void Probe(const std::atomic<bool>& interrupted);
   void StopCallers();
--- a/soak/wire.cc
+++ b/soak/wire.cc
@@ -1,5 +1,6 @@
 #include "soak/wire.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -32,7 +33,15 @@
                 .kind = "streaming",
                 .max_attempts = 1,
                 .is_stream = true,
-                .is_long = true}};
+                .is_long = true},
+    RouteTraits{.name = "added", .kind = "safe", .max_attempts = 3}};
+
+/// Start of the paths of a route.
+std::string PathPrefix(SoakRoute route, int added) {
+  std::string prefix = "/" + std::string(TraitsOf(route).name);
+  if (route == SoakRoute::kAdded) prefix += "-" + std::to_string(added);
+  return prefix + "/";
+}
 
 std::string Field(std::string_view name, std::string_view value) {
   return std::string(name) + ": " + std::string(value) + "\r\n";
@@ -66,13 +75,17 @@
   return SoakRoute::kUnsafe;
 }
 
-std::string EncodeConfig() {
+std::string EncodeConfig(int version) {
   nlohmann::json routes = nlohmann::json::array();
-  for (const RouteTraits& route : kRoutes) {
+  // The routes that each version adds follow the other ones.
+  for (int i = 0; i < kRouteCount - 1 + version; ++i) {
+    const auto kind = static_cast<SoakRoute>(std::min(i, kRouteCount - 1));
+    const RouteTraits& route = TraitsOf(kind);
+    const std::string prefix = PathPrefix(kind, i - kRouteCount + 2);
     routes.push_back(
-        {{"name", route.name},
+        {{"name", prefix.substr(1, prefix.size() - 2)},
          {"host", kHost},
-         {"path_prefix", "/" + std::string(route.name) + "/"},
+         {"path_prefix", prefix},
          {"kind", route.kind},
          {"timeout_ms", route.is_long ? kLongTimeoutMs : kTimeoutMs},
          // Budgets are closed before the end of a stop.
@@ -83,7 +96,7 @@
   }
   constexpr int64_t kPrepaid = 1000000000;
   return nlohmann::json{
-      {"version", 1},
+      {"version", version},
       {"routes", routes},
       {"services", {{{"name", kService}, {"max_connections", 1000}}}},
       {"limits", nlohmann::json::object()},
@@ -102,9 +115,10 @@
       .dump();
 }
 
-std::string EncodeRequestHead(SoakRoute route, const std::string& id) {
+std::string EncodeRequestHead(SoakRoute route, const std::string& id,
+                              int added) {
   const RouteTraits& traits = TraitsOf(route);
-  std::string head = "POST /" + std::string(traits.name) + "/x HTTP/1.1\r\n" +
+  std::string head = "POST " + PathPrefix(route, added) + "x HTTP/1.1\r\n" +
                      Field("Host", kHost) + Field(kFieldId, id);
   if (traits.is_long) {
     // Half of the requests say how long their answer may get.
@@ -182,6 +196,10 @@
   return out.str();
 }
 
+bool IsDenial(unsigned int status) {
+  return status == 401 || status == 403 || status == 404;
+}
+
 bool IsPromise(unsigned int status) {
   constexpr std::array<unsigned int, 4> kPromises = {408, 421, 429, 503};
   for (const unsigned int promise : kPromises) {
--- a/soak/wire.h
+++ b/soak/wire.h
@@ -7,8 +7,8 @@
 namespace fuchsiadrum::soak {
 
 /// Routes of the soak's configuration.
-enum class SoakRoute { kUnsafe, kSafe, kResumable, kOnce, kLong };
-constexpr int kRouteCount = 5;
+enum class SoakRoute { kUnsafe, kSafe, kResumable, kOnce, kLong, kAdded };
+constexpr int kRouteCount = 6;
 
 /// What the configuration says about a route.
 struct RouteTraits {
@@ -38,8 +38,9 @@
 constexpr std::string_view kTopicUpstreams = "keyed.servers";
 constexpr std::string_view kKeyConfig = "config";
 
-/// The configuration with one service and all routes.
-std::string EncodeConfig();
+/// A version of the configuration, from 1, with one service and all routes.
+/// Each version has one route of kAdded more than the version before.
+std::string EncodeConfig(int version);
 /// The entry of an upstream in its `sequence`th heartbeat. `start`: how often
 /// it has started.
 std::string EncodeEntry(const std::string& address, int64_t sequence,
@@ -48,8 +49,10 @@
 /// upstreams.
 bool HasBadPart(const std::string& id);
 
-/// The head of a caller's request without its framing and its end.
-std::string EncodeRequestHead(SoakRoute route, const std::string& id);
+/// The head of a caller's request without its framing and its end. `added`: the
+/// version of the configuration that added the route, for kAdded.
+std::string EncodeRequestHead(SoakRoute route, const std::string& id,
+                              int added);
 /// Body of the request with that id, so that a changed body is noticed.
 std::string RequestBody(const std::string& id, size_t bytes);
 /// True if the body may be that of the request with that id.
@@ -70,6 +73,8 @@
 std::string_view NotRunField();
 std::string EncodeChunk(std::string_view bytes);
 
+/// True if the status says that the configuration does not allow the request.
+bool IsDenial(unsigned int status);
 /// True if the status promises that the request has not run.
 bool IsPromise(unsigned int status);
 
