soak: two software versions, take-ups of broken streams, and kills of all gateways

Upstreams serve one of two versions and come back with either, under a new id or as a new start of the same one. Callers take a stream that broke off up again at another gateway. Rule ORDER: a stream holds events of one version only, over all of its attempts. The report counts take-ups that were sent, went on and were refused. A trace shows all attempts of a stream and when the store was away, and RECOVER shows its last probe.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -37,7 +37,8 @@
       Sleep(20);
       continue;
     }
-    this->Ask(this->DrawPlan());
+    const Plan plan = this->DrawPlan();
+    this->TakeUp(plan, this->Ask(plan), stopping);
     if (this->rng.Chance(kLeaveChance)) this->socket.Close();
     constexpr int64_t kMaxPauseMs = 30;
     Sleep(this->rng.Between(0, kMaxPauseMs));
@@ -45,6 +46,35 @@
   this->socket.Close();
 }
 
+void Caller::TakeUp(Plan plan, const CallerResult& first,
+                    const std::atomic<bool>& stopping) {
+  const RouteTraits& traits = TraitsOf(plan.route);
+  if (!traits.is_resumable || first.gave_up || first.is_whole) return;
+  const Duration limit = traits.is_long
+                             ? kLongPatience
+                             : std::chrono::milliseconds(kCallerTimeoutMs);
+  plan.last_event = LastEvent(first.body);
+  if (first.status != 200 || plan.last_event == 0) return;
+  plan.stream = this->LastId();
+  bool is_done = false;
+  while (!is_done && !stopping && gateway::Now() < first.begun + limit) {
+    // At another gateway, if there is one.
+    const size_t count = this->options.ports.size();
+    const size_t step = 1 + this->rng.Below(std::max<size_t>(count, 2) - 1);
+    this->socket.Close();
+    if (!this->Open((this->gateway_index + step) % count)) {
+      Sleep(20);
+      continue;
+    }
+    ++plan.take_up;
+    const CallerResult result = this->Ask(plan);
+    is_done = result.is_whole && result.status == 200;
+    plan.last_event = std::max(plan.last_event, LastEvent(result.body));
+    constexpr int64_t kRetryMs = 100;
+    if (!is_done) Sleep(kRetryMs);
+  }
+}
+
 CallerResult Caller::Probe(SoakRoute route, size_t gateway) {
   constexpr size_t kProbeBytes = 100;
   CallerResult result;
@@ -55,6 +85,10 @@
   return result;
 }
 
+std::string Caller::LastId() const {
+  return this->options.name + "-" + std::to_string(this->sent_count);
+}
+
 bool Caller::Open(size_t gateway) {
   this->gateway_index = gateway;
   this->number = 0;
@@ -67,7 +101,10 @@
   /// More than the buffers of a connection take.
   constexpr uint64_t kHugeBytes = 3900000;
   Plan plan;
-  if (this->options.asks_long) return {.route = SoakRoute::kLong};
+  if (this->options.asks_long) {
+    plan.route = this->rng.Chance(0.5) ? SoakRoute::kLong : SoakRoute::kLasting;
+    return plan;
+  }
   // Requests that may run once only are drawn most often.
   const uint64_t drawn = this->rng.Below(10);
   plan.route = drawn < 4   ? SoakRoute::kOnce
@@ -77,8 +114,9 @@
   if (this->rng.Chance(0.2)) {
     plan.route = SoakRoute::kAdded;
     plan.added = this->seen.NewestVersion();
-    if (this->rng.Chance(0.5))
+    if (this->rng.Chance(0.5)) {
       plan.added = static_cast<int>(this->rng.Between(1, plan.added));
+    }
   }
   plan.body_bytes =
       this->rng.Below(this->rng.Chance(0.1) ? kLargeBytes : kSmallBytes);
@@ -94,11 +132,13 @@
 }
 
 CallerResult Caller::Ask(const Plan& plan) {
+  if (plan.take_up == 0) ++this->sent_count;
   const std::string id =
-      this->options.name + "-" + std::to_string(++this->sent_count);
+      plan.take_up > 0 ? TakeUpId(plan.stream, plan.take_up) : this->LastId();
   CallerResult result;
   result.route = plan.route;
   result.added = plan.added;
+  result.last_event = plan.last_event;
   result.gateway = this->gateway_index;
   result.number = ++this->number;
   result.begun = gateway::Now();
@@ -122,6 +162,7 @@
 
 bool Caller::Send(const Plan& plan, const std::string& id, TimePoint deadline) {
   std::string bytes = EncodeRequestHead(plan.route, id, plan.added);
+  if (plan.take_up > 0) bytes += EncodeTakeUp(plan.stream, plan.last_event);
   const std::string body = RequestBody(id, plan.body_bytes);
   bytes += plan.in_chunks
                ? "Transfer-Encoding: chunked\r\n\r\n"
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -34,6 +34,8 @@
   /// Sends one small request to this gateway on a new connection, and returns
   /// what came back.
   CallerResult Probe(SoakRoute route, size_t gateway);
+  /// Id of the last request that is no take-up.
+  std::string LastId() const;
 
  private:
   /// How a request is sent.
@@ -42,6 +44,11 @@
     size_t body_bytes = 0;
     /// Version of the configuration that added the route.
     int added = 1;
+    /// For a take-up: the request that began the stream, its number, and the
+    /// last event that has come.
+    std::string stream = {};
+    int take_up = 0;
+    uint64_t last_event = 0;
     bool in_chunks = false;
     /// Pause before each part of the body, in milliseconds.
     int64_t pause_ms = 0;
@@ -50,6 +57,10 @@
   bool Open(size_t gateway);
   Plan DrawPlan();
   CallerResult Ask(const Plan& plan);
+  /// Takes up the last stream at other gateways until its time limit, if it
+  /// may be resumed and broke off after an event.
+  void TakeUp(Plan plan, const CallerResult& first,
+              const std::atomic<bool>& stopping);
   bool Send(const Plan& plan, const std::string& id, TimePoint deadline);
   void Receive(TimePoint deadline, CallerResult& result);
 
--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "fuchsiadrum/core/duration.h"
@@ -83,6 +85,7 @@
     this->CheckConfig(id, request);
   }
   this->CheckBadPart();
+  this->CheckVersions();
   const auto is_closed = [](const Violation& violation) {
     return violation.rule == Rule::kClosed;
   };
@@ -128,7 +131,13 @@
 
 void Checker::CheckBody(const std::string& id, const RequestRecord& request) {
   const CallerResult& result = request.result;
-  const std::string expected = AnswerBody(result.route, id);
+  const std::set<std::string> versions = VersionsIn(result.body);
+  // CheckVersions judges these.
+  if (versions.size() > 1) return;
+  // Versions have names of the same length.
+  const std::string expected =
+      AnswerBody(result.route, id, versions.empty() ? "v1" : *versions.begin(),
+                 result.last_event);
   const Rule rule =
       TraitsOf(result.route).is_stream ? Rule::kOrder : Rule::kMixed;
   const std::string sizes = std::to_string(result.body.size()) + " of " +
@@ -222,6 +231,19 @@
       "refused by all upstreams, answered " + std::to_string(result.status));
 }
 
+void Checker::CheckVersions() {
+  std::map<std::string, std::set<std::string>> streams;
+  std::set<std::string> joined;
+  for (const auto& [id, request] : this->seen.All()) {
+    if (!TraitsOf(request.result.route).is_stream) continue;
+    std::set<std::string>& versions = streams[StreamOf(id)];
+    versions.merge(VersionsIn(request.result.body));
+    if (versions.size() < 2 || !joined.insert(StreamOf(id)).second) continue;
+    this->Add(Rule::kOrder, id, "events of two software versions");
+    this->violations.back().cause = "joined-versions";
+  }
+}
+
 void Checker::CheckConfig(const std::string& id, const RequestRecord& request) {
   const CallerResult& result = request.result;
   // An upstream's own answer has arrived there.
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -53,6 +53,8 @@
   void CheckBody(const std::string& id, const RequestRecord& request);
   void CheckLost(const std::string& id, const RequestRecord& request);
   void CheckBadPart();
+  /// Judges streams, each with all of its take-ups.
+  void CheckVersions();
   void CheckConfig(const std::string& id, const RequestRecord& request);
   void CheckService(const std::string& id, const RequestRecord& request);
   /// Name of the last signal to a gateway before that time.
--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -64,7 +64,18 @@
 }
 
 void FaultyUpstream::Start() {
-  ++this->starts;
+  // It comes back with either version, under a new id or as a new start.
+  Rng rng(Hash64(this->options.name + "/start", this->options.seed) +
+          static_cast<uint64_t>(++this->starts));
+  const bool is_first = this->starts == 1;
+  this->version = is_first          ? this->options.version
+                  : rng.Chance(0.5) ? "v1"
+                                    : "v2";
+  if (is_first) this->name = this->options.name;
+  if (!is_first && rng.Chance(0.5)) {
+    this->earlier_names.insert(this->name);
+    this->name = this->options.name + "-" + std::to_string(this->starts);
+  }
   this->is_ending = false;
   this->server = std::make_unique<gateway::ScriptedUpstream>(
       this->runs, [this](Exchange& exchange) { this->Serve(exchange); });
@@ -123,7 +134,7 @@
   Rng rng(Hash64(exchange.Id() + this->options.name, this->options.seed));
   const UpstreamFault fault = this->Draw(exchange, rng);
   this->seen.AddArrival(exchange.Id(), fault,
-                        this->options.name + ": exchange " +
+                        this->name + " " + this->version + ": exchange " +
                             std::to_string(exchange.Number()) + ", fault " +
                             std::string(UpstreamFaultName(fault)));
   this->Apply(fault, exchange, rng);
@@ -328,7 +339,7 @@
       "Not Executed: 1\r\n",
       "Transfer-Encoding: gzip, chunked\r\n"};
   const bool has_status = rng.Chance(0.4);
-  const std::string body = AnswerBody(RouteOf(exchange), exchange.Id());
+  const std::string body = this->MakeBody(exchange);
   // No run has made an answer with this signature.
   exchange.Write(
       EncodeAnswerHead(has_status ? Pick(kStatuses, rng) : "200 OK",
@@ -395,7 +406,7 @@
                                   this->MakeSignature(exchange, 200)) +
                  "Content-Type: text/event-stream\r\n"
                  "Transfer-Encoding: chunked\r\n\r\n");
-  std::string events = AnswerBody(RouteOf(exchange), exchange.Id());
+  std::string events = this->MakeBody(exchange);
   while (!events.empty() && !this->is_ending) {
     Work(kEventMs);
     const size_t size = events.find("\n\n") + 2;
@@ -407,21 +418,24 @@
 }
 
 std::string FaultyUpstream::MakeUnframedAnswer(const Exchange& exchange) {
-  const SoakRoute route = RouteOf(exchange);
-  const std::string last = Field(exchange, kFieldLastEvent);
-  const bool is_stream = TraitsOf(route).is_stream;
+  const bool is_stream = TraitsOf(RouteOf(exchange)).is_stream;
   return EncodeAnswerHead("200 OK", exchange.Id(),
                           this->MakeSignature(exchange, 200)) +
          (is_stream ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n") +
-         AnswerBody(route, exchange.Id(), last.empty() ? 0 : std::stoull(last));
+         this->MakeBody(exchange);
+}
+
+std::string FaultyUpstream::MakeBody(const Exchange& exchange) const {
+  const std::string last = Field(exchange, kFieldLastEvent);
+  return AnswerBody(RouteOf(exchange), exchange.Id(), this->version,
+                    last.empty() ? 0 : std::stoull(last));
 }
 
 std::string FaultyUpstream::MakeAnswer(const Exchange& exchange, Rng& rng) {
-  const SoakRoute route = RouteOf(exchange);
   std::string answer = EncodeAnswerHead("200 OK", exchange.Id(),
                                         this->MakeSignature(exchange, 200));
-  if (!TraitsOf(route).is_stream) {
-    const std::string body = AnswerBody(route, exchange.Id());
+  if (!TraitsOf(RouteOf(exchange)).is_stream) {
+    const std::string body = this->MakeBody(exchange);
     if (rng.Chance(0.5)) {
       return answer + "Transfer-Encoding: chunked\r\n\r\n" + EncodeChunk(body) +
              EncodeChunk("");
@@ -429,9 +443,7 @@
     return answer + "Content-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
   }
-  const std::string last = Field(exchange, kFieldLastEvent);
-  std::string events =
-      AnswerBody(route, exchange.Id(), last.empty() ? 0 : std::stoull(last));
+  std::string events = this->MakeBody(exchange);
   answer += "Content-Type: text/event-stream\r\n";
   answer += "Transfer-Encoding: chunked\r\n\r\n";
   // Chunks may end anywhere in an event.
--- a/soak/faulty_upstream.h
+++ b/soak/faulty_upstream.h
@@ -14,8 +14,10 @@
 
 /// Options of a FaultyUpstream.
 struct FaultyUpstreamOptions {
-  /// Name in the store.
+  /// Name in the store at the first start.
   std::string name;
+  /// Version of its software at the first start.
+  std::string version;
   uint64_t seed = 1;
 };
 
@@ -28,7 +30,14 @@
                  gateway::RunRecord& run_record,
                  const std::atomic<bool>& without_faults);
 
-  const std::string& Name() const { return this->options.name; }
+  /// Id in the store, which may change at a start.
+  const std::string& Name() const { return this->name; }
+  /// Ids of its earlier starts.
+  const std::set<std::string>& EarlierNames() const {
+    return this->earlier_names;
+  }
+  /// Version of its software.
+  const std::string& Version() const { return this->version; }
   std::string Address() const { return this->server->Address(); }
   /// How often it has started.
   int Starts() const { return this->starts; }
@@ -65,12 +74,17 @@
   /// Writes a sound stream at the pace of an engine; cut if the upstream ends.
   void WriteInTime(Exchange& exchange);
   void WriteOwnFailure(Exchange& exchange, bool is_signed, Rng& rng);
+  /// Body of a sound answer.
+  std::string MakeBody(const Exchange& exchange) const;
   /// The whole answer of a run, framed by a length or in chunks.
   std::string MakeAnswer(const Exchange& exchange, Rng& rng);
   /// The same, framed by the end of the connection alone.
   std::string MakeUnframedAnswer(const Exchange& exchange);
 
   FaultyUpstreamOptions options;
+  std::string name;
+  std::set<std::string> earlier_names;
+  std::string version;
   Observations& seen;
   gateway::RunRecord& runs;
   const std::atomic<bool>& calm;
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -18,6 +18,8 @@
   SoakRoute route = SoakRoute::kUnsafe;
   /// Version of the configuration that added the route.
   int added = 1;
+  /// For the take-up of a stream: the last event that its caller had.
+  uint64_t last_event = 0;
   /// Index of the gateway, and number of the request on its connection; 1: the
   /// first.
   size_t gateway = 0;
--- a/soak/process_faults.cc
+++ b/soak/process_faults.cc
@@ -11,6 +11,7 @@
 
 /// Mean times in seconds.
 constexpr double kMeanCalm = 2.5;
+constexpr double kMeanUntilKillAll = 6;
 constexpr double kMeanPaused = 0.5;
 constexpr double kMeanDown = 0.5;
 /// Time in which a gateway that is being stopped is disturbed, if at all.
@@ -38,6 +39,7 @@
   for (Plan& plan : this->plans) {
     plan.next = gateway::Now() + this->DrawPause(kMeanCalm);
   }
+  this->next_kill_all = gateway::Now() + this->DrawPause(kMeanUntilKillAll);
 }
 
 void ProcessFaults::OnTick(TimePoint now) {
@@ -53,6 +55,17 @@
     }
     if (now >= this->plans[i].next) this->Disturb(i, now);
   }
+  if (now >= this->next_kill_all) this->KillAll(now);
+}
+
+void ProcessFaults::KillAll(TimePoint now) {
+  this->next_kill_all = now + this->DrawPause(kMeanUntilKillAll);
+  for (size_t i = 0; i < this->plans.size(); ++i) {
+    if (!this->gateways[i]->IsRunning()) continue;
+    this->gateways[i]->Signal(ProcessEvent::kKill);
+    this->plans[i] = {.state = State::kDown,
+                      .next = now + this->DrawPause(kMeanDown)};
+  }
 }
 
 void ProcessFaults::Disturb(size_t index, TimePoint now) {
--- a/soak/process_faults.h
+++ b/soak/process_faults.h
@@ -38,6 +38,8 @@
     TimePoint grace_end;
   };
 
+  /// Kills all gateways at once.
+  void KillAll(TimePoint now);
   void Disturb(size_t index, TimePoint now);
   void WatchStop(size_t index, TimePoint now);
   void Restart(size_t index, TimePoint now);
@@ -47,6 +49,7 @@
   Rng rng;
   Gateways& gateways;
   std::vector<Plan> plans;
+  TimePoint next_kill_all;
   std::vector<Failure> failures;
 };
 
--- a/soak/soak_report.cc
+++ b/soak/soak_report.cc
@@ -20,6 +20,14 @@
   for (const auto& [id, request] : soak_run.Requests()) {
     ++this->by_status[std::to_string(request.result.status)];
     this->runs += request.runs;
+    const CallerResult& result = request.result;
+    if (result.last_event == 0 || result.sent == TimePoint()) continue;
+    constexpr unsigned int kFirstFailure = 400;
+    ++this->take_ups;
+    // A stream may have been cut after its last event.
+    const bool goes_on = result.is_whole || !result.body.empty();
+    if (result.status == 200 && goes_on) ++this->take_ups_on;
+    if (result.status >= kFirstFailure) ++this->take_ups_refused;
   }
 }
 
@@ -49,6 +57,9 @@
           {"statuses", this->by_status},
           {"signals", signals},
           {"upstream_ends", this->run.Ends()},
+          {"take_ups", this->take_ups},
+          {"take_ups_on", this->take_ups_on},
+          {"take_ups_refused", this->take_ups_refused},
           {"restores", this->run.Restores()},
           {"violations", this->by_rule},
           {"by_fault", this->by_fault}};
@@ -61,7 +72,9 @@
       << this->run.CountEvents(ProcessEvent::kKill) << " kills, "
       << this->run.CountEvents(ProcessEvent::kPause) << " pauses, "
       << this->run.Ends() << " upstream ends, " << this->run.Restores()
-      << " restores, ";
+      << " restores, take-ups " << this->take_ups << " sent, "
+      << this->take_ups_on << " went on, " << this->take_ups_refused
+      << " refused, ";
   if (this->by_rule.empty()) out << "no promise broken";
   for (const auto& [rule, count] : this->by_rule) {
     out << rule << " " << count << " ";
--- a/soak/soak_report.h
+++ b/soak/soak_report.h
@@ -41,6 +41,10 @@
   /// Requests by status, and the runs of all.
   std::map<std::string, int> by_status;
   int runs = 0;
+  /// Take-ups of streams that were sent, went on, and were refused.
+  int take_ups = 0;
+  int take_ups_on = 0;
+  int take_ups_refused = 0;
 };
 
 }  // namespace fuchsiadrum::soak
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -36,8 +36,10 @@
   for (int i = 1; i <= opts.upstreams; ++i) {
     const std::string name = "u" + std::to_string(i);
     this->upstreams.push_back(std::make_unique<FaultyUpstream>(
-        FaultyUpstreamOptions{.name = name, .seed = opts.seed}, this->seen,
-        this->run_record, this->calm));
+        FaultyUpstreamOptions{.name = name,
+                              .version = i % 2 == 0 ? "v2" : "v1",
+                              .seed = opts.seed},
+        this->seen, this->run_record, this->calm));
   }
   PortRange ports;
   for (int i = 1; i <= opts.gateways; ++i) {
@@ -113,10 +115,14 @@
 void SoakRun::Announce() {
   ++this->sequence;
   for (const auto& upstream : this->upstreams) {
+    // A restored copy may hold entries that were deleted.
+    for (const std::string& earlier : upstream->EarlierNames()) {
+      this->store.Put(std::string(kTopicUpstreams), earlier, "");
+    }
     if (!upstream->IsUp()) continue;
-    this->store.Put(
-        std::string(kTopicUpstreams), upstream->Name(),
-        EncodeEntry(upstream->Address(), this->sequence, upstream->Starts()));
+    this->store.Put(std::string(kTopicUpstreams), upstream->Name(),
+                    EncodeEntry(upstream->Address(), this->sequence,
+                                upstream->Starts(), upstream->Version()));
   }
 }
 
@@ -172,9 +178,10 @@
         if (Now() > deadline) {
           this->violations.push_back(
               {.rule = Rule::kRecover,
-               .id = "",
+               .id = prober.LastId(),
                .detail = std::string(TraitsOf(kind).name) + " at gateway " +
-                         std::to_string(i) + " was not served"});
+                         std::to_string(i) + " was not served",
+               .cause = "-"});
           break;
         }
         this->StepUpstreams();
@@ -200,8 +207,16 @@
   const auto offset = [begun](TimePoint at) {
     return "+" + std::to_string((at - begun).count() / 1000) + " ms ";
   };
-  for (const TimelineLine& line : request.lines) {
-    trace.push_back(offset(line.at) + line.text);
+  // A stream may be taken up by several requests.
+  std::vector<std::string> attempts;
+  for (const auto& [attempt, record] : this->seen.All()) {
+    if (StreamOf(attempt) != StreamOf(id)) continue;
+    attempts.push_back(attempt);
+    for (const TimelineLine& line : record.lines) {
+      std::string text = offset(line.at) + line.text;
+      if (attempt != id) text.append(" (").append(attempt).append(")");
+      trace.push_back(std::move(text));
+    }
   }
   const GatewayProcess& process = *this->gateways[request.result.gateway];
   for (const auto& [at, event] : process.History()) {
@@ -210,11 +225,18 @@
     trace.push_back(offset(at) + process.Options().vm + ": " +
                     std::string(ProcessEventName(event)));
   }
+  for (const auto& [away, back] : this->seen.StoreAway()) {
+    if (away > request.result.ended) break;
+    trace.push_back(offset(away) + "store: away");
+    trace.push_back(offset(back) + "store: back from a copy");
+  }
   trace.push_back("the caller's first byte was sent at t_ms " +
                   std::to_string(begun.us / 1000));
   for (const auto& each : this->gateways) {
-    for (std::string& line : each->LogLinesOf(id)) {
-      trace.push_back(std::move(line));
+    for (const std::string& attempt : attempts) {
+      for (std::string& line : each->LogLinesOf(attempt)) {
+        trace.push_back(std::move(line));
+      }
     }
   }
   return trace;
--- a/soak/wire.cc
+++ b/soak/wire.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -14,8 +15,6 @@
 constexpr std::string_view kService = "engine";
 constexpr int kTimeoutMs = 1000;
 constexpr int kLongTimeoutMs = 20000;
-/// Time that callers are prepared to wait, in milliseconds.
-constexpr int kCallerTimeoutMs = 900;
 
 constexpr std::array<RouteTraits, kRouteCount> kRoutes = {
     RouteTraits{.name = "book", .kind = "unsafe", .max_attempts = 2},
@@ -34,6 +33,12 @@
                 .max_attempts = 1,
                 .is_stream = true,
                 .is_long = true},
+    RouteTraits{.name = "tale",
+                .kind = "streaming",
+                .max_attempts = 3,
+                .is_stream = true,
+                .is_resumable = true,
+                .is_long = true},
     RouteTraits{.name = "added", .kind = "safe", .max_attempts = 3}};
 
 /// Start of the paths of a route.
@@ -51,7 +56,7 @@
 /// share, the bad one if it has that, and its own.
 std::string EncodeParts(SoakRoute route, const std::string& id) {
   constexpr uint64_t kMiddleParts = 8;
-  const uint64_t hash = Hash64(id);
+  const uint64_t hash = Hash64(StreamOf(id));
   std::string parts = "f" + std::to_string(static_cast<int>(route)) + ":60,a" +
                       std::to_string(hash % kMiddleParts) + ":20";
   if (HasBadPart(id)) parts += ",bad:10";
@@ -105,16 +110,56 @@
       .dump();
 }
 
-std::string EncodeEntry(const std::string& address, int64_t sequence,
-                        int start) {
+std::string EncodeEntry(const std::string& address, int64_t sequence, int start,
+                        const std::string& version) {
   constexpr int64_t kFirstStart = 1700000000000;
-  return nlohmann::json{
-      {"service", kService}, {"address", address},          {"zone", "a"},
-      {"slots", 32},         {"born", kFirstStart + start}, {"state", "ready"},
-      {"cold_left_ms", 0},   {"sequence", sequence}}
+  return nlohmann::json{{"service", kService},
+                        {"address", address},
+                        {"zone", "a"},
+                        {"slots", 32},
+                        {"born", kFirstStart + start},
+                        {"state", "ready"},
+                        {"cold_left_ms", 0},
+                        {"sequence", sequence},
+                        {"version", version}}
       .dump();
 }
 
+std::string StreamOf(const std::string& id) {
+  return id.substr(0, id.find('+'));
+}
+
+std::string TakeUpId(const std::string& stream, int number) {
+  return stream + "+" + std::to_string(number);
+}
+
+std::string EncodeTakeUp(const std::string& stream, uint64_t last_event) {
+  return Field(kFieldLastEvent, std::to_string(last_event)) +
+         Field("Resumes", stream);
+}
+
+uint64_t LastEvent(std::string_view body) {
+  constexpr std::string_view kStart = "id: ";
+  const size_t end = body.rfind("\n\n");
+  if (end == std::string_view::npos) return 0;
+  const size_t at = body.rfind(kStart, end);
+  if (at == std::string_view::npos) return 0;
+  return std::strtoull(body.substr(at + kStart.size()).data(), nullptr, 10);
+}
+
+std::set<std::string> VersionsIn(std::string_view body) {
+  std::set<std::string> versions;
+  for (size_t end = body.find("\n\n"); end != std::string_view::npos;
+       end = body.find("\n\n")) {
+    const std::string_view event = body.substr(0, end);
+    if (event.find("\ndata: ") != std::string_view::npos) {
+      versions.emplace(event.substr(event.rfind(' ') + 1));
+    }
+    body.remove_prefix(end + 2);
+  }
+  return versions;
+}
+
 std::string EncodeRequestHead(SoakRoute route, const std::string& id,
                               int added) {
   const RouteTraits& traits = TraitsOf(route);
@@ -136,7 +181,7 @@
 
 bool HasBadPart(const std::string& id) {
   constexpr uint64_t kOneIn = 25;
-  return Hash64(id + "/bad") % kOneIn == 0;
+  return Hash64(StreamOf(id) + "/bad") % kOneIn == 0;
 }
 
 std::string RequestBody(const std::string& id, size_t bytes) {
@@ -158,8 +203,9 @@
 }
 
 std::string AnswerBody(SoakRoute route, const std::string& id,
-                       uint64_t last_event) {
-  const uint64_t hash = Hash64(id);
+                       const std::string& version, uint64_t last_event) {
+  const std::string stream = StreamOf(id);
+  const uint64_t hash = Hash64(stream);
   std::string body;
   if (!TraitsOf(route).is_stream) {
     constexpr uint64_t kMaxLines = 40;
@@ -168,9 +214,12 @@
   }
   constexpr uint64_t kMaxEvents = 8;
   uint64_t events = 1 + hash % kMaxEvents;
-  if (TraitsOf(route).is_long && Hash64(id + "/long") % 5 == 0) events *= 20;
+  if (TraitsOf(route).is_long && Hash64(stream + "/long") % 5 == 0) {
+    events *= 20;
+  }
+  const std::string data = "\ndata: " + stream + " " + version + "\n\n";
   for (uint64_t i = last_event + 1; i <= events; ++i) {
-    body += "id: " + std::to_string(i) + "\ndata: " + id + "\n\n";
+    body.append("id: ").append(std::to_string(i)).append(data);
   }
   return body;
 }
--- a/soak/wire.h
+++ b/soak/wire.h
@@ -1,14 +1,23 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 
 namespace fuchsiadrum::soak {
 
 /// Routes of the soak's configuration.
-enum class SoakRoute { kUnsafe, kSafe, kResumable, kOnce, kLong, kAdded };
-constexpr int kRouteCount = 6;
+enum class SoakRoute {
+  kUnsafe,
+  kSafe,
+  kResumable,
+  kOnce,
+  kLong,
+  kLasting,
+  kAdded
+};
+constexpr int kRouteCount = 7;
 
 /// What the configuration says about a route.
 struct RouteTraits {
@@ -28,6 +37,9 @@
 const RouteTraits& TraitsOf(SoakRoute route);
 SoakRoute RouteOfPath(std::string_view path);
 
+/// Time that callers are prepared to wait, in milliseconds.
+constexpr int kCallerTimeoutMs = 900;
+
 /// Names of header fields that the soak reads.
 constexpr std::string_view kFieldId = "Attempt-Id";
 constexpr std::string_view kFieldSignature = "Runner-Signature";
@@ -42,13 +54,25 @@
 /// Each version has one route of kAdded more than the version before.
 std::string EncodeConfig(int version);
 /// The entry of an upstream in its `sequence`th heartbeat. `start`: how often
-/// it has started.
-std::string EncodeEntry(const std::string& address, int64_t sequence,
-                        int start);
+/// it has started. `version`: of its software.
+std::string EncodeEntry(const std::string& address, int64_t sequence, int start,
+                        const std::string& version);
 /// True if the prompt of the request with that id has the part that ends
 /// upstreams.
 bool HasBadPart(const std::string& id);
 
+/// Id of the request that began the stream: the same, or that which a take-up
+/// goes on with.
+std::string StreamOf(const std::string& id);
+/// Id of the `number`th take-up of a stream.
+std::string TakeUpId(const std::string& stream, int number);
+/// Fields of the take-up of a stream after `last_event`.
+std::string EncodeTakeUp(const std::string& stream, uint64_t last_event);
+/// The last whole event in a body; 0 if there is none.
+uint64_t LastEvent(std::string_view body);
+/// Versions of the software that wrote the whole events in a body.
+std::set<std::string> VersionsIn(std::string_view body);
+
 /// The head of a caller's request without its framing and its end. `added`: the
 /// version of the configuration that added the route, for kAdded.
 std::string EncodeRequestHead(SoakRoute route, const std::string& id,
@@ -59,9 +83,9 @@
 bool IsRequestBody(const std::string& id, std::string_view body);
 
 /// The whole body of the answer to a request. For a stream: its events after
-/// `last_event`.
+/// `last_event`, which name the version of the software that writes them.
 std::string AnswerBody(SoakRoute route, const std::string& id,
-                       uint64_t last_event = 0);
+                       const std::string& version, uint64_t last_event);
 
 /// Start line and fields of an answer without its framing and its end. An empty
 /// id or signature is left out.
