soak: upstreams end and write heartbeats also while gateways are settled

The main thread waited for the ends of stops without ending upstreams that were to end, so that their long streams hung: LOST and RECOVER of the routes letter and tale without a fault of the gateway. A stream that its upstream breaks off is recorded as that at once. Traces leave out take-ups that reached no upstream.

--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -413,7 +413,12 @@
     exchange.Write(EncodeChunk(std::string_view(events).substr(0, size)));
     events.erase(0, size);
   }
-  if (!events.empty()) return exchange.AwaitClose();
+  if (!events.empty()) {
+    // Its connections may close some seconds later, while gateways settle.
+    this->seen.AddArrival(exchange.Id(), UpstreamFault::kEnd,
+                          this->name + " breaks the stream off");
+    return exchange.AwaitClose();
+  }
   exchange.Write(EncodeChunk(""));
 }
 
--- a/soak/process_faults.cc
+++ b/soak/process_faults.cc
@@ -126,11 +126,12 @@
                         .next = now + this->DrawPause(kMeanCalm)};
 }
 
-void ProcessFaults::Settle() {
+void ProcessFaults::Settle(const std::function<void()>& on_wait) {
   constexpr auto kPoll = std::chrono::milliseconds(10);
   for (size_t i = 0; i < this->plans.size(); ++i) {
     while (this->plans[i].state == State::kStopping) {
       this->WatchStop(i, gateway::Now());
+      on_wait();
       std::this_thread::sleep_for(kPoll);
     }
     if (this->plans[i].state == State::kPaused) {
--- a/soak/process_faults.h
+++ b/soak/process_faults.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,8 +20,9 @@
 
   /// Does what is due at that time.
   void OnTick(TimePoint now);
-  /// Ends all disturbance: resumes and restarts every gateway.
-  void Settle();
+  /// Ends all disturbance: resumes and restarts every gateway. Calls `on_wait`
+  /// while it waits for the ends of stops.
+  void Settle(const std::function<void()>& on_wait);
   /// A process that ended in a way that it should not.
   struct Failure {
     std::string text;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -133,28 +133,25 @@
     if (upstream->OnTick(Now())) ++this->ends;
     has_started = has_started || (!was_up && upstream->IsUp());
   }
-  if (has_started) this->Announce();
+  if (!has_started && Now() < this->next_heartbeat) return;
+  this->Announce();
+  this->next_heartbeat = Now() + kHeartbeatInterval;
 }
 
 void SoakRun::RunFaults(StoreDrill& drill,
                         const std::atomic<bool>& interrupted) {
   ProcessFaults faults(this->options.seed, this->gateways);
   const TimePoint end = Now() + FromSeconds(this->options.seconds);
-  TimePoint next_heartbeat = Now() + kHeartbeatInterval;
   while (Now() < end && !interrupted) {
     faults.OnTick(Now());
+    if (drill.OnTick(Now())) this->Announce();
     this->StepUpstreams();
-    const bool is_restored = drill.OnTick(Now());
-    if (is_restored || Now() >= next_heartbeat) {
-      this->Announce();
-      next_heartbeat = next_heartbeat + kHeartbeatInterval;
-    }
     std::this_thread::sleep_for(kTick);
   }
   if (interrupted) return;
   drill.Settle();
   this->Announce();
-  faults.Settle();
+  faults.Settle([this] { this->StepUpstreams(); });
   this->calm = true;
   for (const auto& [text, signal] : faults.Failures()) {
     this->violations.push_back(
@@ -211,6 +208,8 @@
   std::vector<std::string> attempts;
   for (const auto& [attempt, record] : this->seen.All()) {
     if (StreamOf(attempt) != StreamOf(id)) continue;
+    // Refused take-ups are many.
+    if (attempt != id && record.faults.empty()) continue;
     attempts.push_back(attempt);
     for (const TimelineLine& line : record.lines) {
       std::string text = offset(line.at) + line.text;
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -56,7 +56,7 @@
  private:
   std::string StartGateways();
   void Announce();
-  /// Ends and starts upstreams.
+  /// Ends and starts upstreams, and writes their heartbeats.
   void StepUpstreams();
   void RunFaults(StoreDrill& drill, const std::atomic<bool>& interrupted);
   /// Sends requests of each route to each gateway until they are served.
@@ -72,6 +72,7 @@
   std::atomic<bool> stopping{false};
   gateway::FakeStore store;
   int64_t sequence = 0;
+  TimePoint next_heartbeat;
   int ends = 0;
   std::vector<std::unique_ptr<FaultyUpstream>> upstreams;
   Gateways gateways;
