--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "fuchsiadrum/core/duration.h"
@@ -18,6 +20,9 @@
 /// A request that is sent later than this after SIGTERM may not be cut, however
 /// long its upstream is at work.
 constexpr Duration kBalancerTime = std::chrono::seconds(3);
+/// Time after an acknowledgement, and after the store was away, in which a
+/// version of the configuration has to be in force.
+constexpr Duration kConfigApply = std::chrono::milliseconds(2500);
 constexpr double kLateGraceFraction = 5.0 / 6;
 /// Ends of upstreams after which a part is known, and requests with it that may
 /// be sent later than kContact after them.
@@ -66,7 +71,7 @@
 std::string_view RuleName(Rule rule) {
   static constexpr std::array<std::string_view, kRuleCount> kNames = {
       "REFUSED", "TWICE",   "MIXED",   "ORDER",   "UNASKED", "LOST",
-      "CLOSED",  "SERVICE", "RECOVER", "PROCESS", "BUDGET"};
+      "CLOSED",  "SERVICE", "RECOVER", "PROCESS", "BUDGET",  "CONFIG"};
   return kNames[static_cast<size_t>(rule)];
 }
 
@@ -77,8 +82,10 @@
     this->CheckAnswer(id, request);
     this->CheckLost(id, request);
     this->CheckService(id, request);
+    this->CheckConfig(id, request);
   }
   this->CheckBadPart();
+  this->CheckVersions();
   const auto is_closed = [](const Violation& violation) {
     return violation.rule == Rule::kClosed;
   };
@@ -124,7 +131,13 @@
 
 void Checker::CheckBody(const std::string& id, const RequestRecord& request) {
   const CallerResult& result = request.result;
-  const std::string expected = AnswerBody(result.route, id);
+  const std::set<std::string> versions = VersionsIn(result.body);
+  // CheckVersions judges these.
+  if (versions.size() > 1) return;
+  // Versions have names of the same length.
+  const std::string expected =
+      AnswerBody(result.route, id, versions.empty() ? "v1" : *versions.begin(),
+                 result.last_event);
   const Rule rule =
       TraitsOf(result.route).is_stream ? Rule::kOrder : Rule::kMixed;
   const std::string sizes = std::to_string(result.body.size()) + " of " +
@@ -218,6 +231,38 @@
       "refused by all upstreams, answered " + std::to_string(result.status));
 }
 
+void Checker::CheckVersions() {
+  std::map<std::string, std::set<std::string>> streams;
+  std::set<std::string> joined;
+  for (const auto& [id, request] : this->seen.All()) {
+    if (!TraitsOf(request.result.route).is_stream) continue;
+    std::set<std::string>& versions = streams[StreamOf(id)];
+    versions.merge(VersionsIn(request.result.body));
+    if (versions.size() < 2 || !joined.insert(StreamOf(id)).second) continue;
+    this->Add(Rule::kOrder, id, "events of two software versions");
+    this->violations.back().cause = "joined-versions";
+  }
+}
+
+void Checker::CheckConfig(const std::string& id, const RequestRecord& request) {
+  const CallerResult& result = request.result;
+  // An upstream's own answer has arrived there.
+  if (!IsDenial(result.status) || !request.faults.empty()) return;
+  const auto& versions = this->seen.Versions();
+  const Duration age =
+      result.begun - versions[static_cast<size_t>(result.added) - 1];
+  if (age <= kConfigApply) return;
+  for (const auto& [away, back] : this->seen.StoreAway()) {
+    if (result.ended >= away && result.begun <= back + kConfigApply) return;
+  }
+  this->Add(Rule::kConfig, id,
+            "answered " + std::to_string(result.status) + " by gateway " +
+                std::to_string(result.gateway) + ", the route of version " +
+                std::to_string(result.added) + " was acknowledged " +
+                std::to_string(ToMilliseconds(age)) + " ms before");
+  this->violations.back().cause = "stale-config";
+}
+
 void Checker::Add(Rule rule, const std::string& id, std::string detail) {
   this->violations.push_back(
       {.rule = rule, .id = id, .detail = std::move(detail)});
--- a/soak/process_faults.h
+++ b/soak/process_faults.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,8 +20,9 @@
 
   /// Does what is due at that time.
   void OnTick(TimePoint now);
-  /// Ends all disturbance: resumes and restarts every gateway.
-  void Settle();
+  /// Ends all disturbance: resumes and restarts every gateway. Calls `on_wait`
+  /// while it waits for the ends of stops.
+  void Settle(const std::function<void()>& on_wait);
   /// A process that ended in a way that it should not.
   struct Failure {
     std::string text;
@@ -38,6 +40,8 @@
     TimePoint grace_end;
   };
 
+  /// Kills all gateways at once.
+  void KillAll(TimePoint now);
   void Disturb(size_t index, TimePoint now);
   void WatchStop(size_t index, TimePoint now);
   void Restart(size_t index, TimePoint now);
@@ -47,6 +51,7 @@
   Rng rng;
   Gateways& gateways;
   std::vector<Plan> plans;
+  TimePoint next_kill_all;
   std::vector<Failure> failures;
 };
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -32,11 +32,14 @@
 SoakRun::SoakRun(const SoakOptions& opts)
     : options(opts), folder(MakeFolder()) {
   this->store.holds_reads = true;
+  this->store.era = 1;
   for (int i = 1; i <= opts.upstreams; ++i) {
     const std::string name = "u" + std::to_string(i);
     this->upstreams.push_back(std::make_unique<FaultyUpstream>(
-        FaultyUpstreamOptions{.name = name, .seed = opts.seed}, this->seen,
-        this->run_record, this->calm));
+        FaultyUpstreamOptions{.name = name,
+                              .version = i % 2 == 0 ? "v2" : "v1",
+                              .seed = opts.seed},
+        this->seen, this->run_record, this->calm));
   }
   PortRange ports;
   for (int i = 1; i <= opts.gateways; ++i) {
@@ -60,8 +63,7 @@
 }
 
 std::string SoakRun::Run(const std::atomic<bool>& interrupted) {
-  this->store.Put(std::string(kTopicOperators), std::string(kKeyConfig),
-                  EncodeConfig());
+  StoreDrill drill(this->options.seed, this->store, this->seen);
   this->Announce();
   std::string reason = this->StartGateways();
   if (!reason.empty()) return reason;
@@ -83,7 +85,7 @@
       Caller(caller_options, this->seen).Run(this->stopping);
     });
   }
-  this->RunFaults(interrupted);
+  this->RunFaults(drill, interrupted);
   this->StopCallers();
   if (interrupted) return "interrupted";
 
@@ -113,10 +115,14 @@
 void SoakRun::Announce() {
   ++this->sequence;
   for (const auto& upstream : this->upstreams) {
+    // A restored copy may hold entries that were deleted.
+    for (const std::string& earlier : upstream->EarlierNames()) {
+      this->store.Put(std::string(kTopicUpstreams), earlier, "");
+    }
     if (!upstream->IsUp()) continue;
-    this->store.Put(
-        std::string(kTopicUpstreams), upstream->Name(),
-        EncodeEntry(upstream->Address(), this->sequence, upstream->Starts()));
+    this->store.Put(std::string(kTopicUpstreams), upstream->Name(),
+                    EncodeEntry(upstream->Address(), this->sequence,
+                                upstream->Starts(), upstream->Version()));
   }
 }
 
@@ -127,24 +133,25 @@
     if (upstream->OnTick(Now())) ++this->ends;
     has_started = has_started || (!was_up && upstream->IsUp());
   }
-  if (has_started) this->Announce();
+  if (!has_started && Now() < this->next_heartbeat) return;
+  this->Announce();
+  this->next_heartbeat = Now() + kHeartbeatInterval;
 }
 
-void SoakRun::RunFaults(const std::atomic<bool>& interrupted) {
+void SoakRun::RunFaults(StoreDrill& drill,
+                        const std::atomic<bool>& interrupted) {
   ProcessFaults faults(this->options.seed, this->gateways);
   const TimePoint end = Now() + FromSeconds(this->options.seconds);
-  TimePoint next_heartbeat = Now() + kHeartbeatInterval;
   while (Now() < end && !interrupted) {
     faults.OnTick(Now());
+    if (drill.OnTick(Now())) this->Announce();
     this->StepUpstreams();
-    if (Now() >= next_heartbeat) {
-      this->Announce();
-      next_heartbeat = next_heartbeat + kHeartbeatInterval;
-    }
     std::this_thread::sleep_for(kTick);
   }
   if (interrupted) return;
-  faults.Settle();
+  drill.Settle();
+  this->Announce();
+  faults.Settle([this] { this->StepUpstreams(); });
   this->calm = true;
   for (const auto& [text, signal] : faults.Failures()) {
     this->violations.push_back(
@@ -168,9 +175,10 @@
         if (Now() > deadline) {
           this->violations.push_back(
               {.rule = Rule::kRecover,
-               .id = "",
+               .id = prober.LastId(),
                .detail = std::string(TraitsOf(kind).name) + " at gateway " +
-                         std::to_string(i) + " was not served"});
+                         std::to_string(i) + " was not served",
+               .cause = "-"});
           break;
         }
         this->StepUpstreams();
@@ -196,8 +204,18 @@
   const auto offset = [begun](TimePoint at) {
     return "+" + std::to_string((at - begun).count() / 1000) + " ms ";
   };
-  for (const TimelineLine& line : request.lines) {
-    trace.push_back(offset(line.at) + line.text);
+  // A stream may be taken up by several requests.
+  std::vector<std::string> attempts;
+  for (const auto& [attempt, record] : this->seen.All()) {
+    if (StreamOf(attempt) != StreamOf(id)) continue;
+    // Refused take-ups are many.
+    if (attempt != id && record.faults.empty()) continue;
+    attempts.push_back(attempt);
+    for (const TimelineLine& line : record.lines) {
+      std::string text = offset(line.at) + line.text;
+      if (attempt != id) text.append(" (").append(attempt).append(")");
+      trace.push_back(std::move(text));
+    }
   }
   const GatewayProcess& process = *this->gateways[request.result.gateway];
   for (const auto& [at, event] : process.History()) {
@@ -206,11 +224,18 @@
     trace.push_back(offset(at) + process.Options().vm + ": " +
                     std::string(ProcessEventName(event)));
   }
+  for (const auto& [away, back] : this->seen.StoreAway()) {
+    if (away > request.result.ended) break;
+    trace.push_back(offset(away) + "store: away");
+    trace.push_back(offset(back) + "store: back from a copy");
+  }
   trace.push_back("the caller's first byte was sent at t_ms " +
                   std::to_string(begun.us / 1000));
   for (const auto& each : this->gateways) {
-    for (std::string& line : each->LogLinesOf(id)) {
-      trace.push_back(std::move(line));
+    for (const std::string& attempt : attempts) {
+      for (std::string& line : each->LogLinesOf(attempt)) {
+        trace.push_back(std::move(line));
+      }
     }
   }
   return trace;
--- a/soak/wire.cc
+++ b/soak/wire.cc
@@ -1,6 +1,8 @@
 #include "soak/wire.h"
 
+#include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -13,8 +15,6 @@
 constexpr std::string_view kService = "engine";
 constexpr int kTimeoutMs = 1000;
 constexpr int kLongTimeoutMs = 20000;
-/// Time that callers are prepared to wait, in milliseconds.
-constexpr int kCallerTimeoutMs = 900;
 
 constexpr std::array<RouteTraits, kRouteCount> kRoutes = {
     RouteTraits{.name = "book", .kind = "unsafe", .max_attempts = 2},
@@ -32,7 +32,21 @@
                 .kind = "streaming",
                 .max_attempts = 1,
                 .is_stream = true,
-                .is_long = true}};
+                .is_long = true},
+    RouteTraits{.name = "tale",
+                .kind = "streaming",
+                .max_attempts = 3,
+                .is_stream = true,
+                .is_resumable = true,
+                .is_long = true},
+    RouteTraits{.name = "added", .kind = "safe", .max_attempts = 3}};
+
+/// Start of the paths of a route.
+std::string PathPrefix(SoakRoute route, int added) {
+  std::string prefix = "/" + std::string(TraitsOf(route).name);
+  if (route == SoakRoute::kAdded) prefix += "-" + std::to_string(added);
+  return prefix + "/";
+}
 
 std::string Field(std::string_view name, std::string_view value) {
   return std::string(name) + ": " + std::string(value) + "\r\n";
@@ -42,7 +56,7 @@
 /// share, the bad one if it has that, and its own.
 std::string EncodeParts(SoakRoute route, const std::string& id) {
   constexpr uint64_t kMiddleParts = 8;
-  const uint64_t hash = Hash64(id);
+  const uint64_t hash = Hash64(StreamOf(id));
   std::string parts = "f" + std::to_string(static_cast<int>(route)) + ":60,a" +
                       std::to_string(hash % kMiddleParts) + ":20";
   if (HasBadPart(id)) parts += ",bad:10";
@@ -66,13 +80,17 @@
   return SoakRoute::kUnsafe;
 }
 
-std::string EncodeConfig() {
+std::string EncodeConfig(int version) {
   nlohmann::json routes = nlohmann::json::array();
-  for (const RouteTraits& route : kRoutes) {
+  // The routes that each version adds follow the other ones.
+  for (int i = 0; i < kRouteCount - 1 + version; ++i) {
+    const auto kind = static_cast<SoakRoute>(std::min(i, kRouteCount - 1));
+    const RouteTraits& route = TraitsOf(kind);
+    const std::string prefix = PathPrefix(kind, i - kRouteCount + 2);
     routes.push_back(
-        {{"name", route.name},
+        {{"name", prefix.substr(1, prefix.size() - 2)},
          {"host", kHost},
-         {"path_prefix", "/" + std::string(route.name) + "/"},
+         {"path_prefix", prefix},
          {"kind", route.kind},
          {"timeout_ms", route.is_long ? kLongTimeoutMs : kTimeoutMs},
          // Budgets are closed before the end of a stop.
@@ -83,7 +101,7 @@
   }
   constexpr int64_t kPrepaid = 1000000000;
   return nlohmann::json{
-      {"version", 1},
+      {"version", version},
       {"routes", routes},
       {"services", {{{"name", kService}, {"max_connections", 1000}}}},
       {"limits", nlohmann::json::object()},
@@ -92,19 +110,60 @@
       .dump();
 }
 
-std::string EncodeEntry(const std::string& address, int64_t sequence,
-                        int start) {
+std::string EncodeEntry(const std::string& address, int64_t sequence, int start,
+                        const std::string& version) {
   constexpr int64_t kFirstStart = 1700000000000;
-  return nlohmann::json{
-      {"service", kService}, {"address", address},          {"zone", "a"},
-      {"slots", 32},         {"born", kFirstStart + start}, {"state", "ready"},
-      {"cold_left_ms", 0},   {"sequence", sequence}}
+  return nlohmann::json{{"service", kService},
+                        {"address", address},
+                        {"zone", "a"},
+                        {"slots", 32},
+                        {"born", kFirstStart + start},
+                        {"state", "ready"},
+                        {"cold_left_ms", 0},
+                        {"sequence", sequence},
+                        {"version", version}}
       .dump();
 }
 
-std::string EncodeRequestHead(SoakRoute route, const std::string& id) {
+std::string StreamOf(const std::string& id) {
+  return id.substr(0, id.find('+'));
+}
+
+std::string TakeUpId(const std::string& stream, int number) {
+  return stream + "+" + std::to_string(number);
+}
+
+std::string EncodeTakeUp(const std::string& stream, uint64_t last_event) {
+  return Field(kFieldLastEvent, std::to_string(last_event)) +
+         Field("Resumes", stream);
+}
+
+uint64_t LastEvent(std::string_view body) {
+  constexpr std::string_view kStart = "id: ";
+  const size_t end = body.rfind("\n\n");
+  if (end == std::string_view::npos) return 0;
+  const size_t at = body.rfind(kStart, end);
+  if (at == std::string_view::npos) return 0;
+  return std::strtoull(body.substr(at + kStart.size()).data(), nullptr, 10);
+}
+
+std::set<std::string> VersionsIn(std::string_view body) {
+  std::set<std::string> versions;
+  for (size_t end = body.find("\n\n"); end != std::string_view::npos;
+       end = body.find("\n\n")) {
+    const std::string_view event = body.substr(0, end);
+    if (event.find("\ndata: ") != std::string_view::npos) {
+      versions.emplace(event.substr(event.rfind(' ') + 1));
+    }
+    body.remove_prefix(end + 2);
+  }
+  return versions;
+}
+
+std::string EncodeRequestHead(SoakRoute route, const std::string& id,
+                              int added) {
   const RouteTraits& traits = TraitsOf(route);
-  std::string head = "POST /" + std::string(traits.name) + "/x HTTP/1.1\r\n" +
+  std::string head = "POST " + PathPrefix(route, added) + "x HTTP/1.1\r\n" +
                      Field("Host", kHost) + Field(kFieldId, id);
   if (traits.is_long) {
     // Half of the requests say how long their answer may get.
@@ -122,7 +181,7 @@
 
 bool HasBadPart(const std::string& id) {
   constexpr uint64_t kOneIn = 25;
-  return Hash64(id + "/bad") % kOneIn == 0;
+  return Hash64(StreamOf(id) + "/bad") % kOneIn == 0;
 }
 
 std::string RequestBody(const std::string& id, size_t bytes) {
@@ -144,8 +203,9 @@
 }
 
 std::string AnswerBody(SoakRoute route, const std::string& id,
-                       uint64_t last_event) {
-  const uint64_t hash = Hash64(id);
+                       const std::string& version, uint64_t last_event) {
+  const std::string stream = StreamOf(id);
+  const uint64_t hash = Hash64(stream);
   std::string body;
   if (!TraitsOf(route).is_stream) {
     constexpr uint64_t kMaxLines = 40;
@@ -154,9 +214,12 @@
   }
   constexpr uint64_t kMaxEvents = 8;
   uint64_t events = 1 + hash % kMaxEvents;
-  if (TraitsOf(route).is_long && Hash64(id + "/long") % 5 == 0) events *= 20;
+  if (TraitsOf(route).is_long && Hash64(stream + "/long") % 5 == 0) {
+    events *= 20;
+  }
+  const std::string data = "\ndata: " + stream + " " + version + "\n\n";
   for (uint64_t i = last_event + 1; i <= events; ++i) {
-    body += "id: " + std::to_string(i) + "\ndata: " + id + "\n\n";
+    body.append("id: ").append(std::to_string(i)).append(data);
   }
   return body;
 }
@@ -182,6 +245,10 @@
   return out.str();
 }
 
+bool IsDenial(unsigned int status) {
+  return status == 401 || status == 403 || status == 404;
+}
+
 bool IsPromise(unsigned int status) {
   constexpr std::array<unsigned int, 4> kPromises = {408, 421, 429, 503};
   for (const unsigned int promise : kPromises) {
