serving: an older entry of an upstream is no sign of life

An entry was believed whatever its sequence. A write that the network had held up, or a store that came back from an older copy, brought back an upstream whose entry had been deleted, also one that had been draining (rule DRAIN).

EntrySequences keeps the highest sequence of each incarnation until 10 minutes after it was removed or replaced. An entry of the same incarnation whose sequence is not higher changes nothing, except that it may tell that the upstream drains, which is final. An equal sequence counts as old, too: the copy of a store may end with the last entry before the deletion. This is safe because a live upstream writes its next entry with a higher one within its heartbeat interval. An equal one is believed where the upstream's own entry was not withdrawn: after an entry of another writer that names no upstream, and after another upstream has answered at its address. An entry with another address or service than the known one is another process's, as before.

Without a start time a restarted upstream may count anew, so that such entries are compared only for 10 s after a restore.

--- a/fuchsiadrum/serving/upstream_directory.cc
+++ b/fuchsiadrum/serving/upstream_directory.cc
@@ -12,6 +12,15 @@
 }
 
 bool UpstreamDirectory::Put(TimePoint now, const UpstreamEntry& entry) {
+  const auto found = this->upstreams.find(entry.id);
+  // Another address or service is another process's, which counts on its own.
+  const bool is_other = found != this->upstreams.end() &&
+                        (found->second->entry.address != entry.address ||
+                         found->second->entry.service != entry.service);
+  const bool is_newer =
+      this->sequences.Advance(now, IncarnationOf(entry), entry.sequence);
+  if (!is_newer && !is_other) return this->PutOutdated(entry);
+
   FleetUpstreamPtr& known = this->upstreams[entry.id];
   const bool same_incarnation =
       known && known->entry.started_unix_ms == entry.started_unix_ms &&
@@ -37,6 +46,16 @@
   return changed;
 }
 
+bool UpstreamDirectory::PutOutdated(const UpstreamEntry& entry) {
+  const auto found = this->upstreams.find(entry.id);
+  if (found == this->upstreams.end()) return false;
+  UpstreamEntry& known = found->second->entry;
+  if (IncarnationOf(known) != IncarnationOf(entry)) return false;
+  if (known.draining || !entry.draining) return false;
+  known.draining = true;
+  return true;
+}
+
 void UpstreamDirectory::Remove(TimePoint now, const std::string& id) {
   const auto found = this->upstreams.find(id);
   if (found == this->upstreams.end()) return;
@@ -47,8 +66,17 @@
   }
 }
 
+void UpstreamDirectory::OnUnusableEntry(TimePoint now, const std::string& id) {
+  const auto found = this->upstreams.find(id);
+  if (found == this->upstreams.end()) return;
+  this->sequences.OnReplacedEntry(IncarnationOf(found->second->entry));
+  this->Remove(now, id);
+}
+
 void UpstreamDirectory::EraseMisdirected(const FleetUpstream& upstream) {
-  if (!this->IsReplaced(upstream)) this->upstreams.erase(upstream.entry.id);
+  if (this->IsReplaced(upstream)) return;
+  this->sequences.OnReplacedEntry(IncarnationOf(upstream.entry));
+  this->upstreams.erase(upstream.entry.id);
 }
 
 bool UpstreamDirectory::IsReplaced(const FleetUpstream& upstream) const {
@@ -113,6 +141,11 @@
   std::erase_if(this->upstreams, [&](const auto& item) {
     return !this->IsKept(now, *item.second);
   });
+  this->sequences.DropUnknown(now, [this](const auto& incarnation) {
+    const auto found = this->upstreams.find(incarnation.id);
+    return found != this->upstreams.end() &&
+           IncarnationOf(found->second->entry) == incarnation;
+  });
 }
 
 bool UpstreamDirectory::IsKept(TimePoint now,
--- a/fuchsiadrum/serving/upstream_directory.h
+++ b/fuchsiadrum/serving/upstream_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "fuchsiadrum/serving/cold_upstreams.h"
+#include "fuchsiadrum/serving/entry_sequences.h"
 #include "fuchsiadrum/serving/fleet_upstream.h"
 #include "fuchsiadrum/serving/send_permit.h"
 #include "fuchsiadrum/serving/upstream_limits.h"
@@ -29,6 +30,7 @@
   /// two seconds.
   Duration reconnect_grace = std::chrono::milliseconds(2200);
   UpstreamOptions upstream;
+  EntrySequencesOptions sequences;
   UpstreamNoticeOptions notices;
   UpstreamLimitsOptions limits;
   ZoneEvacuationsOptions evacuations;
@@ -56,6 +58,7 @@
  public:
   explicit UpstreamDirectory(const UpstreamDirectoryOptions& opts)
       : options(opts),
+        sequences(opts.sequences),
         notices(opts.notices),
         limits(opts.limits),
         evacuations(opts.evacuations),
@@ -63,11 +66,16 @@
 
   /// Stores an entry that was written. Returns true if the upstream is new,
   /// was missing or begins to drain, and false if the entry only confirms that
-  /// it is alive.
+  /// it is alive. An entry that is not newer than those known of the same
+  /// incarnation is no sign of life: it tells at most that the upstream drains.
   bool Put(TimePoint now, const UpstreamEntry& entry);
-  /// An entry was deleted, or its value does not describe an upstream. Drops a
-  /// draining upstream and marks any other one as missing.
+  /// An entry was deleted. Drops a draining upstream and marks any other one as
+  /// missing.
   void Remove(TimePoint now, const std::string& id);
+  /// The value of an entry does not describe an upstream, so that it comes from
+  /// another writer: the upstream is treated as if its entry were deleted until
+  /// its own is written again.
+  void OnUnusableEntry(TimePoint now, const std::string& id);
   /// Drops an upstream at once, because another upstream has answered at its
   /// address.
   void EraseMisdirected(const FleetUpstream& upstream);
@@ -75,6 +83,11 @@
   bool IsReplaced(const FleetUpstream& upstream) const;
   /// The store is reachable again after an outage.
   void OnStoreReconnected(TimePoint now) { this->store_reconnected_at = now; }
+  /// The store was restored from an older copy, whose entries may be outdated.
+  void OnStoreRestored(TimePoint now) {
+    this->OnStoreReconnected(now);
+    this->sequences.OnStoreRestored(now);
+  }
   /// The next three functions ignore an upstream that has been replaced by
   /// another incarnation. An answer of the upstream announced that it is
   /// shutting down. Returns true if that was not known before.
@@ -175,6 +188,8 @@
   size_t Size() const { return this->upstreams.size(); }
 
  private:
+  /// Returns true if the upstream is known and begins to drain.
+  bool PutOutdated(const UpstreamEntry& entry);
   bool IsKept(TimePoint now, const FleetUpstream& upstream) const;
   /// EligibilityOf without regard to permits.
   UpstreamEligibility UnlimitedEligibilityOf(
@@ -184,6 +199,7 @@
   static UpstreamIncarnation IncarnationOf(const UpstreamEntry& entry);
 
   UpstreamDirectoryOptions options;
+  EntrySequences sequences;
   UpstreamNotices notices;
   UpstreamLimits limits;
   ZoneEvacuations evacuations;
--- a/fuchsiadrum/serving/upstream_notices.h
+++ b/fuchsiadrum/serving/upstream_notices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -14,7 +15,7 @@
   std::string id;
   int64_t started_unix_ms = 0;
 
-  bool operator==(const UpstreamIncarnation&) const = default;
+  auto operator<=>(const UpstreamIncarnation&) const = default;
 };
 
 /// Options of UpstreamNotices.
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -379,7 +379,7 @@
         static_cast<int64_t>(this->upstream_follower.NextOffset())}});
   const TimePoint at = Now();
   this->store_restored_at = at;
-  this->directory.OnStoreReconnected(at);
+  this->directory.OnStoreRestored(at);
 }
 
 void GatewayCore::CheckPause() {
@@ -483,7 +483,7 @@
   if (!entry) {
     this->log.Write("upstream-entry-unusable",
                     {{"upstream", record.key}, {"reason", reason}});
-    this->directory.Remove(now, record.key);
+    this->directory.OnUnusableEntry(now, record.key);
     return;
   }
   const bool changed = this->directory.Put(now, *entry);
--- a/tests/serving/upstream_directory_test.cc
+++ b/tests/serving/upstream_directory_test.cc
@@ -8,6 +8,9 @@
 namespace fuchsiadrum::serving {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 class UpstreamDirectoryTest : public testing::Test {
  protected:
   UpstreamDirectory directory{UpstreamDirectoryOptions()};
@@ -20,6 +23,16 @@
             .started_unix_ms = 7,
             .draining = draining};
   }
+  static UpstreamEntry Numbered(std::string id, int64_t sequence,
+                                bool draining = false) {
+    UpstreamEntry entry = Entry(std::move(id), draining);
+    entry.sequence = sequence;
+    return entry;
+  }
+  void Pass(Duration time) {
+    this->now = this->now + time;
+    this->directory.OnTick(this->now);
+  }
   std::vector<std::string> Usable(
       const std::vector<std::string>& excluded = {}) {
     std::vector<std::string> ids;
@@ -222,5 +235,118 @@
   EXPECT_EQ(this->Usable().size(), 1U);
 }
 
+// DRAIN: a write that the network held up is carried out after the upstream's
+// entry was deleted and its time is over.
+TEST_F(UpstreamDirectoryTest, OlderEntryOfARemovedUpstream_DoesNotBringItBack) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  this->directory.Remove(this->now, "a");
+  this->Pass(seconds(2));
+  ASSERT_EQ(this->directory.Size(), 0U);
+
+  EXPECT_FALSE(this->directory.Put(this->now, Numbered("a", 4)));
+  EXPECT_TRUE(this->Usable().empty());
+  EXPECT_FALSE(this->directory.Put(this->now, Numbered("a", 5)));
+  EXPECT_TRUE(this->Usable().empty());
+}
+
+// DRAIN: the upstream was draining, its entry was deleted, and the store came
+// back from a copy in which it is ready.
+TEST_F(UpstreamDirectoryTest, RestoredEntryOfADrainedUpstream_IsNotBelieved) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  this->directory.Put(this->now, Numbered("a", 6, true));
+  this->directory.Remove(this->now, "a");
+  this->directory.OnStoreRestored(this->now);
+
+  EXPECT_FALSE(this->directory.Put(this->now, Numbered("a", 5)));
+  this->Pass(seconds(59));
+  EXPECT_FALSE(this->directory.Put(this->now, Numbered("a", 5)));
+  EXPECT_TRUE(this->Usable().empty());
+}
+
+// An entry that is not newer counted as a sign of life of a missing upstream.
+TEST_F(UpstreamDirectoryTest, OlderEntryOfAMissingUpstream_IsNoSignOfLife) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  this->directory.Remove(this->now, "a");
+  EXPECT_FALSE(this->directory.Put(this->now, Numbered("a", 5)));
+  this->Pass(milliseconds(1300));
+
+  EXPECT_TRUE(this->Usable().empty());
+}
+
+// Entries that expired while the store was away come back with higher
+// sequences.
+TEST_F(UpstreamDirectoryTest, NewerEntryOfARemovedUpstream_BringsItBack) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  this->directory.Remove(this->now, "a");
+  this->Pass(seconds(2));
+
+  EXPECT_TRUE(this->directory.Put(this->now, Numbered("a", 6)));
+  EXPECT_EQ(this->Usable().size(), 1U);
+}
+
+// A late entry of the process that had the id before replaced the new one.
+TEST_F(UpstreamDirectoryTest, OlderEntryOfAFormerIncarnation_ReplacesNothing) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  UpstreamEntry restarted = Numbered("a", 1);
+  restarted.started_unix_ms = 8;
+  EXPECT_TRUE(this->directory.Put(this->now, restarted));
+  const FleetUpstreamPtr current = this->Find("a");
+  this->Pass(seconds(2));
+
+  EXPECT_FALSE(this->directory.Put(this->now, Numbered("a", 4)));
+  EXPECT_EQ(this->Find("a"), current);
+}
+
+// DRAIN: draining is final, so that an entry that tells it is believed in any
+// order.
+TEST_F(UpstreamDirectoryTest, OlderEntryThatDrains_IsBelieved) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  EXPECT_TRUE(this->directory.Put(this->now, Numbered("a", 4, true)));
+  EXPECT_TRUE(this->Usable().empty());
+}
+
+// A restarted upstream that names no start time must not have to reach the
+// count of the former process, except right after a restore.
+TEST_F(UpstreamDirectoryTest, EntryWithoutStart_IsComparedAfterARestoreOnly) {
+  UpstreamEntry entry = Numbered("a", 5);
+  entry.started_unix_ms = 0;
+  UpstreamEntry older = Numbered("a", 1);
+  older.started_unix_ms = 0;
+  this->directory.Put(this->now, entry);
+  this->directory.Remove(this->now, "a");
+  this->Pass(seconds(2));
+  EXPECT_TRUE(this->directory.Put(this->now, older));
+
+  this->directory.Put(this->now, entry);
+  this->directory.Remove(this->now, "a");
+  this->Pass(seconds(3));
+  this->directory.OnStoreRestored(this->now);
+  EXPECT_FALSE(this->directory.Put(this->now, older));
+  this->Pass(seconds(10));
+  EXPECT_TRUE(this->directory.Put(this->now, older));
+}
+
+// What is known of removed upstreams must not grow without bound.
+TEST_F(UpstreamDirectoryTest, SequenceOfARemovedUpstream_IsForgottenInTheEnd) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  this->directory.Remove(this->now, "a");
+  this->Pass(seconds(2));
+  this->Pass(std::chrono::minutes(10));
+
+  EXPECT_TRUE(this->directory.Put(this->now, Numbered("a", 5)));
+}
+
+// The upstream's own entry, written again after another writer's, is believed.
+TEST_F(UpstreamDirectoryTest, EntryAfterAnUnusableOne_MayRepeatItsSequence) {
+  this->directory.Put(this->now, Numbered("a", 5));
+  this->directory.OnUnusableEntry(this->now, "a");
+  this->Pass(seconds(2));
+  EXPECT_TRUE(this->Usable().empty());
+
+  EXPECT_FALSE(this->directory.Put(this->now, Numbered("a", 4)));
+  EXPECT_TRUE(this->directory.Put(this->now, Numbered("a", 5)));
+  EXPECT_EQ(this->Usable().size(), 1U);
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::serving
