gateway: the age of the configuration counts from what an answer proves

IsConfigStale counted from the arrival of the last answer.

StreamFollower::ProvenUntil is the latest moment for which the state is proven: the begin of a read, or the end of its wait if a held read came back without records. A read whose proof is older than 300 ms when it arrives is followed by one without a wait, since a further held read would exceed kMaxConfigAge. That costs at most one more call for a change; if the store is over 300 ms late, one more for each held read.

StaleConfigTest: with the former condition LateAnswers fails (137 answers are not 503). Without the read at once ChangesLateInAHeldRead fails (3 answers with 503 in each of four changes). CalmStore, which also bounds the number of reads, passes in both.

--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -19,9 +19,13 @@
 /// heartbeats since the last one. Leaving upstreams must be known within the
 /// drain time.
 constexpr Duration kUpstreamReadInterval = std::chrono::milliseconds(350);
-/// Age of the last read of the configuration above which a change may be
-/// unknown: the wait of a held read, its timeout and some slack.
+/// Age of the newest proven configuration above which a change may be unknown.
+/// A change must be in force after 2 s. A held read takes 1 s, and what is
+/// proven at its beginning may be kMaxConfigProofAge old.
 constexpr Duration kMaxConfigAge = std::chrono::milliseconds(1800);
+/// Age of the newest proven configuration above which it is read without a
+/// wait.
+constexpr Duration kMaxConfigProofAge = std::chrono::milliseconds(300);
 /// Time after which the operators have written again what a restored store has
 /// lost. Until then, its configuration may be older than the one in force.
 constexpr Duration kRewriteTime = std::chrono::seconds(3);
@@ -167,6 +171,7 @@
       config_follower(
           {.stream = platform::Stream::kOperators,
            .long_poll_wait = kConfigReadWait,
+           .max_proof_age = kMaxConfigProofAge,
            .skip_to_newest_after_failure = true,
            .max_lag_records = 1,
            .timeout = StoreTimeout(gateway_settings),
@@ -292,7 +297,7 @@
       now - *this->store_restored_at < kRewriteTime) {
     return true;
   }
-  return now - this->config_follower.LastRead() > kMaxConfigAge;
+  return now - this->config_follower.ProvenUntil() > kMaxConfigAge;
 }
 
 void GatewayCore::LogConfigRefusal(const std::string& request, uint64_t version,
@@ -308,6 +313,7 @@
        {"next_offset", static_cast<int64_t>(reader.NextOffset())},
        {"is_current", reader.IsCurrent()},
        {"read_age_ms", ToMilliseconds(now - reader.LastRead())},
+       {"proven_age_ms", ToMilliseconds(now - reader.ProvenUntil())},
        {"read_begun_age_ms", ToMilliseconds(now - reader.LastReadBegun())},
        {"era", static_cast<int64_t>(this->store.era.Current().value_or(0))}});
 }
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -64,8 +64,9 @@
   bool IsBusy() const {
     return this->link.IsBusy() || this->loop_delay.IsBusy();
   }
-  /// True if the configuration was last read so long ago that it may have
-  /// changed since. A key or route that it does not name may then be new.
+  /// True if the configuration is proven only for a moment so long ago that it
+  /// may have changed since. A key or route that it does not name may then be
+  /// new.
   bool IsConfigStale(TimePoint now) const;
   /// Logs on which read of the configuration a refusal for want of `wanted`, a
   /// route or key, rests.
--- a/gateway/stream_follower.cc
+++ b/gateway/stream_follower.cc
@@ -5,6 +5,12 @@
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
+namespace {
+
+/// By how much the store may end the wait of a held read too early.
+constexpr Duration kTimerTolerance = std::chrono::milliseconds(10);
+
+}  // namespace
 
 StreamFollower::StreamFollower(const StreamFollowerOptions& opts,
                                Handlers callbacks, asio::io_context& context,
@@ -54,9 +60,8 @@
   this->reads_again = false;
   const TimePoint begun = Now();
   const store::KeyedView::NextRead next = this->view.Next();
-  const Duration long_poll_wait =
-      next.tail ? this->options.long_poll_wait : Duration::zero();
-  std::string text = this->EncodeRead(next);
+  const Duration long_poll_wait = this->WaitOf(next);
+  std::string text = this->EncodeRead(next, long_poll_wait);
   const StoreReply reply = co_await this->client.Call(
       std::move(text), this->options.timeout + long_poll_wait);
   this->last_status = reply.status;
@@ -65,21 +70,44 @@
   if (!applied) this->client.Disconnect();
   if (applied && reply.status == platform::kStoreOk) {
     this->last_read_begun = begun;
+    this->OnProof(next, begun, long_poll_wait);
   }
   co_return applied;
 }
 
-std::string StreamFollower::EncodeRead(
-    const store::KeyedView::NextRead& next) const {
+Duration StreamFollower::WaitOf(const store::KeyedView::NextRead& next) const {
+  if (!next.tail || this->reads_at_once) return Duration::zero();
+  return this->options.long_poll_wait;
+}
+
+void StreamFollower::OnProof(const store::KeyedView::NextRead& next,
+                             TimePoint begun, Duration wait) {
+  // The store makes an answer without records at the end of the wait, and one
+  // with records at any time after the read was begun. When it arrives tells
+  // nothing about when it was made.
+  const bool was_held = this->view.NextOffset() == next.from &&
+                        this->last_read - begun >= wait - kTimerTolerance;
+  const TimePoint proven =
+      was_held ? std::min(begun + wait, this->last_read) : begun;
+  if (this->IsCurrent()) {
+    this->proven_until = std::max(this->proven_until, proven);
+  }
+  // A slow store is not read at once time after time.
+  const bool was_at_once = next.tail && wait == Duration::zero();
+  this->reads_at_once = !was_at_once && this->last_read - this->proven_until >
+                                            this->options.max_proof_age;
+}
+
+std::string StreamFollower::EncodeRead(const store::KeyedView::NextRead& next,
+                                       Duration wait) const {
   const std::string& host = this->client.Address();
   const platform::StreamPartition partition = {.stream = this->options.stream};
   if (!next.tail) {
     return platform::EncodeReadNewest(host, partition, next.after_key);
   }
-  return platform::EncodeReadTail(host, partition,
-                                  {.from = next.from,
-                                   .wait = this->options.long_poll_wait,
-                                   .max_bytes = this->options.max_bytes});
+  return platform::EncodeReadTail(
+      host, partition,
+      {.from = next.from, .wait = wait, .max_bytes = this->options.max_bytes});
 }
 
 bool StreamFollower::ApplyReply(const store::KeyedView::NextRead& next,
--- a/gateway/stream_follower.h
+++ b/gateway/stream_follower.h
@@ -17,6 +17,10 @@
   /// How long the store may delay the answer to a read until there is a new
   /// record (long polling); zero: it answers at once.
   Duration long_poll_wait = Duration::zero();
+  /// If the proven state is older than this when an answer arrives, the tail is
+  /// read at once, without a wait. For streams of which ProvenUntil must stay
+  /// recent; costs at most one more call for each read.
+  Duration max_proof_age = Duration::max();
   /// Delay between two reads of the tail.
   Duration interval = Duration::zero();
   /// Maximum size of one read. The default takes 0.1 s on a link of 10 Mbit/s.
@@ -86,6 +90,10 @@
   TimePoint LastRead() const { return this->last_read; }
   /// When the last successful read was begun; us is 0 if there was none yet.
   TimePoint LastReadBegun() const { return this->last_read_begun; }
+  /// Latest moment for which the known state is proven to have been the state
+  /// of the stream; us is 0 if there is none yet. An answer may have been made
+  /// long before it arrives.
+  TimePoint ProvenUntil() const { return this->proven_until; }
   uint64_t Calls() const { return this->client.Calls(); }
 
  private:
@@ -93,7 +101,14 @@
   void OnNewEra();
   asio::awaitable<bool> ReadOnce();
   asio::awaitable<void> Pause(Duration time);
-  std::string EncodeRead(const store::KeyedView::NextRead& next) const;
+  std::string EncodeRead(const store::KeyedView::NextRead& next,
+                         Duration wait) const;
+  /// How long the store may hold the next read.
+  Duration WaitOf(const store::KeyedView::NextRead& next) const;
+  /// The answer to the read `next`, which was begun at `begun` and might be
+  /// held for `wait`, was applied.
+  void OnProof(const store::KeyedView::NextRead& next, TimePoint begun,
+               Duration wait);
   bool ApplyReply(const store::KeyedView::NextRead& next,
                   const StoreReply& reply);
   void RecordResult(bool succeeded);
@@ -107,6 +122,9 @@
   AsyncCondition timer;
   TimePoint last_read;
   TimePoint last_read_begun;
+  TimePoint proven_until;
+  /// The next read is not held.
+  bool reads_at_once = false;
   /// When the store was last seen to be restored; us is 0: it was not.
   TimePoint new_era_at;
   bool pausing = false;
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -92,6 +92,11 @@
   /// If not 0, answers to reads of the newest configuration are sent in this
   /// many parts, 0.1 s apart.
   std::atomic<int> config_read_parts{0};
+  /// Time by which answers to reads of the operators' stream are sent later
+  /// than they were made, in milliseconds.
+  std::atomic<int> config_answer_delay_ms{0};
+  /// Number of reads of the tail of the operators' stream.
+  std::atomic<int> config_tail_reads{0};
   /// Number of calls for the newest records of the operators' stream.
   std::atomic<int> config_reads{0};
   /// Number of next appends to the accounts that are applied but not answered.
@@ -140,8 +145,9 @@
     const std::string target(request.target());
     const bool reads_config = target.starts_with("/log-newest?topic=keyed.op");
     if (reads_config) ++this->config_reads;
-    if (target.starts_with("/log-read?topic=keyed.op") &&
-        this->expired_config_reads > 0) {
+    const bool reads_tail = target.starts_with("/log-read?topic=keyed.op");
+    if (reads_tail) ++this->config_tail_reads;
+    if (reads_tail && this->expired_config_reads > 0) {
       --this->expired_config_reads;
       HttpAnswer expired(http::status::gone, 11);
       expired.body() = R"({"first":0})";
@@ -154,6 +160,10 @@
       return this->last_account_answer;
     }
     HttpAnswer answer = this->Handle(request);
+    if (reads_config || reads_tail) {
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(this->config_answer_delay_ms));
+    }
     if (this->era > 0) answer.set("Store-Era", std::to_string(this->era));
     if (writes_account) this->last_account_answer = answer;
     if (writes_account && this->earlier_account_mismatches > 0) {
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -135,7 +135,7 @@
     settings.mutable_listen()->set_readiness("127.0.0.1:0");
     settings.mutable_listen()->set_metrics("127.0.0.1:0");
     settings.mutable_store()->set_address(this->store.Address());
-    settings.mutable_store()->set_timeout_ms(600);
+    settings.mutable_store()->set_timeout_ms(this->store_timeout_ms);
     settings.mutable_store()->set_parts(12);
     settings.mutable_store()->set_writes_per_s(800);
     settings.mutable_stop()->set_grace_s(8);
@@ -235,6 +235,8 @@
   FakeStore store;
   /// Memory of the VM in megabytes; 0: unknown.
   uint32_t memory_mb = 0;
+  /// Time after which a call to the store counts as lost, in milliseconds.
+  uint32_t store_timeout_ms = 600;
   /// Retries that are allowed in addition to the ratio.
   double retry_slack = 1000;
   Gateway* gateway = nullptr;
