--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -48,6 +48,8 @@
       const bool may_begin = co_await handlers.may_begin();
       if (!may_begin) {
         attempt.Excuse();
+        // Also if the answer ended with these events, none was forwarded.
+        end.reset();
         break;
       }
     }
