gateway: one way to find a grant on a page, no stream name where none is needed

A grant record was found and decoded in three places of AccountShard (RestoreGrants, SumGrants, Reclaim), and the book was appended in two branches. StreamOriginGuard hashed and formatted a name for each request, also on routes whose streams nobody takes up, and IsServed asked for an origin that its one caller has set. Behaviour is as before.

--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -90,17 +90,36 @@
   return book;
 }
 
+/// The grant in the record; nullopt if it holds none.
+std::optional<pb::BudgetGrant> GrantIn(const store::KeyedRecord& record) {
+  pb::FleetRecord content;
+  if (!record.value || !content.ParseFromString(*record.value) ||
+      !content.has_grant()) {
+    return std::nullopt;
+  }
+  return content.grant();
+}
+
+/// The holder's grant on the page; nullopt if there is none.
+std::optional<budget::RecordedGrant> FindGrant(const store::NewestPage& page,
+                                               const std::string& organisation,
+                                               const std::string& holder) {
+  const auto found = std::ranges::find(
+      page.records, GrantKey(organisation, holder), &store::KeyedRecord::key);
+  if (found == page.records.end()) return std::nullopt;
+  const auto grant = GrantIn(*found);
+  if (!grant) return std::nullopt;
+  return DecodeGrant(*grant);
+}
+
 /// Sums of the grants on the page, by organisation.
 budget::AccountBook SumGrants(const store::NewestPage& page) {
   budget::AccountBook sums;
   for (const store::KeyedRecord& record : page.records) {
-    pb::FleetRecord content;
-    if (!record.value || !content.ParseFromString(*record.value) ||
-        !content.has_grant()) {
-      continue;
-    }
-    sums[content.grant().organisation()].Replace(budget::RecordedGrant(),
-                                                 DecodeGrant(content.grant()));
+    const auto grant = GrantIn(record);
+    if (!grant) continue;
+    sums[grant->organisation()].Replace(budget::RecordedGrant(),
+                                        DecodeGrant(*grant));
   }
   return sums;
 }
@@ -216,15 +235,9 @@
     account.granted = stored_sum.granted;
     account.spent = stored_sum.spent;
     account.demand = stored_sum.demand;
-    const auto found =
-        std::ranges::find(page->records, GrantKey(name, this->options.holder),
-                          &store::KeyedRecord::key);
-    pb::FleetRecord content;
-    budget::RecordedGrant stored;
-    if (found != page->records.end() && found->value &&
-        content.ParseFromString(*found->value) && content.has_grant()) {
-      stored = DecodeGrant(content.grant());
-    }
+    const budget::RecordedGrant stored =
+        FindGrant(*page, name, this->options.holder)
+            .value_or(budget::RecordedGrant());
     const auto update = this->holder.PlanRestore(name, stored, account);
     if (!update) continue;
     account = update->account;
@@ -232,16 +245,11 @@
         EncodeGrant(name, this->options.holder, update->grant));
     change.updates.push_back(*update);
   }
-  if (differs && change.records.empty()) {
-    change.records.push_back(EncodeBook(change.book));
-  }
-  if (change.records.empty()) {
+  if (change.updates.empty() && !differs) {
     this->are_grants_lost = false;
     co_return true;
   }
-  if (!change.updates.empty()) {
-    change.records.push_back(EncodeBook(change.book));
-  }
+  change.records.push_back(EncodeBook(change.book));
   this->write_begun = Now();
   const Outcome outcome = co_await this->Append(client, change.records);
   this->write_begun = TimePoint();
@@ -542,18 +550,12 @@
   // The predecessor's last grants may be lost, so that all of it stays counted.
   if (begun != this->options.store->era.Generation()) co_return;
   for (const budget::GrantCeiling& held : ceilings) {
-    const auto found = std::ranges::find(
-        page->records, GrantKey(held.organisation, dead_holder),
-        &store::KeyedRecord::key);
-    pb::FleetRecord content;
-    if (found == page->records.end() || !found->value ||
-        !content.ParseFromString(*found->value) || !content.has_grant()) {
-      continue;
-    }
+    const auto stored = FindGrant(*page, held.organisation, dead_holder);
+    if (!stored) continue;
     ReclaimedGrant reclaimed;
     reclaimed.organisation = held.organisation;
     reclaimed.holder = dead_holder;
-    reclaimed.before = DecodeGrant(content.grant());
+    reclaimed.before = *stored;
     reclaimed.after = reclaimed.before;
     const Tokens ceiling = std::max(reclaimed.before.ceiling, held.ceiling);
     // Rounded up, so that tokens that may have been used stay counted.
--- a/gateway/stream_origin_guard.cc
+++ b/gateway/stream_origin_guard.cc
@@ -101,8 +101,7 @@
 }
 
 bool StreamOriginGuard::IsServed() const {
-  return !this->origin ||
-         this->core.Upstreams().HasVersion(Now(), this->origin->service,
+  return this->core.Upstreams().HasVersion(Now(), this->origin->service,
                                            this->origin->version);
 }
 
@@ -111,6 +110,7 @@
                 .version = upstream.entry.version};
   this->needs_record = false;
   if (this->origin || !this->IsTakenUpLater()) return;
+  this->stream = serving::StreamVersions::StreamName(this->active.request.id);
   this->needs_record =
       this->core.Versions().Begin(Now(), this->stream, this->sent);
   if (this->needs_record) this->core.VersionRecords().OnBegun();
--- a/gateway/stream_origin_guard.h
+++ b/gateway/stream_origin_guard.h
@@ -19,10 +19,7 @@
 class StreamOriginGuard {
  public:
   StreamOriginGuard(GatewayCore& gateway_core, ActiveRequest& active_request)
-      : core(gateway_core),
-        active(active_request),
-        stream(serving::StreamVersions::StreamName(active_request.request.id)) {
-  }
+      : core(gateway_core), active(active_request) {}
 
   /// Finds the origin of the stream that the request takes up, if it does, and
   /// sets the service of the request to it. Returns the answer that refuses the
@@ -31,8 +28,6 @@
   /// Returns whether an upstream of one service may be sent the request now;
   /// empty: all may. To be used at once.
   std::function<bool(const serving::UpstreamEntry&)> Filter() const;
-  /// True if an upstream, usable or not, has the version that the stream needs.
-  bool IsServed() const;
   /// The request is sent to the upstream.
   void OnSend(const serving::FleetUpstream& upstream);
   /// To be awaited before the first event of an attempt is forwarded. Returns
@@ -44,13 +39,16 @@
   std::string_view Version() const;
 
  private:
+  /// True if an upstream of the origin's version serves. Only with an origin.
+  bool IsServed() const;
   bool IsTakenUpLater() const;
   bool Accepts(const serving::UpstreamEntry& entry) const;
   std::optional<GatewayAnswer> Bind(const serving::FoundOrigin& found);
 
   GatewayCore& core;
   ActiveRequest& active;
-  /// Name of the stream that this request's attempt begins.
+  /// Name of the stream that this request's attempt begins; set by OnSend if it
+  /// may be taken up.
   std::string stream;
   /// Origin of the events that the caller has.
   std::optional<serving::StreamOrigin> origin;
