--- a/tests/platform/software_version_test.cc
+++ b/tests/platform/software_version_test.cc
@@ -298,5 +298,24 @@
   EXPECT_GT(served, 20);
 }
 
+// All events and the end of the answer came at once, and the end counted
+// although no event was forwarded for want of the stream's record.
+TEST_F(SoftwareVersionTest, StreamThatCanNotBeRecorded_IsNoWholeAnswer) {
+  this->PutStreamRoute();
+  this->PutVersioned("u1", this->old_version);
+  this->StartGateway();
+  this->BeginAt(this->old_version);
+  this->PutVersioned("u2", this->new_version);
+  this->BeginAt(this->new_version);
+
+  this->old_version.refuses = true;
+  // Longer than a stream waits for its record.
+  this->store.append_ms = 1500;
+  const std::string answer = this->Read(Ask("unrecorded"));
+  this->store.append_ms = 0;
+  EXPECT_NE(Status(answer), 200) << answer;
+  EXPECT_TRUE(VersionsIn(answer).empty()) << answer;
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::gateway
