gateway, daemon: the announced close of a connection ends no answer

Cause: AnswerParser::NeedsEof asked Beast's message, which does not tell the framing from the announced close, so that a last chunk counted as an unproven end. CrashWatch took a connection that is accepted and reset, as at max_connections, for the upstream's death.

Change: AnswerParser::Framing asks the parser, once, for both programs; who wants to know whether another answer may follow asks KeepsAlive. LivenessProbe: two connections in a row that are accepted and reset prove life, since nobody accepts one for a process that has ended. Event upstream-probe tells what a probe met.

Ruled out: an upstream that closed early, a last chunk that was not read (the upstream's record and the framing in the request's log line).

--- a/daemon/answer_parser.cc
+++ b/daemon/answer_parser.cc
@@ -91,6 +91,12 @@
          beast::iequals(head[http::field::transfer_encoding], "chunked");
 }
 
+serving::AnswerFraming AnswerParser::Framing() const {
+  if (this->parser.chunked()) return serving::AnswerFraming::kChunks;
+  return this->parser.need_eof() ? serving::AnswerFraming::kConnection
+                                 : serving::AnswerFraming::kLength;
+}
+
 AnswerProgress AnswerParser::ParseBody(asio::mutable_buffer piece,
                                        size_t& bytes) {
   auto& body = this->parser.get().body();
@@ -100,7 +106,7 @@
   ErrorCode error;
   while (!error && !this->parser.is_done() && this->buffer.size() > 0) {
     const size_t used = this->parser.put(this->buffer.cdata(), error);
-    if (!error && this->parser.is_done() && this->IsChunked()) {
+    if (!error && this->parser.is_done() && this->parser.chunked()) {
       // One call takes the last chunk together with the trailer.
       this->fault = CheckTrailer(Text(this->buffer).substr(0, used));
     }
@@ -130,8 +136,7 @@
 }
 
 AnswerProgress AnswerParser::ParseEof(AnswerEof eof) {
-  // The message also counts an answer with a length that closes the connection.
-  if (!this->parser.is_header_done() || !this->parser.need_eof()) {
+  if (!this->parser.is_header_done() || serving::IsFramed(this->Framing())) {
     return AnswerProgress::kBroken;
   }
   if (eof == AnswerEof::kUndelivered) {
--- a/daemon/answer_parser.h
+++ b/daemon/answer_parser.h
@@ -7,6 +7,7 @@
 
 #include "daemon/asio.h"
 #include "fuchsiadrum/serving/answer_fault.h"
+#include "fuchsiadrum/serving/answer_framing.h"
 #include "fuchsiadrum/serving/head_scanner.h"
 
 namespace fuchsiadrum::daemon {
@@ -56,10 +57,11 @@
   const Message& Head() const { return this->parser.get(); }
   /// True if the body is complete.
   bool IsDone() const { return this->parser.is_done(); }
-  /// True if only the end of the connection ends the answer.
-  bool NeedsEof() const { return this->parser.get().need_eof(); }
-  bool IsChunked() const { return this->parser.chunked(); }
-  /// True if the connection may carry another exchange.
+  /// What marks the end of the body (RFC 9112, section 6.3). An answer with a
+  /// length or chunks states its end itself, whether or not it also announces
+  /// that the connection closes; Beast's message does not tell the two apart.
+  serving::AnswerFraming Framing() const;
+  /// True if the connection may carry another exchange (RFC 9112, section 9.3).
   bool KeepsAlive() const { return this->parser.keep_alive(); }
   /// True if bytes of the answer have arrived.
   bool HasBegun() const { return this->parser.got_some() || this->scanned > 0; }
--- a/daemon/http_call.cc
+++ b/daemon/http_call.cc
@@ -51,7 +51,7 @@
           return self->End(asio::error::message_size);
         }
         if (!last) return self->ReadBody();
-        self->answer.whole = self->answer.head.framed;
+        self->answer.whole = serving::IsFramed(self->answer.head.framing);
         self->End({});
       });
 }
--- a/daemon/http_client_connection.cc
+++ b/daemon/http_client_connection.cc
@@ -44,7 +44,7 @@
   head.request_id = OnlyValue(message, "X-Request-Id", head.ambiguous);
   head.attempt = OnlyValue(message, "X-Attempt", head.ambiguous);
   head.leaving = message["X-Leaving"] == "true";
-  head.framed = !parser.NeedsEof();
+  head.framing = parser.Framing();
   head.keep_alive = parser.KeepsAlive();
   return head;
 }
--- a/daemon/http_client_connection.h
+++ b/daemon/http_client_connection.h
@@ -8,6 +8,7 @@
 #include "daemon/answer_fault_log.h"
 #include "daemon/asio.h"
 #include "fuchsiadrum/core/types.h"
+#include "fuchsiadrum/serving/answer_framing.h"
 #include "fuchsiadrum/upstream/exchange_proof.h"
 
 namespace fuchsiadrum::daemon {
@@ -25,8 +26,7 @@
   std::string attempt;
   /// X-Not-Run or a part of the name came with two values.
   bool ambiguous = false;
-  /// The end of the body can be told from a broken connection.
-  bool framed = false;
+  serving::AnswerFraming framing = serving::AnswerFraming::kConnection;
   bool keep_alive = false;
 
   /// What it says about its request; valid as long as this head.
--- a/daemon/upstream_attempt.cc
+++ b/daemon/upstream_attempt.cc
@@ -119,7 +119,9 @@
           return self->End(AttemptEventKind::kBroken);
         }
         if (!last) return self->ReadWhole();
-        if (!self->head.framed) return self->End(AttemptEventKind::kBroken);
+        if (!serving::IsFramed(self->head.framing)) {
+          return self->End(AttemptEventKind::kBroken);
+        }
         self->OnBody();
       });
 }
--- a/fuchsiadrum/serving/answer_framing.h
+++ b/fuchsiadrum/serving/answer_framing.h
@@ -11,6 +11,11 @@
   kConnection,  // only the end of the connection, whatever has caused it
 };
 
+/// True if the answer itself states where its body ends.
+constexpr bool IsFramed(AnswerFraming framing) {
+  return framing != AnswerFraming::kConnection;
+}
+
 /// Returns the name of a framing as used in log lines and metrics.
 std::string_view AnswerFramingName(AnswerFraming framing);
 
--- a/fuchsiadrum/serving/stream_end.cc
+++ b/fuchsiadrum/serving/stream_end.cc
@@ -3,7 +3,7 @@
 namespace fuchsiadrum::serving {
 
 StreamEnd JudgeStreamEnd(const StreamEndState& state) {
-  const bool is_framed = state.framing != AnswerFraming::kConnection;
+  const bool is_framed = IsFramed(state.framing);
   if (state.is_inside_event) return StreamEnd::kCutOff;
   if (state.has_new_events) {
     return is_framed ? StreamEnd::kComplete : StreamEnd::kUnproven;
--- a/gateway/answer_reader.cc
+++ b/gateway/answer_reader.cc
@@ -73,7 +73,7 @@
 
 bool AnswerReader::MayAnswerFollow(serving::AnswerOrigin origin,
                                    const HttpConnection& connection) const {
-  if (connection.EndsWithConnection()) return false;
+  if (!connection.KeepsAlive()) return false;
   // A request that may be repeated does not wait for what may never come.
   return origin != serving::AnswerOrigin::kUnknown ||
          !serving::ClaimsNotRun(this->answer) ||
--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -22,7 +22,7 @@
 
 asio::awaitable<void> CrashWatch::Examine(serving::FleetUpstreamPtr upstream) {
   co_await this->Wait(this->options.collect_time);
-  const bool is_reachable = co_await this->IsReachable(*upstream);
+  const bool is_alive = co_await this->IsAlive(*upstream);
 
   const serving::UpstreamIncarnation incarnation = {
       .id = upstream->entry.id,
@@ -30,7 +30,7 @@
   const auto found = this->pending.find(serving::CrashKey(incarnation));
   const serving::UpstreamCrash crash = std::move(found->second);
   this->pending.erase(found);
-  if (is_reachable) co_return;
+  if (is_alive) co_return;
 
   ++this->crashes;
   const auto begun = std::ranges::count_if(
@@ -44,21 +44,44 @@
   this->on_crash(crash);
 }
 
-asio::awaitable<bool> CrashWatch::IsReachable(
+asio::awaitable<bool> CrashWatch::IsAlive(
     const serving::FleetUpstream& upstream) {
+  serving::LivenessProbe probe(this->options.probe);
+  serving::ProbeResult result = co_await this->Probe(upstream.entry);
+  std::optional<bool> is_alive = probe.Add(result);
+  while (!is_alive) {
+    co_await this->Wait(this->options.settle_time);
+    result = co_await this->Probe(upstream.entry);
+    is_alive = probe.Add(result);
+  }
+  if (result != serving::ProbeResult::kKept) {
+    this->event_log.Write("upstream-probe",
+                          {{"upstream", upstream.entry.id},
+                           {"connection", serving::ProbeResultName(result)},
+                           {"verdict", *is_alive ? "alive" : "ended"}});
+  }
+  co_return *is_alive;
+}
+
+asio::awaitable<serving::ProbeResult> CrashWatch::Probe(
+    const serving::UpstreamEntry& entry) {
   const auto connection = this->pool.MakeNew();
   connection->ExpireAt(Now() + this->options.connect_timeout);
-  const bool is_open = co_await connection->Connect(upstream.entry.address);
+  const bool is_open = co_await connection->Connect(entry.address);
   connection->NeverExpire();
-  if (is_open) {
-    co_await this->Wait(this->options.settle_time);
+  if (!is_open) {
+    const bool is_reset = connection->WasEndedByPeer();
+    connection->Close();
+    co_return is_reset ? serving::ProbeResult::kReset
+                       : serving::ProbeResult::kFailed;
   }
-  if (!is_open || !connection->IsReusable()) {
+  co_await this->Wait(this->options.settle_time);
+  if (!connection->IsReusable()) {
     connection->Close();
-    co_return false;
+    co_return serving::ProbeResult::kReset;
   }
-  this->pool.Release(upstream.entry, connection, std::nullopt);
-  co_return true;
+  this->pool.Release(entry, connection, std::nullopt);
+  co_return serving::ProbeResult::kKept;
 }
 
 asio::awaitable<void> CrashWatch::Wait(Duration time) {
--- a/gateway/http_connection.cc
+++ b/gateway/http_connection.cc
@@ -75,6 +75,7 @@
   const Tcp::endpoint remote(ip, endpoint->port);
   co_await this->socket.async_connect(
       remote, asio::redirect_error(asio::use_awaitable, error));
+  if (error) this->OnIoError(error);
   if (error || !this->socket.is_open()) co_return false;
   this->socket.set_option(Tcp::no_delay(true), error);
   SetOption(this->socket, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -111,7 +112,7 @@
     const ErrorCode error = co_await this->ReadSome();
     if (error) {
       const bool is_cut = error == asio::error::eof && this->parser->HasBegun();
-      this->OnReadError(is_cut ? http::error::partial_message : error);
+      this->OnIoError(is_cut ? http::error::partial_message : error);
       co_return nullptr;
     }
     progress = this->parser->ParseHead();
@@ -135,7 +136,7 @@
       co_return co_await this->ReadEof();
     }
     if (error) {
-      this->OnReadError(error);
+      this->OnIoError(error);
       co_return BodyReadStatus::kBroken;
     }
     progress = this->parser->ParseBody(asio::buffer(this->read_buffer), bytes);
@@ -162,18 +163,19 @@
 
 asio::awaitable<BodyReadStatus> HttpConnection::ReadEof() {
   daemon::AnswerEof eof = daemon::AnswerEof::kDelivered;
-  if (this->EndsWithConnection() && !co_await this->IsRequestDelivered()) {
+  if (!serving::IsFramed(this->Framing()) &&
+      !co_await this->IsRequestDelivered()) {
     eof = daemon::AnswerEof::kUndelivered;
   }
   if (!this->socket.is_open()) {
-    this->OnReadError(asio::error::operation_aborted);
+    this->OnIoError(asio::error::operation_aborted);
     co_return BodyReadStatus::kBroken;
   }
   if (this->parser->ParseEof(eof) == daemon::AnswerProgress::kWhole) {
     co_return BodyReadStatus::kEnd;
   }
-  this->OnReadError(this->send_error ? this->send_error
-                                     : http::error::partial_message);
+  this->OnIoError(this->send_error ? this->send_error
+                                   : http::error::partial_message);
   co_return BodyReadStatus::kBroken;
 }
 
@@ -199,7 +201,7 @@
   return static_cast<size_t>(std::max(0, bytes));
 }
 
-void HttpConnection::OnReadError(ErrorCode error) {
+void HttpConnection::OnIoError(ErrorCode error) {
   this->last_error = error.message();
   this->ended_by_peer = error == http::error::partial_message ||
                         error == asio::error::eof ||
@@ -219,17 +221,6 @@
   this->Close();
 }
 
-serving::AnswerFraming HttpConnection::Framing() const {
-  if (this->EndsWithConnection()) return serving::AnswerFraming::kConnection;
-  const bool is_chunked = this->parser && this->parser->IsChunked();
-  return is_chunked ? serving::AnswerFraming::kChunks
-                    : serving::AnswerFraming::kLength;
-}
-
-bool HttpConnection::EndsWithConnection() const {
-  return this->parser && this->parser->NeedsEof();
-}
-
 bool HttpConnection::HasContradictoryFraming() const {
   if (!this->parser) return false;
   const auto& head = this->parser->Head();
--- a/gateway/http_connection.h
+++ b/gateway/http_connection.h
@@ -52,8 +52,8 @@
   bool IsSending() const { return this->sending; }
   /// Why the last read failed; empty if none has.
   const std::string& LastError() const { return this->last_error; }
-  /// True if the last read failed because the other end closed or reset the
-  /// connection.
+  /// True if the other end has closed or reset the connection, so that the last
+  /// read or the opening of the connection failed.
   bool WasEndedByPeer() const { return this->ended_by_peer; }
   /// What is wrong with the bytes of the current answer; kNone also if it was
   /// only cut off.
@@ -65,10 +65,13 @@
   /// The answer has exceeded a bound of its reader; closes the connection, so
   /// that the other end sends no more.
   void OnLimitExceeded(AnswerLimit limit);
-  /// What marks the end of the current answer.
-  serving::AnswerFraming Framing() const;
-  /// True if only the end of the connection ends the current answer.
-  bool EndsWithConnection() const;
+  /// What marks the end of the current answer; kLength before its head.
+  serving::AnswerFraming Framing() const {
+    return this->parser ? this->parser->Framing()
+                        : serving::AnswerFraming::kLength;
+  }
+  /// True if another answer may follow the current one on the connection.
+  bool KeepsAlive() const { return this->parser && this->parser->KeepsAlive(); }
   /// True if nothing tells where the next answer begins: the status of the
   /// current answer excludes a body, but its head announces one or says that
   /// the connection ends, or the upstream switches to another protocol.
@@ -106,7 +109,7 @@
   asio::awaitable<bool> IsRequestDelivered();
   /// Bytes of the request that the peer has not acknowledged.
   size_t UnacknowledgedBytes();
-  void OnReadError(ErrorCode error);
+  void OnIoError(ErrorCode error);
   /// The bytes that were read are no answer.
   void OnBrokenAnswer();
 
--- a/gateway/request_task.cc
+++ b/gateway/request_task.cc
@@ -341,14 +341,14 @@
   co_return connection;
 }
 
-asio::awaitable<bool> RequestTask::IsStillReachable(
+asio::awaitable<bool> RequestTask::IsStillAlive(
     const serving::FleetUpstream& upstream) {
   // An upstream that is leaving may end right after its last answer.
   if (this->core.Upstreams().EligibilityOf(Now(), upstream) ==
       serving::UpstreamEligibility::kIneligible) {
     co_return true;
   }
-  co_return co_await this->core.Crashes().IsReachable(upstream);
+  co_return co_await this->core.Crashes().IsAlive(upstream);
 }
 
 void RequestTask::ReleaseConnection(
@@ -401,7 +401,7 @@
         attempt, connection, answer, handlers);
     // An upstream whose process dies closes its connections, too.
     if (outcome == AttemptOutcome::kUnprovenEnd && this->stream.MayBeWhole() &&
-        !co_await this->IsStillReachable(attempt.Upstream())) {
+        !co_await this->IsStillAlive(attempt.Upstream())) {
       this->stream.OnUpstreamLost();
       this->prompt.OnUpstreamLost();
       this->log.OnUnprovenAnswer(this->reader.Answer(), "upstream lost");
@@ -424,7 +424,7 @@
                                                  HttpConnection& connection) {
   const serving::UpstreamAnswer& answer = this->reader.Answer();
   this->log.OnRefusal(answer, connection, attempt.SentAt());
-  if (!connection.EndsWithConnection()) {
+  if (connection.KeepsAlive()) {
     connection.ExpireAt(Now() + kRejectionBodyTimeout);
     static_cast<void>(co_await this->reader.ReadWholeBody(connection));
     connection.NeverExpire();
--- a/gateway/request_task.h
+++ b/gateway/request_task.h
@@ -86,10 +86,9 @@
   /// if that fails, or if the caller left or the deadline passed meanwhile.
   asio::awaitable<std::shared_ptr<HttpConnection>> OpenConnection(
       const serving::FleetUpstream& upstream);
-  /// False if the upstream, whose answer has ended with its connection, takes
-  /// no further connection although nothing says that it is leaving.
-  asio::awaitable<bool> IsStillReachable(
-      const serving::FleetUpstream& upstream);
+  /// False if the upstream, whose answer has ended with its connection, has
+  /// ended too, although nothing says that it is leaving.
+  asio::awaitable<bool> IsStillAlive(const serving::FleetUpstream& upstream);
   /// Sends the request on the connection and reads its answer. The events of a
   /// stream are relayed as they arrive; other answers are only buffered.
   asio::awaitable<serving::AttemptOutcome> Exchange(UpstreamAttempt& attempt,
--- a/tests/daemon/answer_parser_test.cc
+++ b/tests/daemon/answer_parser_test.cc
@@ -404,6 +404,33 @@
   }
 }
 
+// Guards against the wish to close the connection taken for what ends the body.
+TEST_F(AnswerParserTest, Framing_WithAndWithoutClose_IsWhatTheMessageStates) {
+  using serving::AnswerFraming;
+  const std::pair<std::string, AnswerFraming> heads[] = {
+      {"200 OK\r\nContent-Length: 9\r\n", AnswerFraming::kLength},
+      {"200 OK\r\nTransfer-Encoding: chunked\r\n", AnswerFraming::kChunks},
+      {"200 OK\r\n", AnswerFraming::kConnection},
+      {"503 Full\r\nContent-Length: 0\r\n", AnswerFraming::kLength},
+      {"204 No Content\r\n", AnswerFraming::kLength},
+      {"304 Not Modified\r\n", AnswerFraming::kLength}};
+  for (const auto& [head, framing] : heads) {
+    for (const bool closes : {false, true}) {
+      boost::beast::flat_buffer buffer;
+      AnswerParser parser(buffer);
+      const std::string text =
+          "HTTP/1.1 " + head + (closes ? "Connection: close\r\n" : "") + "\r\n";
+      asio::buffer_copy(buffer.prepare(text.size()), asio::buffer(text));
+      buffer.commit(text.size());
+      EXPECT_EQ(parser.ParseHead(), AnswerProgress::kHead) << text;
+      EXPECT_EQ(parser.Framing(), framing) << text;
+      EXPECT_EQ(parser.KeepsAlive(),
+                !closes && framing != AnswerFraming::kConnection)
+          << text;
+    }
+  }
+}
+
 // Guards against the end of a connection that ends no answer.
 TEST_F(AnswerParserTest, Eof_ProvesTheEndOnlyOfADeliveredUnframedAnswer) {
   for (const std::string framing :
--- a/tests/daemon/odd_answer_test.cc
+++ b/tests/daemon/odd_answer_test.cc
@@ -69,6 +69,24 @@
   }
 }
 
+// Guards against whole answers that are refused because their upstream
+// announces the close of the connection.
+TEST_F(OddAnswerTest, FramedAnswerWithClose_IsServed) {
+  for (const char* body :
+       {"Content-Length: 6\r\n\r\nbooked",
+        "Transfer-Encoding: chunked\r\n\r\n6\r\nbooked\r\n0\r\n\r\n"}) {
+    this->Start([body](const std::string&, Tcp::socket& socket) {
+      Put(socket,
+          "HTTP/1.1 200 OK\r\nConnection: close\r\n" + std::string(body));
+      return false;
+    });
+    const std::string answer = this->CallService();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_TRUE(answer.ends_with("booked")) << answer;
+    this->Stop();
+  }
+}
+
 // Guards against a body that is still encoded.
 TEST_F(OddAnswerTest, UnknownTransferCoding_ReachesNoCaller) {
   for (const char* coding : {"gzip, chunked", "gzip", "identity"}) {
--- a/tests/platform/cut_answer_test.cc
+++ b/tests/platform/cut_answer_test.cc
@@ -338,5 +338,24 @@
   this->Try(all);
 }
 
+// MIXED, ORDER: the announced close of a connection, which is no mark of an
+// answer's end, was taken for one: neither may make a cut answer look whole.
+TEST_F(CutAnswerTest, AnswerThatAnnouncesTheClose_IsNeverWholeWhenCut) {
+  std::vector<Cut> all;
+  for (const char* kind : {"safe", "unsafe", "resumable", "stream"}) {
+    for (const Framing framing :
+         {Framing::kLength, Framing::kChunks, Framing::kConnection}) {
+      for (const bool resets : {false, true}) {
+        this->AddEachByte(all, {.kind = kind,
+                                .framing = framing,
+                                .resets = resets,
+                                .closes = true});
+      }
+    }
+  }
+  this->Start();
+  this->Try(all);
+}
+
 }  // namespace
 }  // namespace fuchsiadrum::gateway
--- a/tests/platform/unframed_answer_fixture.h
+++ b/tests/platform/unframed_answer_fixture.h
@@ -65,8 +65,18 @@
            framing + "\r\n";
   }
   static std::string Sized(const std::string& id, const std::string& body) {
-    return Head(id, "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-           body;
+    return Head(id, Framing(false, body)) + body;
+  }
+  /// The field that marks the end of the body.
+  static std::string Framing(bool has_chunks, const std::string& body) {
+    return has_chunks
+               ? std::string("Transfer-Encoding: chunked\r\n")
+               : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  /// Kind of the route that the request has taken.
+  static std::string KindOf(ScriptedExchange& exchange) {
+    const std::string target(exchange.Request().target());
+    return target.substr(1, target.find('/', 1) - 1);
   }
   /// Number of the first event that the request asks for.
   static int FirstEvent(ScriptedExchange& exchange) {
@@ -84,7 +94,10 @@
     this->PutRoutes(routes);
     for (int i = 1; i <= 2; ++i) {
       this->upstreams.push_back(std::make_unique<ScriptedUpstream>(
-          this->runs, [this](ScriptedExchange& e) { this->Serve(e); }));
+          this->runs, [this](ScriptedExchange& e) { this->Serve(e); },
+          [this](ScriptedExchange& e) {
+            if (this->is_full) e.Reset();
+          }));
       this->PutEntry("u" + std::to_string(i), this->upstreams.back()->Address(),
                      kSlots);
     }
@@ -133,6 +146,9 @@
   }
   int RunsOf(const std::string& id) { return this->runs.Of(id); }
 
+  /// True while the upstreams reset new connections, as at max_connections.
+  std::atomic<bool> is_full{false};
+
  private:
   void Serve(ScriptedExchange& exchange) {
     exchange.ReadBody();
--- a/tests/platform/unframed_answer_test.cc
+++ b/tests/platform/unframed_answer_test.cc
@@ -134,6 +134,55 @@
   }
 }
 
+// LOST: the wish to close a connection was taken for the mark of the answer's
+// end, so that a whole answer of a full upstream was reset.
+TEST_F(UnframedAnswerTest,
+       FramedAnswerOfFullUpstreamThatCloses_IsServedAsSuch) {
+  this->Start([this](ScriptedExchange& exchange, int /*attempt*/) {
+    const bool is_stream = IsStream(KindOf(exchange));
+    const std::string body =
+        is_stream ? Events(FirstEvent(exchange)) : std::string(kPlainBody);
+    const bool has_chunks = exchange.Id().starts_with("chunks");
+    exchange.Write(Head(exchange.Id(),
+                        "Connection: close\r\n" + Framing(has_chunks, body)) +
+                   (has_chunks ? Chunk(body) + "0\r\n\r\n" : body));
+    this->is_full = true;
+    exchange.Close();
+  });
+  for (const char* framing : {"chunks", "length"}) {
+    for (const char* kind : {"safe", "unsafe", "resumable", "stream"}) {
+      const std::string id = std::string(framing) + kind;
+      this->is_full = false;
+      const CallerAnswer answer = this->Ask(kind, id);
+      EXPECT_EQ(answer.status, 200U) << id;
+      EXPECT_EQ(answer.end, AnswerEnd::kFramed) << id;
+      EXPECT_TRUE(answer.keeps_connection) << id;
+      EXPECT_EQ(answer.body, WholeBody(kind)) << id;
+      EXPECT_EQ(this->RunsOf(id), 1) << id;
+    }
+  }
+}
+
+// LOST: an upstream that has all its connections and resets a further one was
+// taken for one that has died, and its stream for one that it broke off.
+TEST_F(UnframedAnswerTest, StreamThatClosesAtFullUpstream_EndsAsReceived) {
+  this->Start([this](ScriptedExchange& exchange, int /*attempt*/) {
+    exchange.Write(Head(exchange.Id()) + Events(FirstEvent(exchange)));
+    this->is_full = true;
+    exchange.Close();
+  });
+  for (const char* kind : {"resumable", "stream"}) {
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = kind + std::to_string(i);
+      this->is_full = false;
+      const CallerAnswer answer = this->Ask(kind, id);
+      EXPECT_EQ(answer.status, 200U) << id;
+      EXPECT_EQ(answer.end, AnswerEnd::kClosed) << id;
+      EXPECT_EQ(answer.body, Events(1)) << id;
+    }
+  }
+}
+
 /// A stream of two events as an upstream may write it.
 struct Dialect {
   std::string first_event;
