budget: the grant of an ended process is settled once

Cause: a successor returned a fraction of what lay between ceiling and grant as stored, and nothing in the record said that this had been done. The next successor found the same predecessor and took the fraction of the rest. After a failed append the reclaim was repeated on the grant as first read.

Change: SettledGrant states the most that the ended holder can have used, as a total with the ceiling at the total, so that it stays as it is when it is applied again. EndedGrants plans it on the record as it stands at the end of the partition on condition of which it is written, tries again after an unknown outcome, and writes the same total again after a restore. A heartbeat names the ended processes of its VM until their grants are settled, with the store's era. Before its first heartbeat a process records grants with a final ceiling, so that whoever reads the partition can return the rest: a restarted gateway serves while heartbeats are refused.

Found by the model and mended here, since a settlement rests on it: after an unknown outcome the holder kept the higher ceiling, and after a restore it did not write a lost ceiling again.

--- a/fuchsiadrum/budget/fleet_account.h
+++ b/fuchsiadrum/budget/fleet_account.h
@@ -21,6 +21,9 @@
   /// Total that the holder's use does not exceed as long as the store answers
   /// its writes; at most `granted`. A heartbeat may state a higher one.
   Tokens ceiling;
+  /// The holder had written no heartbeat: it does not exceed the ceiling under
+  /// this record, whether the store answers or not.
+  bool is_ceiling_final = false;
 };
 
 /// Sums of one organisation's grant records over all holders of the fleet,
--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -91,6 +91,9 @@
 }
 
 Tokens GrantHolder::ReleasedTotalAt(TimePoint now, const Pool& pool) const {
+  if (pool.recorded.is_ceiling_final) {
+    return std::min(pool.Ceiling(), pool.spendable_total);
+  }
   // The silence that a successor computes from the last recorded heartbeat must
   // cover the one computed here. So the silence is counted from the last answer
   // or, if that is later, from the start of the heartbeat that is under way.
@@ -153,7 +156,8 @@
   if (found == this->pools.end() || !found->second.limit) return false;
   const Pool& pool = found->second;
   return !pool.in_flight &&
-         pool.InUse() + pool.unmet_amount > pool.spendable_total;
+         (pool.InUse() + pool.unmet_amount > pool.spendable_total ||
+          (pool.unmet_amount > Tokens(0) && pool.NeedsFinalCeiling()));
 }
 
 std::optional<GrantUpdate> GrantHolder::PlanWrite(
@@ -179,7 +183,8 @@
       .spent = pool.spent,
       .demand = this->closed ? Tokens(0)
                              : Tokens(static_cast<int64_t>(pool.demand.Rate())),
-      .ceiling = this->NextCeiling(pool, *total)};
+      .ceiling = this->NextCeiling(pool, *total),
+      .is_ceiling_final = this->awaits_heartbeat};
   pool.grant_ceiling = std::min(pool.grant_ceiling, pool.planned.ceiling);
   pool.planned_account = account;
   pool.planned_account.limit = LimitOf(pool, account);
@@ -201,7 +206,9 @@
   if (!pool.limit || pool.in_flight) return std::nullopt;
   // Without a write the account is the sum of what is stored.
   if (stored.granted == pool.recorded.granted &&
-      stored.spent == pool.recorded.spent) {
+      stored.spent == pool.recorded.spent &&
+      stored.ceiling >= pool.recorded.ceiling &&
+      stored.is_ceiling_final == pool.recorded.is_ceiling_final) {
     return std::nullopt;
   }
   pool.in_flight = true;
@@ -241,9 +248,11 @@
 
 void GrantHolder::OnOutcomeUnknown(const std::string& organisation) {
   Pool& pool = this->PoolOf(organisation);
-  if (pool.planned.granted < pool.recorded.granted) {
-    pool.recorded = pool.planned;
-  }
+  const RecordedGrant before = pool.recorded;
+  if (pool.planned.granted < before.granted) pool.recorded = pool.planned;
+  pool.recorded.ceiling = std::min(before.ceiling, pool.planned.ceiling);
+  pool.recorded.is_ceiling_final =
+      before.is_ceiling_final || pool.planned.is_ceiling_final;
   this->OnRefused(organisation);
 }
 
@@ -269,6 +278,7 @@
 
 void GrantHolder::OnHeartbeatWritten(TimePoint now) {
   this->heartbeat_written_at = now;
+  this->awaits_heartbeat = false;
   for (auto& [name, pool] : this->pools) {
     pool.heartbeat_ceiling = pool.planned_heartbeat_ceiling;
     ClearUnmetAmountIfCovered(pool);
@@ -482,7 +492,12 @@
     const Tokens total = in_use + std::max(target, pool.unmet_amount);
     if (total < recorded) return total;
   }
-  if (this->IsSpendStale(now, pool, account)) return recorded;
+  const bool is_ceiling_due = this->awaits_heartbeat
+                                  ? pool.NeedsFinalCeiling()
+                                  : pool.recorded.is_ceiling_final;
+  if (is_ceiling_due || this->IsSpendStale(now, pool, account)) {
+    return recorded;
+  }
   return std::nullopt;
 }
 
--- a/fuchsiadrum/budget/grant_holder.h
+++ b/fuchsiadrum/budget/grant_holder.h
@@ -234,12 +234,17 @@
   void OnRefused(const std::string& organisation);
   /// Reports that it cannot be determined whether the planned change is in the
   /// store. From now on the lower of the recorded and the planned total counts
-  /// as recorded, so that at worst the difference stays granted but unused.
+  /// as recorded, and the lower ceiling, so that at worst the difference stays
+  /// granted but unused.
   void OnOutcomeUnknown(const std::string& organisation);
 
   /// Returns the ceilings to write in the next heartbeat, for all organisations
   /// of which tokens could be reclaimed after a crash.
   std::vector<GrantCeiling> PlanHeartbeat(TimePoint now);
+  /// From now on until the first heartbeat was answered, grants are recorded
+  /// with a final ceiling: a successor that finds no heartbeat of this holder
+  /// cannot know what else it has used.
+  void AwaitFirstHeartbeat() { this->awaits_heartbeat = true; }
   /// Reports that the write of that heartbeat begins, and that it was answered.
   void OnHeartbeatStarted(TimePoint now) { this->heartbeat_started_at = now; }
   void OnHeartbeatWritten(TimePoint now);
@@ -312,7 +317,15 @@
 
     Tokens InUse() const { return this->spent + this->reserved; }
     Tokens Ceiling() const {
-      return std::max(this->grant_ceiling, this->heartbeat_ceiling);
+      return this->recorded.is_ceiling_final
+                 ? this->grant_ceiling
+                 : std::max(this->grant_ceiling, this->heartbeat_ceiling);
+    }
+    /// True if a waiting request needs a higher ceiling, which only a write of
+    /// the grant can raise.
+    bool NeedsFinalCeiling() const {
+      return this->recorded.is_ceiling_final &&
+             this->InUse() + this->unmet_amount > this->grant_ceiling;
     }
   };
 
@@ -374,6 +387,7 @@
   TimePoint heartbeat_written_at;
   TimePoint heartbeat_started_at;
   std::optional<TimePoint> store_restored_at;
+  bool awaits_heartbeat = false;
   bool closed = false;
 };
 
--- a/fuchsiadrum/budget/reclaim.cc
+++ b/fuchsiadrum/budget/reclaim.cc
@@ -85,6 +85,24 @@
   return ceiling + Tokens(static_cast<int64_t>(fraction * above_ceiling));
 }
 
+RecordedGrant SettledGrant(const ReleaseOptions& options,
+                           const RecordedGrant& stored,
+                           Tokens heartbeat_ceiling, Duration silence) {
+  const Tokens released =
+      stored.is_ceiling_final
+          ? stored.ceiling
+          : ReleasedTotal(options, std::max(stored.ceiling, heartbeat_ceiling),
+                          stored.granted, silence);
+  // Rounded up, so that tokens that may have been used stay counted.
+  const Tokens bound = released + Tokens(1);
+  RecordedGrant settled = stored;
+  settled.granted = std::min(bound, stored.granted);
+  settled.ceiling = settled.granted;
+  settled.is_ceiling_final = false;
+  settled.demand = Tokens(0);
+  return settled;
+}
+
 Duration SilenceByBootClock(const VmClocks& last_write, const VmClocks& start) {
   return start.since_boot - last_write.since_boot + kClockTolerance;
 }
--- a/fuchsiadrum/budget/reclaim.h
+++ b/fuchsiadrum/budget/reclaim.h
@@ -4,6 +4,7 @@
 #include <span>
 #include <string>
 
+#include "fuchsiadrum/budget/fleet_account.h"
 #include "fuchsiadrum/core/types.h"
 
 namespace fuchsiadrum::budget {
@@ -41,6 +42,16 @@
 Tokens ReleasedTotal(const ReleaseOptions& options, Tokens ceiling,
                      Tokens total, Duration silence);
 
+/// Returns the record that replaces `stored`, the grant of a holder that has
+/// ended. Its total is the most that the holder can have used, and its ceiling
+/// equals the total, so that a record that was settled once stays as it is,
+/// whatever the other arguments are. `heartbeat_ceiling`: ceiling in the last
+/// heartbeat; `silence`: longest time without an answered write. Neither counts
+/// under a record whose ceiling is final.
+RecordedGrant SettledGrant(const ReleaseOptions& options,
+                           const RecordedGrant& stored,
+                           Tokens heartbeat_ceiling, Duration silence);
+
 /// Whether the tokens that a dead process cannot have released above the
 /// ceilings of its grants may be returned to the accounts.
 enum class ReclaimDecision {
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -1,6 +1,7 @@
 #include "gateway/account_shard.h"
 
 #include <algorithm>
+#include <span>
 
 #include "gateway/clock.h"
 
@@ -51,6 +52,7 @@
   grant.set_spent_tokens(recorded.spent.count);
   grant.set_demand_tokens_per_s(recorded.demand.count);
   grant.set_ceiling_tokens(recorded.ceiling.count);
+  grant.set_is_ceiling_final(recorded.is_ceiling_final);
   return {.key = GrantKey(organisation, holder),
           .value = record.SerializeAsString()};
 }
@@ -59,7 +61,8 @@
   return {.granted = Tokens(grant.granted_tokens()),
           .spent = Tokens(grant.spent_tokens()),
           .demand = Tokens(grant.demand_tokens_per_s()),
-          .ceiling = Tokens(grant.ceiling_tokens())};
+          .ceiling = Tokens(grant.ceiling_tokens()),
+          .is_ceiling_final = grant.is_ceiling_final()};
 }
 
 store::KeyedRecord EncodeBook(const budget::AccountBook& book) {
@@ -100,16 +103,42 @@
   return content.grant();
 }
 
-/// The holder's grant on the page; nullopt if there is none.
-std::optional<budget::RecordedGrant> FindGrant(const store::NewestPage& page,
-                                               const std::string& organisation,
-                                               const std::string& holder) {
-  const auto found = std::ranges::find(
-      page.records, GrantKey(organisation, holder), &store::KeyedRecord::key);
-  if (found == page.records.end()) return std::nullopt;
-  const auto grant = GrantIn(*found);
-  if (!grant) return std::nullopt;
-  return DecodeGrant(*grant);
+/// The last grant of the holder among the records; nullopt if there is none.
+std::optional<budget::RecordedGrant> FindGrant(
+    std::span<const store::KeyedRecord> records,
+    const std::string& organisation, const std::string& holder) {
+  const std::string key = GrantKey(organisation, holder);
+  for (size_t i = records.size(); i-- > 0;) {
+    if (records[i].key != key) continue;
+    const auto grant = GrantIn(records[i]);
+    if (!grant) return std::nullopt;
+    return DecodeGrant(*grant);
+  }
+  return std::nullopt;
+}
+
+budget::EndedGrants::Find FindAmong(
+    std::span<const store::KeyedRecord> records) {
+  return [records](const std::string& organisation, const std::string& holder) {
+    return FindGrant(records, organisation, holder);
+  };
+}
+
+/// Grants with a final ceiling of other processes than `holder` on its VM.
+std::vector<budget::EndedGrant> FindUnannounced(
+    std::span<const store::KeyedRecord> records, std::string_view holder) {
+  const std::string_view vm = holder.substr(0, holder.rfind('/') + 1);
+  std::vector<budget::EndedGrant> found;
+  for (const store::KeyedRecord& record : records) {
+    const auto grant = GrantIn(record);
+    if (!grant || !grant->is_ceiling_final() || grant->holder() == holder ||
+        !grant->holder().starts_with(vm)) {
+      continue;
+    }
+    found.push_back(
+        {.organisation = grant->organisation(), .holder = grant->holder()});
+  }
+  return found;
 }
 
 /// Sums of the grants on the page, by organisation.
@@ -129,7 +158,11 @@
 AccountShard::AccountShard(const AccountShardOptions& opts,
                            asio::io_context& context,
                            budget::GrantHolder& grant_holder, EventLog& log)
-    : options(opts), holder(grant_holder), event_log(log), timer(context) {
+    : options(opts),
+      holder(grant_holder),
+      event_log(log),
+      timer(context),
+      ended(grant_holder.GetReleaseOptions()) {
   this->writer.name = opts.holder;
   this->generation = opts.store->era.Generation();
 }
@@ -150,7 +183,7 @@
 bool AccountShard::IsDue(TimePoint now) {
   if (now < this->backoff_until) return false;
   if (this->IsOfEarlierEra() || this->are_grants_lost) return true;
-  if (!this->pending_reclaims.empty()) return true;
+  if (this->IsSettling()) return true;
   return std::ranges::any_of(this->organisations, [&](const auto& name) {
     return this->holder.IsDue(now, name);
   });
@@ -174,8 +207,13 @@
   }
   if (!is_fresh) this->BackOff();
   for (int attempt = 0; is_fresh && attempt < kMaxAppendAttempts; ++attempt) {
+    co_await this->ReadEndedGrants(client);
+    if (!this->end) break;
     const Change change = this->PlanChange(Now());
-    if (change.records.empty()) break;
+    if (change.records.empty()) {
+      if (this->IsSettling()) this->BackOff();
+      break;
+    }
 
     this->write_begun = Now();
     const Outcome outcome = co_await this->Append(client, change.records);
@@ -206,9 +244,7 @@
   // The restored store may expect an earlier sequence number.
   ++this->writer.epoch;
   this->writer.sequence = 0;
-  // They were planned on records that may be lost. Without them the tokens stay
-  // counted.
-  this->pending_reclaims.clear();
+  this->ended.OnNewEra();
   this->are_grants_lost = true;
 }
 
@@ -236,7 +272,7 @@
     account.spent = stored_sum.spent;
     account.demand = stored_sum.demand;
     const budget::RecordedGrant stored =
-        FindGrant(*page, name, this->options.holder)
+        FindGrant(page->records, name, this->options.holder)
             .value_or(budget::RecordedGrant());
     const auto update = this->holder.PlanRestore(name, stored, account);
     if (!update) continue;
@@ -271,13 +307,14 @@
 AccountShard::Change AccountShard::PlanChange(TimePoint now) {
   Change change;
   change.book = this->book;
-  for (const ReclaimedGrant& reclaimed : this->pending_reclaims) {
-    change.book[reclaimed.organisation].Replace(reclaimed.before,
-                                                reclaimed.after);
+  if (this->ended.IsKnownAt(*this->end)) {
+    change.settlements = this->ended.Plan();
+  }
+  for (const budget::GrantSettlement& planned : change.settlements) {
+    change.book[planned.organisation].Replace(planned.before, planned.after);
     change.records.push_back(
-        EncodeGrant(reclaimed.organisation, reclaimed.holder, reclaimed.after));
+        EncodeGrant(planned.organisation, planned.holder, planned.after));
   }
-  change.reclaimed.swap(this->pending_reclaims);
   for (const std::string& name : this->organisations) {
     const auto update = this->holder.PlanWrite(now, name, change.book[name]);
     if (!update) continue;
@@ -294,7 +331,13 @@
 
 void AccountShard::OnOutcome(const Change& change, Outcome outcome) {
   const TimePoint now = Now();
-  if (outcome == Outcome::kDone) this->book = change.book;
+  if (outcome == Outcome::kDone) {
+    this->book = change.book;
+    if (this->end) {
+      this->ended.OnWritten(*this->end - change.records.size(), *this->end,
+                            change.settlements);
+    }
+  }
   for (const budget::GrantUpdate& update : change.updates) {
     if (outcome == Outcome::kDone) {
       this->holder.OnWritten(now, update.organisation);
@@ -304,14 +347,36 @@
       this->holder.OnRefused(update.organisation);
     }
   }
-  if (outcome == Outcome::kDone) {
-    this->LogWritten(change);
-  } else if (outcome != Outcome::kUnknown) {
-    // A reclaim that may have been applied is not scheduled again: it must not
-    // be applied twice.
-    this->pending_reclaims.insert(this->pending_reclaims.end(),
-                                  change.reclaimed.begin(),
-                                  change.reclaimed.end());
+  if (outcome == Outcome::kDone) this->LogWritten(change);
+}
+
+asio::awaitable<void> AccountShard::ReadEndedGrants(StoreClient& client) {
+  const bool is_known =
+      !this->seeks_unannounced && this->ended.IsKnownAt(*this->end);
+  if (!this->IsSettling() || is_known) co_return;
+  const auto page = co_await ReadAllNewest(client, this->options.partition,
+                                           this->options.max_timeout);
+  if (!page || this->IsOfEarlierEra()) {
+    this->BackOff();
+    co_return;
+  }
+  // The pages are no snapshot, and may be newer than the book. With all records
+  // from the book's end on, which the next read of the book returns, they are
+  // the grants as of that read.
+  const auto find = FindAmong(page->records);
+  this->ended.OnRead(*this->end, find);
+  // A process that has written no heartbeat is not known by one.
+  const std::vector<budget::EndedGrant> unannounced =
+      FindUnannounced(page->records, this->options.holder);
+  for (const budget::EndedGrant& grant : unannounced) {
+    if (this->ended.Knows(grant)) continue;
+    co_await this->Fence(client, grant.holder);
+    if (this->IsOfEarlierEra()) co_return;
+    this->ended.Add(grant);
+  }
+  this->seeks_unannounced = false;
+  if (page->end_offset != *this->end) {
+    static_cast<void>(co_await this->ReadBook(client));
   }
 }
 
@@ -449,6 +514,10 @@
       if (!last) {
         co_return co_await this->ReadBookFromNewest(client);
       }
+      if (is_known) {
+        const auto find = FindAmong(page->records);
+        this->ended.OnReadTail(from, page->end_offset, find);
+      }
       this->SetBook(*last, page->end_offset);
       co_return true;
     }
@@ -534,39 +603,14 @@
   }
 }
 
-asio::awaitable<void> AccountShard::Reclaim(
-    StoreClient& client, std::string dead_holder,
-    std::vector<budget::GrantCeiling> ceilings, Duration silence) {
+asio::awaitable<void> AccountShard::Settle(
+    StoreClient& client, std::vector<budget::EndedGrant> grants) {
   const uint64_t begun = this->options.store->era.Generation();
-  co_await this->Fence(client, dead_holder);
-  std::optional<store::NewestPage> page;
-  while (!page) {
-    page = co_await ReadAllNewest(client, this->options.partition,
-                                  this->options.max_timeout);
-    if (!page) {
-      co_await this->timer.Wait(kInitialBackoff);
-    }
-  }
-  // The predecessor's last grants may be lost, so that all of it stays counted.
+  co_await this->Fence(client, grants.front().holder);
+  // The last grants of the holder may be lost, so that all of it stays counted.
   if (begun != this->options.store->era.Generation()) co_return;
-  for (const budget::GrantCeiling& held : ceilings) {
-    const auto stored = FindGrant(*page, held.organisation, dead_holder);
-    if (!stored) continue;
-    ReclaimedGrant reclaimed;
-    reclaimed.organisation = held.organisation;
-    reclaimed.holder = dead_holder;
-    reclaimed.before = *stored;
-    reclaimed.after = reclaimed.before;
-    const Tokens ceiling = std::max(reclaimed.before.ceiling, held.ceiling);
-    // Rounded up, so that tokens that may have been used stay counted.
-    const Tokens kept =
-        budget::ReleasedTotal(this->holder.GetReleaseOptions(), ceiling,
-                              reclaimed.before.granted, silence) +
-        Tokens(1);
-    reclaimed.after.granted = std::min(kept, reclaimed.before.granted);
-    reclaimed.after.demand = Tokens(0);
-    this->pending_reclaims.push_back(std::move(reclaimed));
-  }
+  for (const budget::EndedGrant& grant : grants) this->ended.Add(grant);
+  this->SettleUnannounced();
 }
 
 std::string AccountShard::EncodeRead(uint64_t from) const {
@@ -591,12 +635,12 @@
                   {"fleet_spent", update.account.spent.count},
                   {"limit", update.account.limit.count}});
   }
-  for (const ReclaimedGrant& reclaimed : change.reclaimed) {
+  for (const budget::GrantSettlement& settlement : change.settlements) {
     this->event_log.Write("grant-reclaimed",
-                          {{"organisation", reclaimed.organisation},
-                           {"holder", reclaimed.holder},
-                           {"granted", reclaimed.before.granted.count},
-                           {"kept", reclaimed.after.granted.count}});
+                          {{"organisation", settlement.organisation},
+                           {"holder", settlement.holder},
+                           {"granted", settlement.before.granted.count},
+                           {"kept", settlement.after.granted.count}});
   }
 }
 
--- a/gateway/account_shard.h
+++ b/gateway/account_shard.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "fuchsiadrum/budget/ended_grants.h"
 #include "fuchsiadrum/budget/grant_holder.h"
 #include "gateway/async_condition.h"
 #include "gateway/event_log.h"
@@ -26,15 +27,6 @@
   Duration max_timeout = std::chrono::milliseconds(1000);
 };
 
-/// Change that returns the unused part of the grant of a gateway process that
-/// has ended.
-struct ReclaimedGrant {
-  std::string organisation;
-  std::string holder;
-  budget::RecordedGrant before;
-  budget::RecordedGrant after;
-};
-
 /// Calls to the store that an AccountShard has made, answered or not.
 struct AccountCalls {
   uint64_t reads = 0;
@@ -73,12 +65,17 @@
   /// Reads the book if necessary and writes the grants that are due. Only one
   /// sync may run at a time.
   asio::awaitable<void> Sync(StoreClient& client);
-  /// Schedules the return of the tokens that a process that has ended cannot
-  /// have used. `ceilings` are those of its last heartbeat, `silence` is the
-  /// longest time for which it can have been without an answer of the store.
-  asio::awaitable<void> Reclaim(StoreClient& client, std::string dead_holder,
-                                std::vector<budget::GrantCeiling> ceilings,
-                                Duration silence);
+  /// Excludes the holder of these grants, whose process has ended, from writing
+  /// and schedules their settlement. They must be of one holder.
+  asio::awaitable<void> Settle(StoreClient& client,
+                               std::vector<budget::EndedGrant> grants);
+  /// Schedules the settlement of the grants of processes on this VM that have
+  /// ended without a heartbeat.
+  void SettleUnannounced() { this->seeks_unannounced = true; }
+  /// True until all that was scheduled is settled in the store.
+  bool IsSettling() const {
+    return this->seeks_unannounced || this->ended.HasUnsettled();
+  }
 
  private:
   enum class Outcome {
@@ -90,7 +87,7 @@
   struct Change {
     std::vector<store::KeyedRecord> records;
     std::vector<budget::GrantUpdate> updates;
-    std::vector<ReclaimedGrant> reclaimed;
+    std::vector<budget::GrantSettlement> settlements;
     budget::AccountBook book;
   };
 
@@ -104,6 +101,9 @@
   /// Writes the grants that this gateway holds and that the restored store
   /// lacks or has an older state of. False if that failed.
   asio::awaitable<bool> RestoreGrants(StoreClient& client);
+  /// Reads the grants that are to be settled if they are not known as of the
+  /// end of the book. Without them nothing is settled.
+  asio::awaitable<void> ReadEndedGrants(StoreClient& client);
   Change PlanChange(TimePoint now);
   /// Delays the next sync; the delay doubles with each failure in a row.
   void BackOff();
@@ -142,7 +142,8 @@
   /// The book as last read or written, and the partition's end offset then.
   budget::AccountBook book;
   std::optional<uint64_t> end;
-  std::vector<ReclaimedGrant> pending_reclaims;
+  budget::EndedGrants ended;
+  bool seeks_unannounced = false;
   TimePoint book_at;
   TimePoint write_begun;
   TimePoint backoff_until;
--- a/gateway/budget_client.cc
+++ b/gateway/budget_client.cc
@@ -55,6 +55,7 @@
                                                    io_context, timeouts, log)),
       grants_changed(io_context),
       sync_needed(io_context) {
+  this->holder->AwaitFirstHeartbeat();
   opts.store->era.Subscribe([this](auto /*before*/, auto /*now*/) {
     this->holder->OnStoreRestored(Now());
     this->sync_needed.Notify();
@@ -233,8 +234,10 @@
   while (!co_await this->heartbeats->ReadFleet()) {
     co_await this->grants_changed.Wait(kReadRetryInterval);
   }
-  asio::co_spawn(this->context, this->ReclaimPredecessorGrants(),
-                 asio::detached);
+  for (const pb::EndedHolder& ended : this->heartbeats->Ended()) {
+    asio::co_spawn(this->context, this->SettleEndedHolder(ended),
+                   asio::detached);
+  }
   asio::co_spawn(this->context, this->FleetSizeLoop(), asio::detached);
 
   while (!this->closed) {
@@ -252,10 +255,13 @@
       ++this->urgent_heartbeats;
     }
     this->heartbeat_begun_at = now;
+    // The silence that a successor computes from them covers the one since the
+    // heartbeat began.
+    const budget::VmClocks clocks = ReadVmClocks();
     std::vector<budget::GrantCeiling> ceilings =
         this->holder->PlanHeartbeat(now);
-    this->holder->OnHeartbeatStarted(now);
-    co_await this->heartbeats->Write(std::move(ceilings));
+    this->holder->OnHeartbeatStarted(Now());
+    co_await this->heartbeats->Write(std::move(ceilings), clocks);
     this->holder->OnHeartbeatWritten(Now());
     this->grants_changed.Notify();
   }
@@ -279,27 +285,41 @@
   }
 }
 
-asio::awaitable<void> BudgetClient::ReclaimPredecessorGrants() {
+asio::awaitable<void> BudgetClient::SettleEndedHolder(pb::EndedHolder ended) {
+  co_await this->SettleGrantsOf(ended);
+  this->heartbeats->OnSettled(ended.holder());
+}
+
+asio::awaitable<void> BudgetClient::SettleGrantsOf(
+    const pb::EndedHolder& ended) {
   const budget::ReleaseOptions release = this->holder->GetReleaseOptions();
   const std::optional<Duration> silence =
-      co_await this->heartbeats->PredecessorSilence(release);
-  if (!silence) co_return;
-
-  std::map<AccountShard*, std::vector<budget::GrantCeiling>> by_shard;
-  for (const pb::HeldCeiling& item :
-       this->heartbeats->Predecessor()->ceilings()) {
-    budget::GrantCeiling held;
-    held.organisation = item.organisation();
-    held.ceiling = Tokens(item.ceiling_tokens());
-    by_shard[&this->ShardOf(held.organisation)].push_back(held);
+      co_await this->heartbeats->SilenceOf(ended.holder(), release);
+  std::map<AccountShard*, std::vector<budget::EndedGrant>> by_shard;
+  for (const pb::HeldCeiling& item : ended.ceilings()) {
+    budget::EndedGrant grant;
+    grant.organisation = item.organisation();
+    grant.holder = ended.holder();
+    grant.heartbeat_ceiling = Tokens(item.ceiling_tokens());
+    grant.silence = silence.value_or(Duration::zero());
+    by_shard[&this->ShardOf(item.organisation())].push_back(std::move(grant));
   }
   StoreClient client(this->context, this->watchdog, *this->options.store);
-  for (const auto& [shard, ceilings] : by_shard) {
-    co_await shard->Reclaim(client, this->heartbeats->PredecessorHolder(),
-                            ceilings, *silence);
+  for (const auto& [shard, grants] : by_shard) {
+    if (silence) {
+      co_await shard->Settle(client, grants);
+    } else {
+      shard->SettleUnannounced();
+    }
     this->sync_needed.Notify();
   }
   this->calls += client.Calls();
+  const auto is_settling = [](const auto& item) {
+    return item.first->IsSettling();
+  };
+  while (std::ranges::any_of(by_shard, is_settling)) {
+    co_await this->grants_changed.Wait(this->options.sync_interval);
+  }
 }
 
 }  // namespace fuchsiadrum::gateway
--- a/gateway/budget_client.h
+++ b/gateway/budget_client.h
@@ -12,6 +12,7 @@
 #include "gateway/event_log.h"
 #include "gateway/store_client.h"
 #include "gateway/watchdog.h"
+#include "schema/fleet.pb.h"
 
 namespace fuchsiadrum::budget {
 class GrantHolder;
@@ -106,9 +107,12 @@
   BudgetCalls CallsByPurpose() const;
   void CountRefusal(TimePoint now, const std::string& organisation,
                     Tokens amount, budget::ReserveOutcome outcome);
-  /// Returns the tokens that the previous gateway process on this VM cannot
-  /// have used.
-  asio::awaitable<void> ReclaimPredecessorGrants();
+  /// Returns the tokens that an earlier gateway process on this VM cannot have
+  /// used. Heartbeats name the process until that is done.
+  asio::awaitable<void> SettleEndedHolder(pb::EndedHolder ended);
+  /// Returns once its grants are settled, as far as anything can be reclaimed,
+  /// and those of processes that ended without a heartbeat.
+  asio::awaitable<void> SettleGrantsOf(const pb::EndedHolder& ended);
 
   BudgetClientOptions options;
   std::string name;
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -22,6 +22,9 @@
 /// fleet may need many seconds to read them. The store retains them for 20 s.
 constexpr Duration kPeerTimeout = std::chrono::seconds(15);
 constexpr Duration kPeerRetryInterval = std::chrono::milliseconds(400);
+/// Maximum number of ended processes that a heartbeat names. The grants of
+/// others stay counted.
+constexpr int kMaxEndedHolders = 16;
 
 std::optional<pb::FleetMember> DecodeMember(const store::KeyedRecord& record) {
   pb::FleetRecord content;
@@ -32,6 +35,24 @@
   return content.member();
 }
 
+/// The process that wrote the heartbeat, and those that it names.
+std::vector<pb::EndedHolder> EndedHolders(const pb::FleetMember& member,
+                                          uint64_t offset) {
+  pb::EndedHolder last;
+  last.set_holder(VmRef{member.vm(), member.incarnation()}.ToString());
+  last.set_boot_us(member.boot_us());
+  last.set_unix_us(member.unix_us());
+  last.set_offset(offset);
+  *last.mutable_ceilings() = member.ceilings();
+  if (member.has_store_era()) last.set_store_era(member.store_era());
+  std::vector<pb::EndedHolder> ended = {std::move(last)};
+  for (const pb::EndedHolder& holder : member.ended()) {
+    if (ended.size() >= kMaxEndedHolders) break;
+    ended.push_back(holder);
+  }
+  return ended;
+}
+
 }  // namespace
 
 Duration HeartbeatInterval(const FleetHeartbeatsOptions& options,
@@ -62,11 +83,6 @@
   this->are_offsets_lost = true;
 }
 
-std::string FleetHeartbeats::PredecessorHolder() const {
-  return VmRef{this->predecessor->vm(), this->predecessor->incarnation()}
-      .ToString();
-}
-
 Duration FleetHeartbeats::PendingWriteAge(TimePoint now) const {
   return this->write_begun.us == 0 ? Duration::zero() : now - this->write_begun;
 }
@@ -95,16 +111,17 @@
   this->vms.insert(member->vm());
   if (member->vm() == this->options.vm && !this->first_heartbeat &&
       member->incarnation() != this->options.incarnation) {
-    this->predecessor = *member;
-    this->predecessor_offset = record.offset;
+    this->had_predecessor = true;
+    this->ended = EndedHolders(*member, record.offset);
   }
 }
 
 asio::awaitable<void> FleetHeartbeats::Write(
-    std::vector<budget::GrantCeiling> ceilings) {
+    std::vector<budget::GrantCeiling> ceilings, budget::VmClocks clocks) {
   platform::StreamPartition partition;
   partition.stream = platform::Stream::kFleet;
-  const std::vector<store::KeyedRecord> records = {this->OwnRecord(ceilings)};
+  const std::vector<store::KeyedRecord> records = {
+      this->OwnRecord(ceilings, clocks)};
   this->write_begun = Now();
   // Retried with the same sequence number until the outcome is known, so that
   // the store applies a delayed write and its retry only once.
@@ -159,12 +176,12 @@
 }
 
 store::KeyedRecord FleetHeartbeats::OwnRecord(
-    const std::vector<budget::GrantCeiling>& ceilings) const {
+    const std::vector<budget::GrantCeiling>& ceilings,
+    const budget::VmClocks& clocks) const {
   pb::FleetRecord record;
   pb::FleetMember& member = *record.mutable_member();
   member.set_vm(this->options.vm);
   member.set_incarnation(this->options.incarnation);
-  const budget::VmClocks clocks = ReadVmClocks();
   member.set_boot_us(clocks.since_boot.count());
   member.set_unix_us(clocks.time_of_day.count());
   for (const budget::GrantCeiling& held : ceilings) {
@@ -172,56 +189,90 @@
     item.set_organisation(held.organisation);
     item.set_ceiling_tokens(held.ceiling.count);
   }
+  for (const pb::EndedHolder& holder : this->ended) {
+    *member.add_ended() = holder;
+  }
+  const auto era = this->options.store->era.Current();
+  if (era) member.set_store_era(*era);
   return {.key = std::string(kMemberKeyPrefix) + this->options.vm,
           .value = record.SerializeAsString()};
 }
 
-asio::awaitable<std::optional<Duration>> FleetHeartbeats::PredecessorSilence(
-    budget::ReleaseOptions release) {
-  if (!this->predecessor) co_return std::nullopt;
-  budget::VmClocks last_heartbeat;
-  last_heartbeat.since_boot = Duration(this->predecessor->boot_us());
-  last_heartbeat.time_of_day = Duration(this->predecessor->unix_us());
+asio::awaitable<std::optional<Duration>> FleetHeartbeats::SilenceOf(
+    std::string ended_holder, budget::ReleaseOptions release) {
+  const auto find = [&] {
+    return std::ranges::find(this->ended, ended_holder,
+                             &pb::EndedHolder::holder);
+  };
+  const auto found = find();
+  if (found == this->ended.end()) co_return std::nullopt;
+  if (found->has_silence_us()) co_return Duration(found->silence_us());
+
+  // A restored store may have lost later heartbeats, and grants.
+  const auto era = this->options.store->era.Current();
+  const bool is_complete =
+      !this->are_offsets_lost &&
+      (!found->has_store_era() || era == found->store_era());
+  const budget::VmClocks last_heartbeat = {
+      .since_boot = Duration(found->boot_us()),
+      .time_of_day = Duration(found->unix_us())};
   const budget::VmClocks& start = ClocksAtStart();
+  budget::FleetHeartbeat last;
+  last.vm = this->options.vm;
+  last.offset = found->offset();
+  last.time_of_day = last_heartbeat.time_of_day;
 
-  const budget::ReclaimDecision verdict = budget::MayReclaim(
-      last_heartbeat, start, release.release_delay + release.release_duration);
+  const budget::ReclaimDecision verdict =
+      is_complete
+          ? budget::MayReclaim(last_heartbeat, start,
+                               release.release_delay + release.release_duration)
+          : budget::ReclaimDecision::kNo;
   std::optional<Duration> silence;
   if (verdict == budget::ReclaimDecision::kYes) {
     silence = budget::SilenceByBootClock(last_heartbeat, start);
   } else if (verdict == budget::ReclaimDecision::kAskPeers) {
-    silence = co_await this->SilenceFromPeers();
+    silence = co_await this->SilenceFromPeers(last);
   }
   const Duration by_boot = start.since_boot - last_heartbeat.since_boot;
   const Duration by_time_of_day =
       start.time_of_day - last_heartbeat.time_of_day;
   this->event_log.Write(
       "predecessor-reclaim",
-      {{"holder", this->PredecessorHolder()},
+      {{"holder", ended_holder},
        {"boot_clock_ms", ToMilliseconds(by_boot)},
        {"time_of_day_ms", ToMilliseconds(by_time_of_day)},
        {"silence_ms", silence ? ToMilliseconds(*silence) : -1},
+       {"same_era", is_complete},
        {"verdict", silence ? "reclaim" : "keep"}});
+  const auto still_ended = find();
+  if (silence && still_ended != this->ended.end()) {
+    still_ended->set_silence_us(silence->count());
+  }
   co_return silence;
 }
 
-asio::awaitable<std::optional<Duration>> FleetHeartbeats::SilenceFromPeers() {
+void FleetHeartbeats::OnSettled(const std::string& ended_holder) {
+  std::erase_if(this->ended, [&](const pb::EndedHolder& holder) {
+    return holder.holder() == ended_holder;
+  });
+}
+
+asio::awaitable<std::optional<Duration>> FleetHeartbeats::SilenceFromPeers(
+    budget::FleetHeartbeat last) {
   const TimePoint end = Now() + kPeerTimeout;
   while (Now() < end) {
     co_await this->timer.Wait(kPeerRetryInterval);
     if (this->are_offsets_lost) co_return std::nullopt;
     if (!this->first_heartbeat) continue;
     std::vector<budget::FleetHeartbeat> found;
-    const uint64_t before = this->predecessor_offset -
-                            std::min(this->predecessor_offset, kRecordsBefore);
-    if (!co_await this->Read(before, found)) continue;
-    if (!co_await this->Read(this->first_heartbeat->offset, found)) continue;
+    const uint64_t before = last.offset - std::min(last.offset, kRecordsBefore);
+    if (!co_await this->Read(before, last.offset, found)) continue;
+    const uint64_t first = this->first_heartbeat->offset;
+    if (!co_await this->Read(first, first, found)) continue;
 
     budget::ReclaimSpan span;
     span.vm = this->options.vm;
-    span.last.vm = this->options.vm;
-    span.last.offset = this->predecessor_offset;
-    span.last.time_of_day = Duration(this->predecessor->unix_us());
+    span.last = last;
     span.first = *this->first_heartbeat;
     if (budget::PeersConfirm(span, found, this->Interval())) {
       co_return budget::SilenceByPeers(span, found);
@@ -231,7 +282,8 @@
 }
 
 asio::awaitable<bool> FleetHeartbeats::Read(
-    uint64_t from, std::vector<budget::FleetHeartbeat>& heartbeats) {
+    uint64_t from, uint64_t latest,
+    std::vector<budget::FleetHeartbeat>& heartbeats) {
   platform::StreamPartition partition;
   partition.stream = platform::Stream::kFleet;
   platform::TailRead read;
@@ -245,7 +297,7 @@
     // In a small fleet, the records before the predecessor's last heartbeat
     // reach back beyond what the store retains.
     const auto first = platform::DecodeFirstRetained(reply.body);
-    if (!first || *first > this->predecessor_offset) co_return false;
+    if (!first || *first > latest) co_return false;
     read.from = *first;
     std::string retry_text =
         platform::EncodeReadTail(this->options.store->address, partition, read);
--- a/gateway/fleet_heartbeats.h
+++ b/gateway/fleet_heartbeats.h
@@ -47,20 +47,25 @@
 
   /// Reads the newest heartbeat of every VM; false if the store did not answer.
   asio::awaitable<bool> ReadFleet();
-  /// Writes a heartbeat with these ceilings. Retries until the write is done.
-  asio::awaitable<void> Write(std::vector<budget::GrantCeiling> ceilings);
-  /// Longest time for which the predecessor can have been without an answer of
-  /// the store; nullopt if it is unknown, or so long that nothing of its grants
-  /// can be reclaimed.
-  asio::awaitable<std::optional<Duration>> PredecessorSilence(
-      budget::ReleaseOptions release);
+  /// Writes a heartbeat with these ceilings. `clocks` were read before the
+  /// ceilings were planned. Retries until the write is done.
+  asio::awaitable<void> Write(std::vector<budget::GrantCeiling> ceilings,
+                              budget::VmClocks clocks);
 
-  /// Last heartbeat of the previous gateway process on this VM, if there is
-  /// one.
-  const std::optional<pb::FleetMember>& Predecessor() const {
-    return this->predecessor;
-  }
-  std::string PredecessorHolder() const;
+  /// Earlier processes of this VM whose grants are not settled yet, the last
+  /// one first. Each heartbeat names them until OnSettled, because it replaces
+  /// the one that named them before.
+  const std::vector<pb::EndedHolder>& Ended() const { return this->ended; }
+  /// Longest time for which the ended process can have been without an answer
+  /// of the store; nullopt if it is unknown, or so long that nothing of its
+  /// grants can be reclaimed. Later heartbeats name the time.
+  asio::awaitable<std::optional<Duration>> SilenceOf(
+      std::string ended_holder, budget::ReleaseOptions release);
+  /// The grants of that process are settled, or nothing of them can be
+  /// reclaimed.
+  void OnSettled(const std::string& ended_holder);
+  /// True if a process ran on this VM before.
+  bool HadPredecessor() const { return this->had_predecessor; }
   /// Number of VMs that have ever written a heartbeat, including this one; 0 if
   /// not yet known.
   size_t FleetSize() const { return this->fleet_size; }
@@ -86,13 +91,15 @@
   void OnNewEra();
   void AddMember(const store::KeyedRecord& record);
   store::KeyedRecord OwnRecord(
-      const std::vector<budget::GrantCeiling>& ceilings) const;
-  /// The predecessor's longest silence by the clocks of other VMs; nullopt if
+      const std::vector<budget::GrantCeiling>& ceilings,
+      const budget::VmClocks& clocks) const;
+  /// The ended process's longest silence by the clocks of other VMs; nullopt if
   /// they don't confirm this VM's clock in time.
-  asio::awaitable<std::optional<Duration>> SilenceFromPeers();
+  asio::awaitable<std::optional<Duration>> SilenceFromPeers(
+      budget::FleetHeartbeat last);
   /// Appends the heartbeats stored from offset `from` on to `heartbeats`; false
-  /// if they could not be read.
-  asio::awaitable<bool> Read(uint64_t from,
+  /// if they could not be read. Records after `latest` are not needed.
+  asio::awaitable<bool> Read(uint64_t from, uint64_t latest,
                              std::vector<budget::FleetHeartbeat>& heartbeats);
 
   FleetHeartbeatsOptions options;
@@ -105,8 +112,8 @@
   size_t fleet_size = 0;
   uint64_t reads = 0;
   std::optional<TimePoint> first_written_at;
-  std::optional<pb::FleetMember> predecessor;
-  uint64_t predecessor_offset = 0;
+  std::vector<pb::EndedHolder> ended;
+  bool had_predecessor = false;
   /// The first heartbeat that this process wrote.
   std::optional<budget::FleetHeartbeat> first_heartbeat;
   /// The offsets above are of an earlier era of the store.
--- a/gateway/gateway_core.cc
+++ b/gateway/gateway_core.cc
@@ -415,7 +415,7 @@
   this->directory.Cold().SetFleet(
       {.vms = heartbeats.Vms(),
        .reads = heartbeats.Reads(),
-       .was_listed = heartbeats.Predecessor().has_value(),
+       .was_listed = heartbeats.HadPredecessor(),
        .first_heartbeat_at = heartbeats.FirstWrittenAt()});
 }
 
