gateway, daemon: one reader of numbers from outside, each with its range

Cause: each reader bounded its number by itself, none the sum, which wrapped to a negative amount that was reserved; settling it broke an assertion.

Change: core/whole_number.h reads numbers in text and core/json_number.h those in JSON, in both programs, each with a range. Sums are checked (CallerRequest::MaxTokens), casts of doubles saturated, stored grants, accounts and heartbeats out of their range unreadable. What can't be served is refused at once: 402 above the budget, 503 if the prompt alone exceeds the engines' memory. Neither counts as demand any more.

Moved: platform/json_number to core, with its test.

--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/problem.h"
 #include "fuchsiadrum/core/bounded_json.h"
+#include "fuchsiadrum/core/json_number.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
@@ -9,7 +10,7 @@
 using nlohmann::json;
 
 /// Larger counts of one request are no report; sums of them would overflow.
-constexpr int64_t kMaxTokensReported = 1000000000;
+constexpr WholeRange kTokensReported = {.max = 1000000000};
 
 std::string Dump(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -129,10 +130,10 @@
   for (const char* key : {"prompt_tokens", "completion_tokens"}) {
     const auto count = found->find(key);
     // A report that cannot be right is no report.
-    if (count == found->end() || !count->is_number_integer()) return;
-    const auto tokens = count->get<int64_t>();
-    if (tokens < 0 || tokens > kMaxTokensReported) return;
-    total += tokens;
+    if (count == found->end()) return;
+    const auto tokens = WholeNumber(*count, kTokensReported);
+    if (!tokens) return;
+    total += *tokens;
   }
   this->usage = *found;
   this->used = Tokens(total);
--- a/daemon/load_report.cc
+++ b/daemon/load_report.cc
@@ -6,6 +6,7 @@
 
 #include "fuchsiadrum/core/bounded_json.h"
 #include "fuchsiadrum/core/hash.h"
+#include "fuchsiadrum/core/json_number.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
@@ -13,16 +14,16 @@
 using nlohmann::json;
 
 /// Larger counts of requests would overflow where they are added up.
-constexpr int64_t kMaxRequests = 1000000;
-constexpr uint64_t kMaxCacheSequence = uint64_t{1} << 53U;
+constexpr WholeRange kRequests = {.max = 1000000};
+constexpr WholeRange kCacheSequence = {.max = int64_t{1} << 53U};
+constexpr double kMaxTokensPerSecond = 1e9;
 constexpr size_t kMaxModels = 64;
 constexpr size_t kMaxPrefixes = 4096;
 
 int Count(const json& body, const char* key) {
   const auto found = body.find(key);
-  if (found == body.end() || !found->is_number_integer()) return 0;
-  return static_cast<int>(
-      std::clamp<int64_t>(found->get<int64_t>(), 0, kMaxRequests));
+  if (found == body.end()) return 0;
+  return static_cast<int>(ClampedNumber(*found, kRequests).value_or(0));
 }
 
 }  // namespace
@@ -37,7 +38,8 @@
   out.queued = Count(body, "queued");
   const auto speed = body.find("tokens_per_second");
   if (speed != body.end() && speed->is_number()) {
-    out.tokens_per_second = std::max(0.0, speed->get<double>());
+    out.tokens_per_second =
+        std::clamp(speed->get<double>(), 0.0, kMaxTokensPerSecond);
   }
   const auto version = body.find("version");
   if (version != body.end() && version->is_string()) out.version = *version;
@@ -46,9 +48,9 @@
   const auto leaving = body.find("leaving");
   out.leaving = leaving != body.end() && *leaving == true;
   const auto sequence = body.find("cache_sequence");
-  if (sequence != body.end() && sequence->is_number_unsigned() &&
-      sequence->get<uint64_t>() <= kMaxCacheSequence) {
-    out.cache_sequence = sequence->get<uint64_t>();
+  if (sequence != body.end()) {
+    const auto number = WholeNumber(*sequence, kCacheSequence);
+    if (number) out.cache_sequence = static_cast<uint64_t>(*number);
   }
 
   const auto models = body.find("models");
--- a/daemon/platform_json.cc
+++ b/daemon/platform_json.cc
@@ -6,6 +6,7 @@
 
 #include "fuchsiadrum/core/base64.h"
 #include "fuchsiadrum/core/bounded_json.h"
+#include "fuchsiadrum/core/json_number.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
@@ -14,8 +15,10 @@
 
 std::optional<uint64_t> Number(const json& body, const char* key) {
   const auto found = body.find(key);
-  if (found == body.end() || !found->is_number_unsigned()) return std::nullopt;
-  return found->get<uint64_t>();
+  if (found == body.end()) return std::nullopt;
+  const auto number = WholeNumber(*found);
+  if (!number) return std::nullopt;
+  return static_cast<uint64_t>(*number);
 }
 
 }  // namespace
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -1,13 +1,13 @@
 #include "daemon/request_reader.h"
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 
 #include "fuchsiadrum/core/bounded_json.h"
 #include "fuchsiadrum/core/hash.h"
+#include "fuchsiadrum/core/json_number.h"
 
 namespace fuchsiadrum::daemon {
 namespace {
@@ -23,7 +23,8 @@
 // 1 MB of hashing for a request.
 constexpr size_t kBlockBytes = 512;
 constexpr size_t kMaxBlocks = 64;
-constexpr int64_t kMaxDeadlineMs = 86400000;
+constexpr WholeRange kDeadlineMs = {.min = std::numeric_limits<int64_t>::min(),
+                                    .max = 86400000};
 
 pb::WorkClass WorkClassOf(const std::string& name) {
   static const std::map<std::string, pb::WorkClass> kClasses = {
@@ -136,14 +137,14 @@
                                  CallerRequest& out) {
   int64_t deadline_ms = this->settings.default_deadline_ms();
   if (request.HeaderCount("X-Request-Deadline-Ms") > 0) {
-    const std::string text = request.Header("X-Request-Deadline-Ms");
-    const char* end = text.data() + text.size();
-    const auto [at, error] = std::from_chars(text.data(), end, deadline_ms);
-    if (error != std::errc() || at != end || deadline_ms > kMaxDeadlineMs) {
+    const auto ms =
+        ParseWhole(request.Header("X-Request-Deadline-Ms"), kDeadlineMs);
+    if (!ms) {
       return this->Refuse(400, "bad-deadline",
                           "X-Request-Deadline-Ms is not a number of "
                           "milliseconds up to one day");
     }
+    deadline_ms = *ms;
     if (deadline_ms <= 0) {
       return this->Refuse(400, "deadline-passed", "the deadline has passed");
     }
@@ -201,12 +202,16 @@
   for (const char* key : {"max_tokens", "max_completion_tokens"}) {
     const auto limit = body.find(key);
     if (limit == body.end() || limit->is_null()) continue;
-    if (!limit->is_number_integer() || limit->get<int64_t>() <= 0 ||
-        limit->get<int64_t>() > std::numeric_limits<int32_t>::max()) {
+    constexpr WholeRange kOutput = {.min = 1,
+                                    .max = std::numeric_limits<int32_t>::max()};
+    const auto tokens = limit->is_number_integer()
+                            ? WholeNumber(*limit, kOutput)
+                            : std::nullopt;
+    if (!tokens) {
       return this->Refuse(400, "bad-body",
                           std::string(key) + " is not a positive number");
     }
-    out.start.max_output = Tokens(limit->get<int64_t>());
+    out.start.max_output = Tokens(*tokens);
   }
 
   const auto stream = body.find("stream");
--- a/fuchsiadrum/budget/ceiling_holder.cc
+++ b/fuchsiadrum/budget/ceiling_holder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fuchsiadrum/budget/witness_choice.h"
+#include "fuchsiadrum/core/whole_number.h"
 
 namespace fuchsiadrum::budget {
 namespace {
@@ -34,8 +35,7 @@
 }
 
 Tokens Share(Tokens tokens, double share) {
-  return Tokens(
-      static_cast<int64_t>(static_cast<double>(tokens.count) * share));
+  return Tokens(SaturatedWhole(static_cast<double>(tokens.count) * share));
 }
 
 }  // namespace
--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -4,6 +4,7 @@
 
 #include "fuchsiadrum/core/assert.h"
 #include "fuchsiadrum/core/duration.h"
+#include "fuchsiadrum/core/whole_number.h"
 
 namespace fuchsiadrum::budget {
 namespace {
@@ -14,8 +15,7 @@
 constexpr double kMaxMinHeadroomFraction = 0.2;
 
 Tokens Scale(double factor, Tokens amount) {
-  return Tokens(
-      static_cast<int64_t>(factor * static_cast<double>(amount.count)));
+  return Tokens(SaturatedWhole(factor * static_cast<double>(amount.count)));
 }
 
 }  // namespace
@@ -41,6 +41,8 @@
 void GrantHolder::OnRequest(TimePoint now, const std::string& organisation,
                             Tokens amount) {
   Pool& pool = this->PoolOf(organisation);
+  // No grant can serve it. As demand it would take tokens from other requests.
+  if (pool.limit && amount > *pool.limit) return;
   pool.demand.Add(now, amount);
   pool.long_term_demand.Add(now, amount);
   const auto size = static_cast<double>(amount.count);
@@ -178,13 +180,13 @@
 
   pool.in_flight = true;
   pool.spendable_total = std::min(pool.spendable_total, *total);
-  pool.planned = {
-      .granted = *total,
-      .spent = pool.spent,
-      .demand = this->closed ? Tokens(0)
-                             : Tokens(static_cast<int64_t>(pool.demand.Rate())),
-      .ceiling = this->NextCeiling(pool, *total),
-      .is_ceiling_final = this->awaits_heartbeat};
+  pool.planned = {.granted = *total,
+                  .spent = pool.spent,
+                  .demand = this->closed
+                                ? Tokens(0)
+                                : Tokens(SaturatedWhole(pool.demand.Rate())),
+                  .ceiling = this->NextCeiling(pool, *total),
+                  .is_ceiling_final = this->awaits_heartbeat};
   pool.grant_ceiling = std::min(pool.grant_ceiling, pool.planned.ceiling);
   pool.planned_account = account;
   pool.planned_account.limit = LimitOf(pool, account);
@@ -321,7 +323,7 @@
         headroom, std::min(next_requests,
                            kMaxMinHeadroomFraction * pool_fraction * unspent));
   }
-  return std::max(pool.unmet_amount, Tokens(static_cast<int64_t>(headroom)));
+  return std::max(pool.unmet_amount, Tokens(SaturatedWhole(headroom)));
 }
 
 Tokens GrantHolder::NextCeiling(const Pool& pool, Tokens total) const {
@@ -454,7 +456,7 @@
   if (!this->HasSteadyPool(pool) && target < this->typical_request) {
     return Tokens(0);
   }
-  return Tokens(static_cast<int64_t>(target));
+  return Tokens(SaturatedWhole(target));
 }
 
 std::optional<Tokens> GrantHolder::NextTotal(
--- a/fuchsiadrum/budget/grant_keeper.cc
+++ b/fuchsiadrum/budget/grant_keeper.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "fuchsiadrum/budget/witness_choice.h"
+#include "fuchsiadrum/core/whole_number.h"
 
 namespace fuchsiadrum::budget {
 namespace {
@@ -26,8 +27,7 @@
 constexpr Duration kKeepShare = std::chrono::seconds(2);
 
 Tokens Scaled(Tokens tokens, double share) {
-  return Tokens(
-      static_cast<int64_t>(static_cast<double>(tokens.count) * share));
+  return Tokens(SaturatedWhole(static_cast<double>(tokens.count) * share));
 }
 
 }  // namespace
--- a/fuchsiadrum/budget/reclaim.cc
+++ b/fuchsiadrum/budget/reclaim.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "fuchsiadrum/core/assert.h"
+#include "fuchsiadrum/core/whole_number.h"
 
 namespace fuchsiadrum::budget {
 namespace {
@@ -82,7 +83,7 @@
   if (total <= ceiling) return total;
   const auto above_ceiling = static_cast<double>((total - ceiling).count);
   const double fraction = ReleasedFraction(options, silence);
-  return ceiling + Tokens(static_cast<int64_t>(fraction * above_ceiling));
+  return ceiling + Tokens(SaturatedWhole(fraction * above_ceiling));
 }
 
 RecordedGrant SettledGrant(const ReleaseOptions& options,
--- a/platform/json_number.cc
+++ b/fuchsiadrum/core/json_number.cc
@@ -1,18 +1,15 @@
-#include "platform/json_number.h"
+#include "fuchsiadrum/core/json_number.h"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
-namespace fuchsiadrum::platform {
+namespace fuchsiadrum {
 namespace {
 
 /// Whole numbers up to this size are exact in a double.
 constexpr double kMaxExact = 9007199254740992.0;
 
-bool Contains(const WholeRange& range, int64_t number) {
-  return number >= range.min && number <= range.max;
-}
-
 }  // namespace
 
 std::optional<int64_t> WholeNumber(const nlohmann::json& value,
@@ -31,7 +28,7 @@
       number = static_cast<int64_t>(real);
     }
   }
-  if (!number || !Contains(range, *number)) return std::nullopt;
+  if (!number || !range.Contains(*number)) return std::nullopt;
   return number;
 }
 
@@ -45,4 +42,4 @@
   return std::clamp(static_cast<int64_t>(real), range.min, range.max);
 }
 
-}  // namespace fuchsiadrum::platform
+}  // namespace fuchsiadrum
--- a/platform/json_number.h
+++ b/fuchsiadrum/core/json_number.h
@@ -1,17 +1,12 @@
 #pragma once
 
 #include <cstdint>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 
-namespace fuchsiadrum::platform {
+#include "fuchsiadrum/core/whole_number.h"
 
-/// Range of a whole number, both ends included.
-struct WholeRange {
-  int64_t min = 0;
-  int64_t max = std::numeric_limits<int64_t>::max();
-};
+namespace fuchsiadrum {
 
 /// Returns a JSON value as a whole number; nullopt if it is not a number, has a
 /// fraction or lies outside the range. Casting such a number is undefined.
@@ -23,4 +18,4 @@
 std::optional<int64_t> ClampedNumber(const nlohmann::json& value,
                                      const WholeRange& range);
 
-}  // namespace fuchsiadrum::platform
+}  // namespace fuchsiadrum
--- a/fuchsiadrum/node/admin_api.cc
+++ b/fuchsiadrum/node/admin_api.cc
@@ -1,11 +1,13 @@
 #include "fuchsiadrum/node/admin_api.h"
 
 #include <charconv>
+#include <limits>
 
 #include "fuchsiadrum/catalogue/edit_signature.h"
 #include "fuchsiadrum/catalogue/entry_schema.h"
 #include "fuchsiadrum/core/bounded_json.h"
 #include "fuchsiadrum/core/hash.h"
+#include "fuchsiadrum/core/json_number.h"
 #include "fuchsiadrum/node/entry_json.h"
 
 namespace fuchsiadrum::node {
@@ -50,9 +52,9 @@
 
 int64_t Integer(const nlohmann::json& json, const char* name) {
   const auto found = json.find(name);
-  return found != json.end() && found->is_number_integer()
-             ? found->get<int64_t>()
-             : 0;
+  if (found == json.end()) return 0;
+  constexpr WholeRange kAny = {.min = std::numeric_limits<int64_t>::min()};
+  return WholeNumber(*found, kAny).value_or(0);
 }
 
 /// Removes `prefix` from the front of `text`; false: it is not there.
--- a/fuchsiadrum/serving/caller_request.h
+++ b/fuchsiadrum/serving/caller_request.h
@@ -48,6 +48,10 @@
   bool close_after = false;
   /// False for a caller of HTTP/1.0, which has no chunks.
   bool takes_chunks = true;
+
+  /// Tokens that the request may use at most; nullopt if it states no counts,
+  /// or counts whose sum is no number of tokens.
+  std::optional<Tokens> MaxTokens() const;
 };
 
 /// What the gateway adds to a request that it sends to an upstream.
--- a/fuchsiadrum/serving/event_splitter.cc
+++ b/fuchsiadrum/serving/event_splitter.cc
@@ -1,6 +1,6 @@
 #include "fuchsiadrum/serving/event_splitter.h"
 
-#include <charconv>
+#include "fuchsiadrum/core/whole_number.h"
 
 namespace fuchsiadrum::serving {
 namespace {
@@ -35,11 +35,9 @@
                                     std::string_view field) {
   line.remove_prefix(field.size());
   while (line.starts_with(' ')) line.remove_prefix(1);
-  uint64_t number = 0;
-  const char* const line_end = line.data() + line.size();
-  const auto result = std::from_chars(line.data(), line_end, number);
-  if (result.ec != std::errc() || result.ptr != line_end) return std::nullopt;
-  return number;
+  const auto number = ParseWhole(line, ranges::kEventNumber);
+  if (!number) return std::nullopt;
+  return static_cast<uint64_t>(*number);
 }
 
 /// True if the lines are comments, which keep a connection in use, or times
--- a/gateway/account_shard.cc
+++ b/gateway/account_shard.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <span>
 
+#include "fuchsiadrum/core/whole_number.h"
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
@@ -57,14 +58,37 @@
           .value = record.SerializeAsString()};
 }
 
+/// A demand out of its range says nothing, and is only a hint.
+Tokens DecodeDemand(int64_t tokens_per_s) {
+  return Tokens(std::clamp(tokens_per_s, ranges::kBudgetTokens.min,
+                           ranges::kBudgetTokens.max));
+}
+
 budget::RecordedGrant DecodeGrant(const pb::BudgetGrant& grant) {
   return {.granted = Tokens(grant.granted_tokens()),
           .spent = Tokens(grant.spent_tokens()),
-          .demand = Tokens(grant.demand_tokens_per_s()),
+          .demand = DecodeDemand(grant.demand_tokens_per_s()),
           .ceiling = Tokens(grant.ceiling_tokens()),
           .is_ceiling_final = grant.is_ceiling_final()};
 }
 
+bool IsInRange(const pb::BudgetGrant& grant) {
+  const WholeRange& range = ranges::kBudgetTokens;
+  return range.Contains(grant.granted_tokens()) &&
+         range.Contains(grant.spent_tokens()) &&
+         range.Contains(grant.ceiling_tokens());
+}
+
+bool IsInRange(const pb::AccountBook& content) {
+  const WholeRange& range = ranges::kFleetTokens;
+  return std::ranges::all_of(
+      content.accounts(), [&](const pb::FleetAccount& item) {
+        return range.Contains(item.granted_tokens()) &&
+               range.Contains(item.spent_tokens()) &&
+               ranges::kBudgetTokens.Contains(item.limit_tokens());
+      });
+}
+
 store::KeyedRecord EncodeBook(const budget::AccountBook& book) {
   pb::FleetRecord record;
   pb::AccountBook& content = *record.mutable_book();
@@ -86,18 +110,19 @@
     budget::FleetAccount& account = book[item.organisation()];
     account.granted = Tokens(item.granted_tokens());
     account.spent = Tokens(item.spent_tokens());
-    account.demand = Tokens(item.demand_tokens_per_s());
+    account.demand = DecodeDemand(item.demand_tokens_per_s());
     account.limit = Tokens(item.limit_tokens());
     account.limit_version = item.limit_version();
   }
   return book;
 }
 
-/// The grant in the record; nullopt if it holds none.
+/// The grant in the record; nullopt if it holds none, or numbers that no
+/// gateway writes.
 std::optional<pb::BudgetGrant> GrantIn(const store::KeyedRecord& record) {
   pb::FleetRecord content;
   if (!record.value || !content.ParseFromString(*record.value) ||
-      !content.has_grant()) {
+      !content.has_grant() || !IsInRange(content.grant())) {
     return std::nullopt;
   }
   return content.grant();
@@ -568,7 +593,8 @@
   if (record.key.starts_with(kGrantKeyPrefix)) return std::nullopt;
   pb::FleetRecord content;
   if (record.key != kBookKey || !record.value ||
-      !content.ParseFromString(*record.value) || !content.has_book()) {
+      !content.ParseFromString(*record.value) || !content.has_book() ||
+      !IsInRange(content.book())) {
     this->event_log.Write(
         "bad-account-record",
         {{"key", record.key}, {"offset", static_cast<int64_t>(record.offset)}});
--- a/gateway/fleet_heartbeats.cc
+++ b/gateway/fleet_heartbeats.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fuchsiadrum/core/duration.h"
+#include "fuchsiadrum/core/whole_number.h"
 #include "gateway/clock.h"
 
 namespace fuchsiadrum::gateway {
@@ -26,10 +27,38 @@
 /// others stay counted.
 constexpr int kMaxEndedHolders = 16;
 
+/// Microseconds of a clock, of which differences are computed.
+constexpr WholeRange kClockRange = {.max = 1'000'000'000'000'000'000};
+
+bool AreInRange(
+    const google::protobuf::RepeatedPtrField<pb::HeldCeiling>& all) {
+  return std::ranges::all_of(all, [](const pb::HeldCeiling& held) {
+    return ranges::kBudgetTokens.Contains(held.ceiling_tokens());
+  });
+}
+
+bool IsInRange(const pb::EndedHolder& holder) {
+  return kClockRange.Contains(holder.boot_us()) &&
+         kClockRange.Contains(holder.unix_us()) &&
+         kClockRange.Contains(holder.silence_us()) &&
+         AreInRange(holder.ceilings());
+}
+
+bool IsInRange(const pb::FleetMember& member) {
+  return kClockRange.Contains(member.boot_us()) &&
+         kClockRange.Contains(member.unix_us()) &&
+         AreInRange(member.ceilings()) &&
+         std::ranges::all_of(member.ended(), [](const auto& holder) {
+           return IsInRange(holder);
+         });
+}
+
+/// The heartbeat in the record; nullopt if it holds none, or numbers that no
+/// gateway writes.
 std::optional<pb::FleetMember> DecodeMember(const store::KeyedRecord& record) {
   pb::FleetRecord content;
   if (!record.value || !content.ParseFromString(*record.value) ||
-      !content.has_member()) {
+      !content.has_member() || !IsInRange(content.member())) {
     return std::nullopt;
   }
   return content.member();
--- a/gateway/request_admission.cc
+++ b/gateway/request_admission.cc
@@ -70,6 +70,14 @@
   return serving::ChooseService(*active.route, of_stream);
 }
 
+/// True if not even the prompt fits into an upstream's memory. Upstreams refuse
+/// such a request as if they were full, and so does every other one.
+bool ExceedsMemory(const ActiveRequest& active) {
+  const std::optional<Tokens>& prompt = active.request.prompt_tokens;
+  return prompt && active.engine && active.engine->memory > Tokens(0) &&
+         *prompt > active.engine->memory;
+}
+
 /// The longest time of the route's answers, those that are still open included.
 std::optional<Duration> LongestWithOpen(GatewayCore& core,
                                         const std::string& route,
@@ -155,6 +163,10 @@
   }
 
   active.SetService(ChooseService(core, active));
+  if (ExceedsMemory(active)) {
+    return GatewayAnswer{503, "prompt exceeds the upstreams' memory",
+                         std::nullopt};
+  }
   active.deadline = active.arrived + active.route->timeout;
   const std::optional<Duration>& limit = active.request.caller_timeout;
   if (limit) {
--- a/gateway/token_reservation.cc
+++ b/gateway/token_reservation.cc
@@ -15,10 +15,13 @@
     const std::string& organisation_name,
     const serving::CallerRequest& request) {
   if (!request.prompt_tokens) co_return budget::ReserveOutcome::kReserved;
+  const std::optional<Tokens> max_tokens = request.MaxTokens();
+  // No budget covers more tokens than can be counted.
+  if (!max_tokens) co_return budget::ReserveOutcome::kExhausted;
   this->organisation = organisation_name;
   this->prompt = *request.prompt_tokens;
   this->max_output = *request.max_output_tokens;
-  const Tokens wanted = this->prompt + this->max_output;
+  const Tokens wanted = *max_tokens;
   const budget::ReserveOutcome result =
       co_await this->budgets.Reserve(organisation_name, wanted, kGrantTimeout);
   if (result == budget::ReserveOutcome::kReserved) {
--- a/tests/platform/json_number_test.cc
+++ b/tests/core/json_number_test.cc
@@ -1,8 +1,10 @@
-#include "platform/json_number.h"
+#include "fuchsiadrum/core/json_number.h"
 
 #include <gtest/gtest.h>
 
-namespace fuchsiadrum::platform {
+#include <limits>
+
+namespace fuchsiadrum {
 namespace {
 
 class JsonNumberTest : public testing::Test {
@@ -39,4 +41,4 @@
 }
 
 }  // namespace
-}  // namespace fuchsiadrum::platform
+}  // namespace fuchsiadrum
