gateway: a stream begun without versions does not go on at one that joins

Here it could happen where old upstreams name no version: Find skipped the read of the records if no version was known, and a request that was unrestricted once stayed so for its whole life, also within one answer. With versions in all entries no way was found.

Change: a take-up reads the records, and one that names a version binds it, whatever is known of the entries. A stream that began without versions goes on only while none is known, asked at each choice of an upstream. Without versions and without the store it goes on as before.

--- a/fuchsiadrum/serving/stream_versions.cc
+++ b/fuchsiadrum/serving/stream_versions.cc
@@ -150,14 +150,19 @@
 
 FoundOrigin StreamVersions::Find(TimePoint now, const std::string& service,
                                  const std::string& attempt) const {
+  const auto own = this->own.find(attempt);
+  const auto recorded = this->records.find(attempt);
   if (!this->HasVersions(service)) {
-    return {.knowledge = OriginKnowledge::kUnrestricted};
+    // Another gateway may have read of a version that this one does not know.
+    const bool is_versioned = recorded != this->records.end() &&
+                              !recorded->second.origin.version.empty();
+    if (!is_versioned) return {.knowledge = OriginKnowledge::kUnrestricted};
+    return {.knowledge = OriginKnowledge::kKnown,
+            .origin = recorded->second.origin};
   }
-  const auto own = this->own.find(attempt);
   if (own != this->own.end()) {
     return {.knowledge = OriginKnowledge::kKnown, .origin = own->second.origin};
   }
-  const auto recorded = this->records.find(attempt);
   if (recorded != this->records.end()) {
     return {.knowledge = OriginKnowledge::kKnown,
             .origin = recorded->second.origin};
--- a/gateway/stream_origin_guard.cc
+++ b/gateway/stream_origin_guard.cc
@@ -9,6 +9,9 @@
 
 /// Time for a read of the records to their end, which takes one call.
 constexpr Duration kFindTimeout = std::chrono::milliseconds(400);
+/// The same where no upstream of the service names a version that is known
+/// here.
+constexpr Duration kUnversionedFindTimeout = std::chrono::milliseconds(100);
 /// Time for the record of a stream, which is written while the upstream works
 /// on the first event.
 constexpr Duration kRecordTimeout = std::chrono::milliseconds(1000);
@@ -29,20 +32,27 @@
   const std::string attempt =
       serving::StreamVersions::StreamName(this->active.request.resumed_attempt);
   serving::StreamVersions& versions = this->core.Versions();
-  bool is_read =
-      versions.IsOwn(attempt) || !versions.HasVersions(this->active.service);
+  const bool has_versions = versions.HasVersions(this->active.service);
+  bool is_read = versions.IsOwn(attempt);
   if (!is_read) {
-    const Duration limit = std::min(kFindTimeout, this->active.TimeLeft());
+    const Duration limit =
+        std::min(has_versions ? kFindTimeout : kUnversionedFindTimeout,
+                 this->active.TimeLeft());
     is_read = co_await this->core.VersionRecords().ReadToPresent(limit);
   }
   serving::FoundOrigin found;
-  if (is_read) found = versions.Find(Now(), this->active.service, attempt);
+  if (is_read) {
+    found = versions.Find(Now(), this->active.service, attempt);
+  } else if (!versions.HasVersions(this->active.service)) {
+    found.knowledge = serving::OriginKnowledge::kUnrestricted;
+  }
   co_return this->Bind(found);
 }
 
 std::optional<GatewayAnswer> StreamOriginGuard::Bind(
     const serving::FoundOrigin& found) {
   if (found.knowledge == serving::OriginKnowledge::kUnrestricted) {
+    this->is_unversioned = true;
     return std::nullopt;
   }
   this->origin = found.origin;
@@ -77,7 +87,9 @@
 
 std::function<bool(const serving::UpstreamEntry&)> StreamOriginGuard::Filter()
     const {
-  if (!this->origin && !this->IsTakenUpLater()) return {};
+  if (!this->origin && !this->is_unversioned && !this->IsTakenUpLater()) {
+    return {};
+  }
   // Mostly all upstreams have one version.
   return [this, version = std::optional<std::string>(),
           is_accepted = false](const serving::UpstreamEntry& entry) mutable {
@@ -93,6 +105,7 @@
   if (this->origin) return this->origin->Accepts(entry);
   const TimePoint now = Now();
   serving::StreamVersions& versions = this->core.Versions();
+  if (this->is_unversioned) return !versions.HasVersions(entry.service);
   if (!versions.MayBegin(entry)) return false;
   const serving::StreamOrigin begun = {.service = entry.service,
                                        .version = entry.version};
@@ -143,6 +156,8 @@
   }
   if (this->core.Versions().HasVersions(this->sent.service)) {
     this->origin = this->sent;
+  } else {
+    this->is_unversioned = true;
   }
   co_return true;
 }
--- a/gateway/stream_origin_guard.h
+++ b/gateway/stream_origin_guard.h
@@ -52,6 +52,9 @@
   std::string stream;
   /// Origin of the events that the caller has.
   std::optional<serving::StreamOrigin> origin;
+  /// The caller has events that came when no upstream of the service was known
+  /// to name a version. Once one does, nothing tells which of them may go on.
+  bool is_unversioned = false;
   /// Origin of the attempt that was sent last.
   serving::StreamOrigin sent;
   bool needs_record = false;
--- a/tests/platform/software_version_test.cc
+++ b/tests/platform/software_version_test.cc
@@ -3,7 +3,9 @@
 #include <atomic>
 #include <set>
 #include <string>
+#include <thread>
 
+#include "gateway/version_records.h"
 #include "tests/platform/platform_fixture.h"
 
 namespace fuchsiadrum::gateway {
@@ -19,6 +21,8 @@
 
   /// Number of events after which it breaks its streams off; 0: it does not.
   std::atomic<int> break_after{0};
+  /// Time between those events and the break, in milliseconds.
+  std::atomic<int> hold_ms{0};
   /// While set, it refuses requests, which it has not run.
   std::atomic<bool> refuses{false};
   /// The same for requests that begin a stream.
@@ -65,6 +69,7 @@
     }
     ErrorCode ignored;
     asio::write(socket, asio::buffer(text.str()), ignored);
+    std::this_thread::sleep_for(std::chrono::milliseconds(this->hold_ms));
     return std::nullopt;
   }
 
@@ -278,6 +283,43 @@
   EXPECT_TRUE(IsWhole(this->Read(Ask("t", 3, "x0"))));
 }
 
+// ORDER: a gateway that was out of step knew no upstream with a version, and a
+// stream that had begun at one through another gateway went on at any.
+TEST_F(SoftwareVersionTest, TakeUpWhereNoVersionIsKnown_GoesByItsRecord) {
+  VersionedUpstream unversioned{""};
+  this->PutStreamRoute();
+  this->PutVersioned("u1", unversioned);
+  this->StartGateway();
+  const store::KeyedRecord record =
+      EncodeStreamStart(serving::StreamVersions::StreamName("elsewhere"),
+                        {.service = "engine", .version = "v2"});
+  this->store.Put("keyed.fuchsiadrum-versions", record.key, *record.value);
+  for (int i = 0; i < 5; ++i) {
+    const std::string n = std::to_string(i);
+    EXPECT_EQ(Status(this->Read(Ask("a" + n, 2, "elsewhere"))), 503);
+    EXPECT_TRUE(IsWhole(this->Read(Ask("b" + n, 2, "unknown"))));
+  }
+}
+
+// ORDER: a stream that had begun where no upstream named a version went on at
+// one that had joined meanwhile and named its own.
+TEST_F(SoftwareVersionTest, VersionThatJoinsMeanwhile_GetsNoRestOfAStream) {
+  VersionedUpstream unversioned{""};
+  unversioned.break_after = 2;
+  unversioned.hold_ms = 1500;
+  this->new_version.refuses_begins = true;
+  this->PutStreamRoute();
+  this->PutVersioned("u1", unversioned);
+  this->StartGateway();
+  std::string answer;
+  std::thread caller([&] { answer = this->Read(Ask("a")); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  this->PutVersioned("u2", this->new_version);
+  caller.join();
+  EXPECT_EQ(VersionsIn(answer), std::set<std::string>({""})) << answer;
+  EXPECT_FALSE(IsWhole(answer));
+}
+
 // A stream whose version can't be recorded could be taken up at another one.
 TEST_F(SoftwareVersionTest, StoreThatIsAway_LeavesTheBaseVersionServing) {
   this->PutStreamRoute();
--- a/tests/serving/stream_versions_test.cc
+++ b/tests/serving/stream_versions_test.cc
@@ -77,6 +77,18 @@
   EXPECT_EQ(this->written.base, "v1");
 }
 
+// A gateway that was out of step knew only upstreams without versions, and took
+// a stream of a version that had joined for one of theirs.
+TEST_F(StreamVersionsTest, RecordOfAVersionUnknownHere_IsKnown) {
+  this->second.OnEntries(this->now, {{kService, {""}}});
+  EXPECT_EQ(this->Find("a").knowledge, OriginKnowledge::kUnrestricted);
+  this->second.OnStream(this->now, "a", Of("v2"));
+  EXPECT_EQ(this->Find("a").knowledge, OriginKnowledge::kKnown);
+  EXPECT_EQ(this->Find("a").origin, Of("v2"));
+  this->second.OnStream(this->now, "b", Of(""));
+  EXPECT_EQ(this->Find("b").knowledge, OriginKnowledge::kUnrestricted);
+}
+
 TEST_F(StreamVersionsTest, StreamOfAnotherVersion_IsKnownOnceRecorded) {
   this->Present({"v1"});
   this->Present({"v1", "v2"});
