budget: a silence counts from when the last heartbeat was made

After a loss of power the silence of the former process was what the other VMs measured since the store had carried out its last heartbeat. The span by the VM's own time of day, from the record itself, is a lower bound now.

ReclaimTest.SilenceByPeers_AfterALateHeartbeat_CoversTheSpan fails before.

--- a/fuchsiadrum/budget/reclaim.cc
+++ b/fuchsiadrum/budget/reclaim.cc
@@ -126,7 +126,9 @@
   const auto median =
       durations.begin() + static_cast<std::ptrdiff_t>(durations.size() / 2);
   std::ranges::nth_element(durations, median);
-  return *median;
+  // The store may have carried out the last heartbeat late, so that the others
+  // measured less than the time since it was made.
+  return std::max(*median, span.first.time_of_day - span.last.time_of_day);
 }
 
 }  // namespace fuchsiadrum::budget
--- a/fuchsiadrum/budget/reclaim.h
+++ b/fuchsiadrum/budget/reclaim.h
@@ -105,8 +105,9 @@
 
 /// Upper bound of the time for which the process was without an answered write.
 /// Valid if PeersConfirm returned true. It is the median of the durations that
-/// the other VMs measured. Each of these contains the time without an answered
-/// write, so the median covers it unless half of the clocks were set back in
+/// the other VMs measured, or the one by this VM's time of day if that is
+/// longer. Each of the others contains the time since the last heartbeat was
+/// written, so the median covers it unless half of the clocks were set back in
 /// the meantime.
 Duration SilenceByPeers(const ReclaimSpan& span,
                         std::span<const FleetHeartbeat> heartbeats);
--- a/tests/budget/reclaim_test.cc
+++ b/tests/budget/reclaim_test.cc
@@ -144,6 +144,15 @@
   EXPECT_GE(*silence, milliseconds(2200));
 }
 
+// Guards against a silence that is counted from when the store carried out the
+// last heartbeat, 1.5 s late: tokens in use were returned to the account.
+TEST_F(ReclaimTest, SilenceByPeers_AfterALateHeartbeat_CoversTheSpan) {
+  const std::optional<Duration> silence =
+      Silence(milliseconds(1500), milliseconds(3000), 8, 0);
+  ASSERT_TRUE(silence);
+  EXPECT_GE(*silence, milliseconds(3000));
+}
+
 TEST_F(ReclaimTest, SilenceByBootClock_OfAQuickRestart_CoversTheSpan) {
   const VmClocks last = {.since_boot = std::chrono::hours(1),
                          .time_of_day = std::chrono::hours(1000)};
