soak: full upstreams, announced closes, and a partition without heartbeats

Upstreams reset new connections for 150 ms at a time, announce the close in one of five sound answers, and the partition of the heartbeats refuses appends for some seconds while gateways are killed.

--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "fuchsiadrum/core/hash.h"
+#include "gateway/clock.h"
 #include "soak/wire.h"
 
 namespace fuchsiadrum::soak {
@@ -78,7 +79,26 @@
   }
   this->is_ending = false;
   this->server = std::make_unique<gateway::ScriptedUpstream>(
-      this->runs, [this](Exchange& exchange) { this->Serve(exchange); });
+      this->runs, [this](Exchange& exchange) { this->Serve(exchange); },
+      [this](Exchange& exchange) {
+        if (this->IsFull()) exchange.Reset();
+      });
+}
+
+bool FaultyUpstream::IsFull() const {
+  if (this->calm) return false;
+  constexpr int64_t kPeriodUs = 150000;
+  constexpr uint64_t kOneIn = 8;
+  const int64_t period = gateway::Now().us / kPeriodUs;
+  return Hash64(this->options.name + "/full" + std::to_string(period),
+                this->options.seed) %
+             kOneIn ==
+         0;
+}
+
+bool FaultyUpstream::AnnouncesClose(const Exchange& exchange) const {
+  constexpr uint64_t kOneIn = 5;
+  return Hash64(exchange.Id() + "/close", this->options.seed) % kOneIn == 0;
 }
 
 bool FaultyUpstream::OnTick(TimePoint now) {
@@ -202,6 +222,7 @@
         this->WriteInTime(exchange);
       } else {
         exchange.Write(this->MakeAnswer(exchange, rng));
+        if (this->AnnouncesClose(exchange)) exchange.Close();
       }
   }
   this->seen.AddRunEnd(exchange.Id());
@@ -439,6 +460,7 @@
 std::string FaultyUpstream::MakeAnswer(const Exchange& exchange, Rng& rng) {
   std::string answer = EncodeAnswerHead("200 OK", exchange.Id(),
                                         this->MakeSignature(exchange, 200));
+  if (this->AnnouncesClose(exchange)) answer += "Connection: close\r\n";
   if (!TraitsOf(RouteOf(exchange)).is_stream) {
     const std::string body = this->MakeBody(exchange);
     if (rng.Chance(0.5)) {
--- a/soak/faulty_upstream.h
+++ b/soak/faulty_upstream.h
@@ -52,6 +52,10 @@
   void Start();
   void Serve(Exchange& exchange);
   void ServeOpen(Exchange& exchange);
+  /// True at times: the upstream takes no further connection.
+  bool IsFull() const;
+  /// True if the answer to the request announces that the connection closes.
+  bool AnnouncesClose(const Exchange& exchange) const;
   /// Begins to answer a request with the bad part, and ends the upstream.
   void EndWith(Exchange& exchange);
   UpstreamFault Draw(const Exchange& exchange, Rng& rng) const;
--- a/soak/store_drill.cc
+++ b/soak/store_drill.cc
@@ -22,18 +22,27 @@
 constexpr double kLeastVersionGap = 0.2;
 constexpr double kMostVersionGap = 1.2;
 constexpr double kMostCalm = 1.5;
+/// Mean times for which heartbeats are written, and are not. Without them a
+/// gateway takes its whole grants into use within 6 s.
+constexpr double kMeanHeartbeats = 4;
+constexpr double kMeanNoHeartbeats = 2;
 
 }  // namespace
 
 StoreDrill::StoreDrill(uint64_t seed, gateway::FakeStore& fake_store,
                        Observations& observations)
-    : rng(Hash64("store", seed)), store(fake_store), seen(observations) {
+    : rng(Hash64("store", seed)),
+      store(fake_store),
+      seen(observations),
+      heartbeat_rng(Hash64("heartbeats", seed)),
+      next_switch(Now() + FromSeconds(kMeanHeartbeats)) {
   this->WriteNextVersion();
   this->next_version = this->Draw(Now(), 1, 2);
   this->next_step = this->Draw(Now(), 1, 2);
 }
 
 bool StoreDrill::OnTick(TimePoint now) {
+  if (now >= this->next_switch) this->SwitchHeartbeats(now);
   // Operators write nothing new before what was lost.
   const bool may_write =
       this->step == Step::kCopy || this->step == Step::kLeave;
@@ -79,7 +88,15 @@
   return false;
 }
 
+void StoreDrill::SwitchHeartbeats(TimePoint now) {
+  const bool refuses = !this->store.refuses_heartbeats;
+  this->store.refuses_heartbeats = refuses;
+  this->next_switch = now + FromSeconds(this->heartbeat_rng.Exponential(
+                                refuses ? kMeanNoHeartbeats : kMeanHeartbeats));
+}
+
 void StoreDrill::Settle() {
+  this->store.refuses_heartbeats = false;
   if (this->step == Step::kReturn) {
     this->store.RestoreCopy();
     this->ComeBack();
--- a/soak/store_drill.h
+++ b/soak/store_drill.h
@@ -6,8 +6,9 @@
 
 namespace fuchsiadrum::soak {
 
-/// Writes versions of the configuration, and lets the store go away and come
-/// back from an older copy. All calls come from one thread.
+/// Writes versions of the configuration, lets the store go away and come back
+/// from an older copy, and lets one of its partitions refuse appends. All calls
+/// come from one thread.
 class StoreDrill {
  public:
   /// Writes the first version.
@@ -25,6 +26,8 @@
   enum class Step { kCopy, kLeave, kReturn, kRewrite };
 
   void WriteNextVersion();
+  /// Begins or ends a time in which no heartbeat is written.
+  void SwitchHeartbeats(TimePoint now);
   /// Writes the newest version as it was acknowledged.
   void WriteNewest();
   void ComeBack();
@@ -37,6 +40,8 @@
   Step step = Step::kCopy;
   TimePoint next_step;
   TimePoint next_version;
+  Rng heartbeat_rng;
+  TimePoint next_switch;
 };
 
 }  // namespace fuchsiadrum::soak
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -89,6 +89,8 @@
   std::atomic<int> era{0};
   /// While set, every call is answered with status 503.
   std::atomic<bool> refusing{false};
+  /// While set, the partition of the gateways' heartbeats takes no append.
+  std::atomic<bool> refuses_heartbeats{false};
   /// If not 0, answers to reads of the newest configuration are sent in this
   /// many parts, 0.1 s apart.
   std::atomic<int> config_read_parts{0};
@@ -213,6 +215,11 @@
     if (target.starts_with("/log-append")) {
       std::this_thread::sleep_for(std::chrono::milliseconds(this->append_ms));
     }
+    if (this->refuses_heartbeats &&
+        target.starts_with("/log-append?topic=keyed.fuchsiadrum&")) {
+      answer.result(http::status::service_unavailable);
+      return answer;
+    }
     std::unique_lock lock(this->mutex);
     const std::string topic = Parameter(target, "topic");
     const std::string part = Parameter(target, "part");
