soak: a stream whose upstream ends right after it has a cause of its own

Upstreams no longer reset new connections at times: a request that had been sent on one was reset, too, which the soak took for a refusal.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -180,6 +180,11 @@
       std::string(was_passed_on ? "passed on" : "not passed on") +
       ", the connection ended after " +
       std::to_string(ToMilliseconds(result.ended - result.sent)) + " ms";
+  if (request.has_upstream_ended) {
+    this->Add(Rule::kLost, id, detail);
+    this->violations.back().cause = "ended-upstream";
+    return;
+  }
   if (!around.stopped_at) return this->Add(Rule::kClosed, id, detail);
   const Duration grace = FromSeconds(process.Options().grace_s);
   if (IsExcusedByGrace(request, *around.stopped_at, grace)) return;
--- a/soak/faulty_upstream.cc
+++ b/soak/faulty_upstream.cc
@@ -79,21 +79,17 @@
   }
   this->is_ending = false;
   this->server = std::make_unique<gateway::ScriptedUpstream>(
-      this->runs, [this](Exchange& exchange) { this->Serve(exchange); },
-      [this](Exchange& exchange) {
-        if (this->IsFull()) exchange.Reset();
-      });
+      this->runs, [this](Exchange& exchange) { this->Serve(exchange); });
 }
 
-bool FaultyUpstream::IsFull() const {
-  if (this->calm) return false;
-  constexpr int64_t kPeriodUs = 150000;
-  constexpr uint64_t kOneIn = 8;
-  const int64_t period = gateway::Now().us / kPeriodUs;
-  return Hash64(this->options.name + "/full" + std::to_string(period),
-                this->options.seed) %
-             kOneIn ==
-         0;
+void FaultyUpstream::CloseUnframed(Exchange& exchange) {
+  constexpr size_t kMostKept = 16;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->closed.emplace_back(gateway::Now(), exchange.Id());
+    if (this->closed.size() > kMostKept) this->closed.pop_front();
+  }
+  exchange.Close();
 }
 
 bool FaultyUpstream::AnnouncesClose(const Exchange& exchange) const {
@@ -115,6 +111,12 @@
                             this->options.name + " ends");
     }
     this->open.clear();
+    // A gateway looks for signs of life for some tens of milliseconds.
+    constexpr Duration kDoubtTime = std::chrono::milliseconds(100);
+    for (const auto& [at, id] : this->closed) {
+      if (now - at < kDoubtTime) this->seen.AddUpstreamEnd(id);
+    }
+    this->closed.clear();
   }
   this->server.reset();
   this->back_at = now + kDownTime;
@@ -215,7 +217,7 @@
       break;
     case UpstreamFault::kUnframed:
       exchange.Write(this->MakeUnframedAnswer(exchange));
-      exchange.Close();
+      this->CloseUnframed(exchange);
       break;
     default:
       if (TraitsOf(RouteOf(exchange)).is_long) {
@@ -332,7 +334,7 @@
     exchange.Write(answer);
     ::shutdown(exchange.Socket().native_handle(), SHUT_WR);
     exchange.ReadBody();
-    return exchange.Close();
+    return this->CloseUnframed(exchange);
   }
   const size_t head = answer.find("\r\n\r\n") + 4;
   std::string written = CutInBody(answer, head, rng);
--- a/soak/faulty_upstream.h
+++ b/soak/faulty_upstream.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "soak/observations.h"
 #include "soak/upstream_fault.h"
@@ -52,8 +54,8 @@
   void Start();
   void Serve(Exchange& exchange);
   void ServeOpen(Exchange& exchange);
-  /// True at times: the upstream takes no further connection.
-  bool IsFull() const;
+  /// The upstream closes the connection, which ends its answer.
+  void CloseUnframed(Exchange& exchange);
   /// True if the answer to the request announces that the connection closes.
   bool AnnouncesClose(const Exchange& exchange) const;
   /// Begins to answer a request with the bad part, and ends the upstream.
@@ -99,6 +101,8 @@
   std::mutex mutex;
   /// Requests that are being served.
   std::set<std::string> open;
+  /// The last answers that ended with their connection, and when.
+  std::deque<std::pair<TimePoint, std::string>> closed;
   /// Ends first, because its threads use the other members.
   std::unique_ptr<gateway::ScriptedUpstream> server;
 };
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -57,6 +57,11 @@
   this->requests[id].was_closed_early = true;
 }
 
+void Observations::AddUpstreamEnd(const std::string& id) {
+  const std::lock_guard lock(this->mutex);
+  this->requests[id].has_upstream_ended = true;
+}
+
 void Observations::AddChange(const std::string& id) {
   const std::lock_guard lock(this->mutex);
   this->requests[id].was_changed = true;
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -62,6 +62,8 @@
   /// True if an upstream closed an answer that ends with its connection in
   /// order, and before its end.
   bool was_closed_early = false;
+  /// True if the upstream ended right after it had closed such an answer.
+  bool has_upstream_ended = false;
   int runs = 0;
   TimePoint run_ended;
   bool was_changed = false;
@@ -86,6 +88,9 @@
   /// Records that an upstream closed its answer, which ends with its
   /// connection, in order before the answer's end.
   void AddEarlyClose(const std::string& id);
+  /// Records that the upstream ended right after it had closed its answer,
+  /// which ends with its connection.
+  void AddUpstreamEnd(const std::string& id);
   /// Records that an upstream ran a request that its caller did not send so.
   void AddChange(const std::string& id);
   void AddResult(const std::string& id, CallerResult result);
