budget: a final ceiling is raised also where the grant can't grow

Cause: where the rest of the budget was granted to others, a request that only needed a higher ceiling waited for the first heartbeat, since NextTotal planned no write.

Change: the grant is then written unchanged with the higher ceiling. Tests: GrantHolderTest.GrantBeforeTheFirstHeartbeat_KeepsToItsCeiling and FinalCeiling_IsRaisedUnderAnUnchangedGrant; both were written after the change.

--- a/fuchsiadrum/budget/grant_holder.cc
+++ b/fuchsiadrum/budget/grant_holder.cc
@@ -471,6 +471,12 @@
     return std::min(recorded, in_use);
   }
 
+  // The ceiling alone may be due.
+  const bool is_ceiling_due = this->awaits_heartbeat
+                                  ? pool.NeedsFinalCeiling()
+                                  : pool.recorded.is_ceiling_final;
+  const auto unchanged =
+      is_ceiling_due ? std::optional<Tokens>(recorded) : std::nullopt;
   const Tokens target = this->Target(now, pool, account);
   const Tokens unused = recorded - in_use;
   if (unused < pool.unmet_amount ||
@@ -484,7 +490,7 @@
     if (may_raise && total > recorded && total >= in_use + pool.unmet_amount) {
       return total;
     }
-    return std::nullopt;
+    return unchanged;
   }
   const double high_water =
       TimeToExhaustion(pool, account) > this->options.ample_time
@@ -494,13 +500,8 @@
     const Tokens total = in_use + std::max(target, pool.unmet_amount);
     if (total < recorded) return total;
   }
-  const bool is_ceiling_due = this->awaits_heartbeat
-                                  ? pool.NeedsFinalCeiling()
-                                  : pool.recorded.is_ceiling_final;
-  if (is_ceiling_due || this->IsSpendStale(now, pool, account)) {
-    return recorded;
-  }
-  return std::nullopt;
+  if (this->IsSpendStale(now, pool, account)) return recorded;
+  return unchanged;
 }
 
 bool GrantHolder::IsSpendStale(TimePoint now, const Pool& pool,
--- a/tests/budget/grant_holder_test.cc
+++ b/tests/budget/grant_holder_test.cc
@@ -65,6 +65,45 @@
   EXPECT_EQ(gateway.holder->Available(this->now, kOrganisation), Tokens(0));
 }
 
+// Guards against use that no successor can bound: it finds no heartbeat of this
+// holder, and only its grants.
+TEST_F(GrantHolderTest, GrantBeforeTheFirstHeartbeat_KeepsToItsCeiling) {
+  GrantFleet fleet(1);
+  fleet.SetLimit(Tokens(10'000));
+  GrantFleet::Gateway& gateway = *fleet.gateways[0];
+  gateway.holder->AwaitFirstHeartbeat();
+  ASSERT_TRUE(fleet.SpendOrFetch(gateway, this->now, Tokens(100)));
+  EXPECT_TRUE(gateway.recorded.is_ceiling_final);
+  this->Pass(std::chrono::seconds(60));
+  EXPECT_LE(gateway.spent + gateway.holder->Available(this->now, kOrganisation),
+            gateway.recorded.ceiling);
+
+  // Without heartbeats a write of the grant raises the ceiling.
+  ASSERT_TRUE(fleet.SpendOrFetch(gateway, this->now, Tokens(3'000)));
+  EXPECT_TRUE(gateway.recorded.is_ceiling_final);
+  EXPECT_LE(gateway.spent, gateway.recorded.ceiling);
+
+  fleet.WriteHeartbeat(gateway, this->now);
+  this->Pass(std::chrono::seconds(1));
+  fleet.WriteIfDue(gateway, this->now);
+  EXPECT_FALSE(gateway.recorded.is_ceiling_final);
+}
+
+// Guards against a request that only a higher ceiling can serve, where the rest
+// of the budget is granted to others.
+TEST_F(GrantHolderTest, FinalCeiling_IsRaisedUnderAnUnchangedGrant) {
+  GrantFleet fleet(2);
+  fleet.SetLimit(Tokens(10'000));
+  GrantFleet::Gateway& first = *fleet.gateways[0];
+  GrantFleet::Gateway& second = *fleet.gateways[1];
+  first.holder->AwaitFirstHeartbeat();
+  ASSERT_TRUE(fleet.SpendOrFetch(first, this->now, Tokens(500)));
+  ASSERT_TRUE(fleet.SpendOrFetch(second, this->now,
+                                 Tokens(10'000) - first.recorded.granted));
+  const Tokens rest = first.recorded.granted - first.spent;
+  EXPECT_TRUE(fleet.SpendOrFetch(first, this->now, rest));
+}
+
 TEST_F(GrantHolderTest, Reserve_AboveBudget_IsExhausted) {
   GrantFleet fleet(1);
   fleet.SetLimit(Tokens(1000));
