--- a/tests/core/whole_number_test.cc
+++ b/tests/core/whole_number_test.cc
@@ -38,7 +38,7 @@
 // Guards against numbers whose sums wrap, and against one that is refused as no
 // number because it has too many digits.
 TEST_F(WholeNumberTest, ParseWholeClamped_OutOfRange_IsTheNearest) {
-  for (const std::string text :
+  for (const std::string& text :
        {std::string("9007199254740993"), std::string("9223372036854775807"),
         std::string("9223372036854775808"), std::string("18446744073709551616"),
         std::string(10000, '9')}) {
--- a/tests/platform/outside_number_test.cc
+++ b/tests/platform/outside_number_test.cc
@@ -34,6 +34,14 @@
   static std::vector<std::string> NoNumbers() {
     return {"-1", "+1", "1e3", "0x1", "1.5", "one", "-9223372036854775808"};
   }
+  static std::string Counts(const std::string& prompt,
+                            const std::string& output) {
+    return prompt + "," + output;
+  }
+  /// Two parts of a prompt with that many tokens each.
+  static std::string TwoParts(const std::string& tokens) {
+    return "a:" + tokens + ",b:" + tokens;
+  }
   void Start(int64_t prepaid) {
     this->PutUpstream("u1", this->upstream);
     this->PutConfig(1, prepaid);
@@ -41,9 +49,10 @@
     // The first grants.
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
   }
+  std::string NextId() { return "n" + std::to_string(++this->asked); }
   unsigned StatusOf(const std::string& path, const std::string& tokens) {
     HttpRequest request = Request(path, tokens);
-    request.set("Attempt-Id", "n" + std::to_string(++this->asked));
+    request.set("Attempt-Id", this->NextId());
     return this->Call(request).result_int();
   }
   pb::FleetAccount Account() {
@@ -89,7 +98,7 @@
   for (const char* path : {"/draft/x", "/book/x"}) {
     for (const std::string& prompt : Numbers()) {
       for (const std::string& output : Numbers()) {
-        const unsigned status = this->StatusOf(path, prompt + "," + output);
+        const unsigned status = this->StatusOf(path, Counts(prompt, output));
         const bool is_small = prompt.size() < 6 && output.size() < 6;
         EXPECT_EQ(status, is_small ? 200U : 402U) << prompt << "," << output;
         if (status == 200) used += std::stoll(prompt) + std::stoll(output);
@@ -119,13 +128,13 @@
   for (const std::string& text : texts) {
     for (const char* field : {"Deadline-Ms", "Last-Event-Id", "Length-Hint"}) {
       HttpRequest request = Request("/draft/x", "1,1");
-      request.set("Attempt-Id", "f" + std::to_string(++this->asked));
+      request.set("Attempt-Id", this->NextId());
       request.set(field, text);
       EXPECT_NE(this->Call(request).result_int(), 0U) << field << " " << text;
     }
     HttpRequest request = Request("/draft/x", "1,1");
-    request.set("Attempt-Id", "p" + std::to_string(++this->asked));
-    request.set("Prompt-Prefix", "a:" + text + ",b:" + text);
+    request.set("Attempt-Id", this->NextId());
+    request.set("Prompt-Prefix", TwoParts(text));
     EXPECT_NE(this->Call(request).result_int(), 0U) << text;
   }
   EXPECT_EQ(this->StatusOf("/draft/x", "100,10"), 200U);
